Add store client, stand-in store, settings, permit authority

Cause: agents, entries and the cell scheduler need the store, their settings and permits.

Change: the store client speaks the JSON form of the etcd v3 API, repeats a transaction whose answer was lost and resolves it by its own value; the stand-in store has outage, hang, delay and lost-answer switches; settings files are checked whole, with file, line, key, value and what is allowed; the operators' settings form a tree; the permit authority proves a data centre's state by a fresh read or by the vouches of all registered entries.

Ruled out: reading back alone after a lost answer, because the delayed write could still take effect afterwards; repeating the same conditional transaction closes that gap.

--- a/include/basilspring/connection/http_client.h
+++ b/include/basilspring/connection/http_client.h
@@ -47,7 +47,7 @@
 /// An HTTP/1.1 client with a pool of idle connections for each server. Thread-safe.
 class HttpClient {
  public:
-  HttpClient(IoThread& io, std::size_t max_idle_connections_per_server = 16);
+  explicit HttpClient(IoThread& io, std::size_t max_idle_connections_per_server = 16);
   /// Open calls end with kConnectionLost.
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
--- a/include/basilspring/process/permit_authority.h
+++ b/include/basilspring/process/permit_authority.h
@@ -69,7 +69,9 @@
     std::map<std::uint64_t, TimePoint> pending;
   };
 
-  std::optional<TimePoint> ProofFromVouches(const DataCentreId& data_centre) const;
+  void OnVouch(const Vouch& vouch);
+  /// The moment at which all registered entries vouched for the data centre, or nothing.
+  std::optional<TimePoint> ProofFromVouches(TimePoint now, const DataCentreId& data_centre) const;
 
   ProcessId self_;
   Address address_;
--- a/include/basilspring/version/settings_tree.h
+++ b/include/basilspring/version/settings_tree.h
@@ -1,6 +1,7 @@
 #ifndef BASILSPRING_VERSION_SETTINGS_TREE_H_
 #define BASILSPRING_VERSION_SETTINGS_TREE_H_
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
--- /dev/null
+++ b/src/connection/store_json.h
@@ -0,0 +1,46 @@
+#ifndef BASILSPRING_SRC_CONNECTION_STORE_JSON_H_
+#define BASILSPRING_SRC_CONNECTION_STORE_JSON_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "basilspring/connection/store_client.h"
+
+/// Mapping between the store's types and the JSON form of the etcd v3 API. Parsers throw
+/// Error(kBadFrame) when an answer is not what the API describes.
+namespace basilspring::internal {
+
+/// The first key after all keys that begin with the prefix.
+std::string PrefixEnd(std::string_view prefix);
+
+std::string RangeRequestJson(const std::string& key, const std::string& range_end,
+                             std::size_t limit);
+RangeResult ParseRangeResponse(const std::string& body);
+
+std::string TxnRequestJson(const std::vector<StoreCondition>& conditions,
+                           const std::vector<StoreWrite>& writes,
+                           const std::vector<std::string>& read_on_failure);
+TxnResult ParseTxnResponse(const std::string& body);
+
+std::string LeaseGrantJson(std::int64_t seconds);
+std::string LeaseIdJson(std::int64_t lease);
+/// Id of a granted lease.
+std::int64_t ParseLeaseGrant(const std::string& body);
+/// Remaining seconds of a renewed lease; zero when it has expired.
+std::int64_t ParseKeepAlive(const std::string& body);
+
+std::string WatchRequestJson(const std::string& prefix, std::int64_t from_revision);
+
+/// One message of a watch stream.
+struct WatchMessage {
+  std::int64_t revision = 0;
+  bool canceled = false;
+  std::vector<StoreEvent> events;
+};
+WatchMessage ParseWatchMessage(const std::string& line);
+
+}  // namespace basilspring::internal
+
+#endif  // BASILSPRING_SRC_CONNECTION_STORE_JSON_H_
--- /dev/null
+++ b/src/process/permit_authority.cc
@@ -0,0 +1,172 @@
+#include "basilspring/process/permit_authority.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace basilspring {
+namespace {
+
+// Answers that arrive later than this prove nothing, since their vouch has lapsed.
+constexpr std::size_t kMaxPendingRequests = 16;
+
+}  // namespace
+
+PermitAuthority::PermitAuthority(ProcessId self, Address address, const Timings& timings)
+    : self_(std::move(self)), address_(std::move(address)), timings_(timings) {}
+
+void PermitAuthority::OnConfiguration(ConfigRevision revision,
+                                      std::set<DataCentreId> out_of_service) {
+  if (revision < revision_) return;
+  revision_ = revision;
+  out_ = std::move(out_of_service);
+}
+
+void PermitAuthority::OnGuardRead(TimePoint started, ConfigRevision guard) {
+  if (guard_read_.has_value() && started < *guard_read_) return;
+  guard_read_ = started;
+  guard_ = guard;
+}
+
+void PermitAuthority::OnRegistry(TimePoint started, const std::map<ProcessId, Address>& entries) {
+  last_registry_read_ = started;
+  const bool registered = entries.find(self_) != entries.end();
+  if (registered && !registered_since_.has_value()) registered_since_ = started;
+  if (!registered) registered_since_.reset();
+  std::erase_if(peers_,
+                [&entries](const auto& peer) { return entries.find(peer.first) == entries.end(); });
+  for (const auto& [id, address] : entries) {
+    if (id == self_) continue;
+    Peer& peer = peers_[id];
+    if (peer.address != address) {
+      // The same name at another address is another process: nothing it said before counts.
+      peer = Peer();
+      peer.address = address;
+    }
+  }
+}
+
+std::vector<PermitMessage> PermitAuthority::Tick(TimePoint now) {
+  std::vector<PermitMessage> messages;
+  if (now < next_tick_) return messages;
+  next_tick_ = now + timings_.permit_read;
+  for (auto& [id, peer] : peers_) {
+    if (!peer.acknowledged) messages.push_back({peer.address, Registration{self_, address_}});
+    // Vouches are only asked for when the store is away; the traffic is quadratic in the number of
+    // entries.
+    if (!vouching(now)) continue;
+    const std::uint64_t request = next_request_++;
+    peer.pending[request] = now;
+    while (peer.pending.size() > kMaxPendingRequests) peer.pending.erase(peer.pending.begin());
+    messages.push_back({peer.address, VouchRequest{self_, request}});
+  }
+  return messages;
+}
+
+std::optional<Message> PermitAuthority::OnMessage(TimePoint /*now*/, const Address& from,
+                                                  const Message& message) {
+  if (const auto* const request = std::get_if<VouchRequest>(&message)) {
+    Vouch vouch;
+    vouch.from = self_;
+    vouch.request = request->request;
+    vouch.config_revision = revision_;
+    vouch.changing.assign(changing_.begin(), changing_.end());
+    vouch.granted = removing_.find(request->from) == removing_.end();
+    return vouch;
+  }
+  if (const auto* const registration = std::get_if<Registration>(&message)) {
+    // From now on this entry issues no permit on vouches without the new one's.
+    Peer& peer = peers_[registration->entry];
+    if (peer.address != registration->address) peer = Peer();
+    peer.address = registration->address;
+    return RegistrationAck{self_};
+  }
+  if (const auto* const ack = std::get_if<RegistrationAck>(&message)) {
+    const auto peer = peers_.find(ack->from);
+    if (peer != peers_.end() && peer->second.address == from) peer->second.acknowledged = true;
+  }
+  if (const auto* const vouch = std::get_if<Vouch>(&message)) OnVouch(*vouch);
+  return std::nullopt;
+}
+
+void PermitAuthority::OnVouch(const Vouch& vouch) {
+  const auto found = peers_.find(vouch.from);
+  if (found == peers_.end()) return;
+  Peer& peer = found->second;
+  const auto pending = peer.pending.find(vouch.request);
+  if (pending == peer.pending.end()) return;
+  const TimePoint sent = pending->second;
+  peer.pending.erase(peer.pending.begin(), std::next(pending));
+  if (!vouch.granted) {
+    peer.vouched_since.reset();
+    return;
+  }
+  // Counted from when the request was sent, because the answer says what held at some later moment.
+  peer.vouched_since = sent;
+  peer.revision = vouch.config_revision;
+  peer.changing = {vouch.changing.begin(), vouch.changing.end()};
+}
+
+bool PermitAuthority::vouching(TimePoint now) const {
+  return !guard_read_.has_value() || now - *guard_read_ >= timings_.permit_validity;
+}
+
+std::optional<TimePoint> PermitAuthority::ProofFromVouches(TimePoint now,
+                                                           const DataCentreId& data_centre) const {
+  if (!registered_since_.has_value() || !last_registry_read_.has_value()) return std::nullopt;
+  if (now - *last_registry_read_ >= timings_.vouching_limit) return std::nullopt;
+  TimePoint proof = now;
+  for (const auto& [id, peer] : peers_) {
+    if (!peer.vouched_since.has_value() || peer.revision > revision_) return std::nullopt;
+    if (peer.changing.find(data_centre) != peer.changing.end()) return std::nullopt;
+    proof = std::min(proof, *peer.vouched_since);
+  }
+  return proof;
+}
+
+Permit PermitAuthority::Issue(TimePoint now, const PermitRequest& request) {
+  Permit permit;
+  permit.data_centre = request.data_centre;
+  permit.request = request.request;
+  permit.config_revision = revision_;
+  permit.out = out_.find(request.data_centre) != out_.end();
+  const bool changing = changing_.find(request.data_centre) != changing_.end();
+  if (permit.out || changing || revision_ == ConfigRevision()) return permit;
+  std::optional<TimePoint> proof;
+  if (!vouching(now) && guard_ == revision_) proof = guard_read_;
+  if (!proof.has_value() && vouching(now)) proof = ProofFromVouches(now, request.data_centre);
+  if (!proof.has_value()) return permit;
+  const Duration remaining = *proof + timings_.permit_validity - now;
+  if (remaining > Duration(0)) permit.remaining = remaining;
+  return permit;
+}
+
+bool PermitAuthority::MayChange(TimePoint now, std::string* reason) const {
+  if (!registered_since_.has_value()) {
+    *reason = "this entry is not in the registry of entries yet";
+    return false;
+  }
+  if (now - *registered_since_ >= timings_.registration_wait) return true;
+  for (const auto& [id, peer] : peers_) {
+    if (peer.acknowledged) continue;
+    *reason = fmt::format("entry {} has not acknowledged this entry yet", id.value());
+    return false;
+  }
+  return true;
+}
+
+TimePoint PermitAuthority::BeginChange(TimePoint now, const DataCentreId& data_centre) {
+  changing_.insert(data_centre);
+  // Permits on vouches that this entry gave until now lapse by then.
+  return now + timings_.permit_validity;
+}
+
+void PermitAuthority::EndChange(const DataCentreId& data_centre) { changing_.erase(data_centre); }
+
+TimePoint PermitAuthority::BeginRemoval(TimePoint now, const ProcessId& entry) {
+  removing_.insert(entry);
+  return now + timings_.permit_validity;
+}
+
+}  // namespace basilspring
--- /dev/null
+++ b/src/process/settings_reader.cc
@@ -0,0 +1,178 @@
+#include "process/settings_reader.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <sstream>
+#include <utility>
+
+#include "basilspring/error.h"
+
+namespace basilspring::internal {
+namespace {
+
+constexpr std::string_view kAddressForm =
+    "\"IP:PORT\" with an IP number and a port from 1 to 65535";
+
+std::string NodeText(const toml::node& node) {
+  std::ostringstream text;
+  node.visit([&text](const auto& typed) { text << toml::node_view<const toml::node>(typed); });
+  return text.str();
+}
+
+std::optional<Address> ParseIpAddress(const std::string& text) {
+  try {
+    Address address = Address::Parse(text);
+    boost::system::error_code error;
+    boost::asio::ip::make_address(address.ip, error);
+    if (error) return std::nullopt;
+    return address;
+  } catch (const Error&) {
+    return std::nullopt;
+  }
+}
+
+bool IsName(const std::string& text, bool allow_slash) {
+  return !text.empty() && text.size() <= 128 &&
+         std::all_of(text.begin(), text.end(), [allow_slash](char c) {
+           return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
+                  c == '-' || c == '_' || c == '.' || (allow_slash && c == '/');
+         });
+}
+
+}  // namespace
+
+void SettingsReader::Fault(const toml::node* node, std::string_view key, std::string_view message) {
+  const std::size_t line = node == nullptr ? 1 : node->source().begin.line;
+  faults_->push_back({fmt::format("{}:{}: {}: {}", file_, line, key, message)});
+}
+
+const toml::node* SettingsReader::Find(std::string_view key, Presence presence,
+                                       std::string_view allowed) {
+  known_.emplace(key);
+  const toml::node* const node = root_.at_path(key).node();
+  if (node == nullptr && presence == Presence::kRequired) {
+    Fault(nullptr, key, fmt::format("is missing; allowed: {}", allowed));
+  }
+  return node;
+}
+
+std::optional<std::string> SettingsReader::Text(std::string_view key, Presence presence) {
+  const toml::node* const node = Find(key, presence, "a text");
+  if (node == nullptr) return std::nullopt;
+  auto value = node->value_exact<std::string>();
+  if (!value.has_value()) {
+    Fault(node, key, fmt::format("{} has the wrong type; allowed: a text", NodeText(*node)));
+  }
+  return value;
+}
+
+std::optional<std::string> SettingsReader::Name(std::string_view key, Presence presence,
+                                                bool allow_slash) {
+  std::optional<std::string> value = Text(key, presence);
+  if (value.has_value() && !IsName(*value, allow_slash)) {
+    Fault(root_.at_path(key).node(), key,
+          fmt::format("\"{}\" is not a name; allowed: 1 to 128 letters, digits, '-', '_' or '.'",
+                      *value));
+    return std::nullopt;
+  }
+  return value;
+}
+
+std::optional<std::int64_t> SettingsReader::Number(std::string_view key, Presence presence,
+                                                   std::int64_t minimum, std::int64_t maximum) {
+  const std::string allowed = fmt::format("a whole number from {} to {}", minimum, maximum);
+  const toml::node* const node = Find(key, presence, allowed);
+  if (node == nullptr) return std::nullopt;
+  const auto value = node->value_exact<std::int64_t>();
+  if (!value.has_value()) {
+    Fault(node, key, fmt::format("{} has the wrong type; allowed: {}", NodeText(*node), allowed));
+    return std::nullopt;
+  }
+  if (*value < minimum || *value > maximum) {
+    Fault(node, key, fmt::format("{} is out of range; allowed: {}", *value, allowed));
+    return std::nullopt;
+  }
+  return value;
+}
+
+std::optional<Address> SettingsReader::IpAddress(std::string_view key, Presence presence) {
+  const std::optional<std::string> text = Text(key, presence);
+  if (!text.has_value()) return std::nullopt;
+  std::optional<Address> address = ParseIpAddress(*text);
+  if (!address.has_value()) {
+    Fault(root_.at_path(key).node(), key,
+          fmt::format("\"{}\" is not an address; allowed: {}", *text, kAddressForm));
+  }
+  return address;
+}
+
+std::vector<Address> SettingsReader::IpAddresses(std::string_view key, Presence presence) {
+  std::vector<Address> addresses;
+  const toml::node* const node = Find(key, presence, "a list of addresses");
+  if (node == nullptr) return addresses;
+  const toml::array* const list = node->as_array();
+  if (list == nullptr) {
+    Fault(node, key,
+          fmt::format("{} has the wrong type; allowed: a list of addresses", NodeText(*node)));
+    return addresses;
+  }
+  if (list->empty() && presence == Presence::kRequired) {
+    Fault(node, key, "is empty; allowed: one address or more");
+  }
+  for (const toml::node& element : *list) {
+    const std::optional<Address> address =
+        ParseIpAddress(element.value_exact<std::string>().value_or(""));
+    if (address.has_value()) {
+      addresses.push_back(*address);
+    } else {
+      Fault(&element, key,
+            fmt::format("{} is not an address; allowed: {}", NodeText(element), kAddressForm));
+    }
+  }
+  return addresses;
+}
+
+std::optional<std::string> SettingsReader::Choice(std::string_view key, Presence presence,
+                                                  std::string_view choices) {
+  std::optional<std::string> value = Text(key, presence);
+  if (!value.has_value()) return std::nullopt;
+  const std::string list = fmt::format("|{}|", choices);
+  if (list.find(fmt::format("|{}|", *value)) == std::string::npos) {
+    Fault(root_.at_path(key).node(), key,
+          fmt::format("\"{}\" is unknown; allowed: {}", *value, choices));
+    return std::nullopt;
+  }
+  return value;
+}
+
+void SettingsReader::RejectUnknownKeys() {
+  for (const auto& [section, node] : root_) {
+    const std::string section_name(section.str());
+    const toml::table* const table = node.as_table();
+    const auto first_known = known_.lower_bound(section_name + ".");
+    const bool known_section =
+        first_known != known_.end() && first_known->rfind(section_name + ".", 0) == 0;
+    if (table == nullptr || !known_section) {
+      Fault(&node, section_name, "is unknown; allowed: the sections of docs/operators.md");
+      continue;
+    }
+    for (const auto& [key, value] : *table) {
+      const std::string name = fmt::format("{}.{}", section_name, key.str());
+      if (known_.find(name) != known_.end()) continue;
+      std::string allowed;
+      for (const std::string& other : known_) {
+        if (other.rfind(section_name + ".", 0) != 0) continue;
+        allowed += (allowed.empty() ? "" : ", ") + other.substr(section_name.size() + 1);
+      }
+      Fault(&value, name, fmt::format("is unknown; allowed in this section: {}", allowed));
+    }
+  }
+}
+
+void SettingsReader::Contradiction(std::string_view key, std::string_view message) {
+  Fault(root_.at_path(key).node(), key, message);
+}
+
+}  // namespace basilspring::internal
--- a/standin/placeholder.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace basilspring::standin {}
--- /dev/null
+++ b/tests/process/permit_authority_test.cc
@@ -0,0 +1,131 @@
+#include "basilspring/process/permit_authority.h"
+
+#include <gtest/gtest.h>
+
+namespace basilspring {
+namespace {
+
+const DataCentreId kPlovdiv("plovdiv-a");
+const Address kA = {"127.0.0.1", 1};
+const Address kB = {"127.0.0.1", 2};
+const std::map<ProcessId, Address> kRegistry = {{ProcessId("a"), kA}, {ProcessId("b"), kB}};
+constexpr Duration kValidity = Timings().permit_validity;
+
+Duration Remaining(PermitAuthority& entry, TimePoint now) {
+  return entry.Issue(now, {kPlovdiv, 1}).remaining;
+}
+
+// Two entries that have the same configuration and know each other.
+class PermitAuthorityTest : public ::testing::Test {
+ protected:
+  PermitAuthorityTest() {
+    for (PermitAuthority* entry : {&a_, &b_}) {
+      entry->OnConfiguration(ConfigRevision(5), {});
+      entry->OnRegistry(TimePoint(0), kRegistry);
+      entry->OnGuardRead(TimePoint(0), ConfigRevision(5));
+    }
+  }
+
+  // Entry a asks, b answers at the same moment.
+  void ExchangeVouches(TimePoint now) {
+    for (const PermitMessage& message : a_.Tick(now)) {
+      const auto answer = b_.OnMessage(now, kA, message.message);
+      if (answer.has_value()) a_.OnMessage(now, kB, *answer);
+    }
+  }
+
+  PermitAuthority a_{ProcessId("a"), kA, Timings()};
+  PermitAuthority b_{ProcessId("b"), kB, Timings()};
+};
+
+// Guards against a permit that outlives the proof it rests on.
+TEST_F(PermitAuthorityTest, ValidityCountsFromTheStartOfTheRead) {
+  EXPECT_EQ(Remaining(a_, TimePoint(500)), kValidity - Duration(500));
+  EXPECT_EQ(Remaining(a_, TimePoint(2000)), Duration(0));
+}
+
+// Guards against starts in a data centre whose change this entry has seen in the guard but not yet
+// applied.
+TEST_F(PermitAuthorityTest, NoPermitWhileANewerRevisionIsUnknown) {
+  a_.OnGuardRead(TimePoint(100), ConfigRevision(6));
+  EXPECT_EQ(Remaining(a_, TimePoint(200)), Duration(0));
+  a_.OnConfiguration(ConfigRevision(6), {kPlovdiv});
+  EXPECT_TRUE(a_.Issue(TimePoint(200), {kPlovdiv, 1}).out);
+}
+
+// Guards against losing all starts during an outage of the store.
+TEST_F(PermitAuthorityTest, VouchesOfAllEntriesReplaceTheStore) {
+  EXPECT_EQ(Remaining(a_, TimePoint(10000)), Duration(0));
+  ExchangeVouches(TimePoint(10000));
+  EXPECT_EQ(Remaining(a_, TimePoint(10500)), kValidity - Duration(500));
+  EXPECT_EQ(Remaining(a_, TimePoint(12000)), Duration(0));
+}
+
+// Guards against a start during a change that another entry has begun: it stops vouching, and what
+// it vouched for before has lapsed when its write is allowed.
+TEST_F(PermitAuthorityTest, AnEntryThatChangesADataCentreDoesNotVouchForIt) {
+  ExchangeVouches(TimePoint(10000));
+  const TimePoint write_allowed = b_.BeginChange(TimePoint(10100), kPlovdiv);
+  EXPECT_GE(write_allowed, TimePoint(10000) + kValidity);
+  EXPECT_EQ(Remaining(a_, write_allowed), Duration(0));
+  ExchangeVouches(TimePoint(11000));
+  EXPECT_EQ(Remaining(a_, TimePoint(11000)), Duration(0));
+}
+
+// Guards against a cut-off entry that relies on vouches of one that has completed a change
+// meanwhile.
+TEST_F(PermitAuthorityTest, AHigherRevisionOfAPeerStopsPermits) {
+  b_.OnConfiguration(ConfigRevision(6), {kPlovdiv});
+  ExchangeVouches(TimePoint(10000));
+  EXPECT_EQ(Remaining(a_, TimePoint(10000)), Duration(0));
+}
+
+// Guards against an answer that was delayed longer than its vouch is valid.
+TEST_F(PermitAuthorityTest, LateVouchesCountFromTheirRequest) {
+  const auto requests = a_.Tick(TimePoint(10000));
+  for (const PermitMessage& message : requests) {
+    const auto answer = b_.OnMessage(TimePoint(10000), kA, message.message);
+    if (answer.has_value()) a_.OnMessage(TimePoint(11900), kB, *answer);
+  }
+  EXPECT_EQ(Remaining(a_, TimePoint(11900)), Duration(100));
+}
+
+// Guards against a new entry that changes a data centre while cut-off entries don't know it yet.
+TEST_F(PermitAuthorityTest, ANewEntryMayChangeOnlyWhenAllHaveAcknowledgedIt) {
+  PermitAuthority c(ProcessId("c"), {"127.0.0.1", 3}, Timings());
+  std::string reason;
+  EXPECT_FALSE(c.MayChange(TimePoint(0), &reason));
+  auto registry = kRegistry;
+  registry[ProcessId("c")] = {"127.0.0.1", 3};
+  c.OnRegistry(TimePoint(0), registry);
+  c.OnMessage(TimePoint(10), kA, RegistrationAck{ProcessId("a")});
+  EXPECT_FALSE(c.MayChange(TimePoint(10), &reason));
+  EXPECT_NE(reason.find("entry b"), std::string::npos);
+  c.OnMessage(TimePoint(10), kB, RegistrationAck{ProcessId("b")});
+  EXPECT_TRUE(c.MayChange(TimePoint(10), &reason));
+}
+
+// Guards against permits of an entry that acknowledged a new one but has no vouch of it.
+TEST_F(PermitAuthorityTest, AnAcknowledgedNewEntryIsRequiredAtOnce) {
+  a_.OnMessage(TimePoint(9000), {"127.0.0.1", 3}, Registration{ProcessId("c"), {"127.0.0.1", 3}});
+  ExchangeVouches(TimePoint(10000));
+  EXPECT_EQ(Remaining(a_, TimePoint(10000)), Duration(0));
+}
+
+// Guards against permits after the time at which a lone new entry may change a data centre.
+TEST_F(PermitAuthorityTest, NoPermitsAfterTheVouchingLimit) {
+  const TimePoint late = TimePoint(0) + Timings().vouching_limit;
+  ExchangeVouches(late);
+  EXPECT_EQ(Remaining(a_, late), Duration(0));
+}
+
+// Guards against a removed entry that goes on issuing permits.
+TEST_F(PermitAuthorityTest, AnEntryThatIsBeingRemovedGetsNoVouch) {
+  ExchangeVouches(TimePoint(10000));
+  const TimePoint removal_allowed = b_.BeginRemoval(TimePoint(10000), ProcessId("a"));
+  ExchangeVouches(TimePoint(11000));
+  EXPECT_EQ(Remaining(a_, removal_allowed), Duration(0));
+}
+
+}  // namespace
+}  // namespace basilspring
