Add the HTTP server and client

The duties need HTTP towards callers, operators, backend servers and the store.

The server reads with Beast and writes its own heads; it answers requests over a limit with 400, 408, 413, 431 or 503 and reads on for at most 1 s afterwards, because closing a socket with unread bytes resets the connection and can destroy the answer. A peer that has closed and one that has only finished sending both show the end of input; an interim 100 answer tells them apart. Treating the end of input as a disconnect was ruled out, because it cancels half-closed callers.

The client keeps idle connections, checks them before use and repeats a GET once when a pooled connection turns out to be closed. An answer with neither a length nor chunks is an error, because its truncation can't be seen.

--- a/include/basilspring/connection/http_client.h
+++ b/include/basilspring/connection/http_client.h
@@ -38,7 +38,8 @@
   std::string body;
 };
 
-/// A running streamed answer; destroying it closes the connection.
+/// A running streamed answer; destroying it closes the connection. No handler runs after the
+/// destructor, which waits for the I/O thread; so hold no lock there that a handler takes.
 class HttpStream {
  public:
   virtual ~HttpStream() = default;
@@ -47,22 +48,23 @@
 /// An HTTP/1.1 client with a pool of idle connections for each server. Thread-safe.
 class HttpClient {
  public:
-  HttpClient(IoThread& io, std::size_t max_idle_connections_per_server = 16);
-  /// Open calls end with kConnectionLost.
+  explicit HttpClient(IoThread& io, std::size_t max_idle_connections_per_server = 16);
+  /// Open calls end with an error, by the rule of HttpResult::error.
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
   /// Calls the handler once, on the I/O thread. A truncated answer is an error, never a shorter
-  /// body.
+  /// body; so is one with neither a length nor chunks.
   void Send(HttpClientRequest request, std::function<void(HttpResult)> handler);
 
   /// The same, but waits in the calling fiber or thread. Not to be called on the I/O thread.
   HttpResult Fetch(HttpClientRequest request);
 
   /// For an answer without an end, such as a watch: on_data gets each piece as it arrives and
-  /// on_end the reason why the stream ended. `request.timeout` bounds the time until the header has
-  /// arrived; silence is the caller's to detect.
+  /// on_end the reason why the stream ended; the body of a status other than 2xx goes to on_end.
+  /// `request.timeout` bounds the time until the header has arrived; silence is the caller's to
+  /// detect.
   std::unique_ptr<HttpStream> OpenStream(HttpClientRequest request,
                                          std::function<void(std::string)> on_data,
                                          std::function<void(HttpResult)> on_end);
--- a/include/basilspring/connection/http_server.h
+++ b/include/basilspring/connection/http_server.h
@@ -36,7 +36,8 @@
   std::string body;
 };
 
-/// Answers one request, from any thread. The first answer counts; later ones are ignored.
+/// Answers one request, from any thread. The first answer counts; later ones are ignored. Dropping
+/// the responder without an answer gives 500.
 class HttpResponder {
  public:
   virtual ~HttpResponder() = default;
@@ -47,7 +48,8 @@
   virtual void StartStream(HttpResponse head) = 0;
   virtual void WriteChunk(std::string bytes) = 0;
   virtual void FinishStream() = 0;
-  /// Calls the handler on the I/O thread when the caller goes away before the answer is out.
+  /// Calls the handler on the I/O thread when the caller goes away before the answer is out. A
+  /// caller that has only finished sending is still there.
   virtual void OnDisconnect(std::function<void()> handler) = 0;
 };
 
--- /dev/null
+++ b/src/connection/http_server.cc
@@ -0,0 +1,142 @@
+#include "basilspring/connection/http_server.h"
+
+#include <fmt/format.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <utility>
+
+#include "basilspring/error.h"
+#include "connection/http_session.h"
+#include "process/io_thread_internal.h"
+
+namespace basilspring {
+namespace {
+
+namespace asio = boost::asio;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+/// Connections over the limit that may be open to receive their 503; more are closed unanswered.
+constexpr std::size_t kMaxRefusedConnections = 64;
+/// Pause after a failed accept, for example when the process has no file descriptors left.
+constexpr std::chrono::milliseconds kAcceptRetry{100};
+
+}  // namespace
+
+struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
+  Impl(asio::io_context& io, Handler handler, const HttpLimits& limits)
+      : context(io),
+        acceptor(io),
+        retry_timer(io),
+        shared(std::make_shared<internal::HttpServerShared>(io)) {
+    shared->handler = std::make_shared<const Handler>(std::move(handler));
+    shared->limits = limits;
+  }
+
+  void Listen(const Address& listen);
+  void Accept();
+  void Add(tcp::socket socket);
+  void StopAccepting();
+  void Close();
+
+  asio::io_context& context;
+  tcp::acceptor acceptor;
+  asio::steady_timer retry_timer;
+  std::shared_ptr<internal::HttpServerShared> shared;
+  Address address;
+};
+
+void HttpServer::Impl::Listen(const Address& listen) {
+  try {
+    const tcp::endpoint endpoint(asio::ip::make_address(listen.ip), listen.port);
+    acceptor.open(endpoint.protocol());
+    acceptor.set_option(tcp::acceptor::reuse_address(true));
+    acceptor.bind(endpoint);
+    acceptor.listen();
+    acceptor.non_blocking(true);
+    address = Address{listen.ip, acceptor.local_endpoint().port()};
+  } catch (const boost::system::system_error& error) {
+    throw Error(ErrorKind::kInternal,
+                fmt::format("can't listen on {}: {}", listen.ToString(), error.what()));
+  }
+}
+
+void HttpServer::Impl::Accept() {
+  acceptor.async_accept([self = shared_from_this()](const error_code& error, tcp::socket socket) {
+    if (!self->acceptor.is_open()) return;
+    if (error) {
+      self->retry_timer.expires_after(kAcceptRetry);
+      self->retry_timer.async_wait([self](const error_code& cancelled) {
+        if (!cancelled && self->acceptor.is_open()) self->Accept();
+      });
+      return;
+    }
+    self->Add(std::move(socket));
+    self->Accept();
+  });
+}
+
+void HttpServer::Impl::Add(tcp::socket socket) {
+  error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  const std::size_t limit = shared->limits.max_connections;
+  if (shared->sessions.size() >= limit + kMaxRefusedConnections) return;
+  const bool refused = shared->sessions.size() >= limit;
+  const auto session = std::make_shared<internal::HttpSession>(shared, std::move(socket));
+  shared->sessions.insert(session);
+  if (refused) {
+    session->Reject(503, ErrorKind::kOverloaded, "too many connections");
+  } else {
+    session->AwaitRequest();
+  }
+}
+
+void HttpServer::Impl::StopAccepting() {
+  shared->stopping = true;
+  if (!acceptor.is_open()) return;
+  // Callers whose connection waits in the listen queue believe to be connected: they are served.
+  for (;;) {
+    error_code error;
+    tcp::socket socket = acceptor.accept(error);
+    if (error) break;
+    Add(std::move(socket));
+  }
+  error_code ignored;
+  acceptor.close(ignored);
+  retry_timer.cancel();
+}
+
+void HttpServer::Impl::Close() {
+  error_code ignored;
+  acceptor.close(ignored);
+  retry_timer.cancel();
+  while (!shared->sessions.empty()) {
+    const std::shared_ptr<internal::HttpSession> session = *shared->sessions.begin();
+    session->Close();
+  }
+  shared->handler = nullptr;
+}
+
+HttpServer::HttpServer(IoThread& io, const Address& listen, Handler handler,
+                       const HttpLimits& limits)
+    : impl_(std::make_shared<Impl>(internal::IoContextOf(io), std::move(handler), limits)) {
+  impl_->Listen(listen);
+  impl_->shared->gate->Dispatch([impl = impl_] { impl->Accept(); });
+}
+
+HttpServer::~HttpServer() {
+  impl_->shared->gate->DispatchAndWait([impl = impl_] { impl->Close(); });
+  impl_->shared->gate->Close();
+}
+
+Address HttpServer::address() const { return impl_->address; }
+
+void HttpServer::StopAccepting() {
+  impl_->shared->gate->DispatchAndWait([impl = impl_] { impl->StopAccepting(); });
+}
+
+std::size_t HttpServer::in_flight() const { return impl_->shared->in_flight.load(); }
+
+}  // namespace basilspring
--- /dev/null
+++ b/tests/connection/http_client_test.cc
@@ -0,0 +1,172 @@
+#include "basilspring/connection/http_client.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <mutex>
+
+#include "basilspring/connection/http_server.h"
+#include "basilspring/process/io_thread.h"
+#include "tests/connection/raw_socket.h"
+#include "tests/connection/scripted_server.h"
+
+namespace basilspring {
+namespace {
+
+class HttpClientTest : public testing::Test {
+ protected:
+  HttpClientRequest To(const Address& server, const std::string& method = "GET") {
+    HttpClientRequest request;
+    request.server = server;
+    request.method = method;
+    request.timeout = Duration(20000);
+    return request;
+  }
+
+  IoThread io_;
+  HttpClient client_{io_};
+};
+
+constexpr const char* kOk = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+TEST_F(HttpClientTest, FetchesFromTheServerAndReusesTheConnection) {
+  HttpServer server(
+      io_, Address{"127.0.0.1", 0},
+      [](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
+        HttpResponse response;
+        response.status = 201;
+        response.headers["X-Path"] = request.path;
+        response.body = request.body;
+        responder->Respond(response);
+      });
+  HttpClientRequest request = To(server.address(), "PUT");
+  request.target = "/p";
+  request.body = std::string(300000, 'b');
+  for (int i = 0; i < 3; ++i) {
+    const HttpResult result = client_.Fetch(request);
+    EXPECT_EQ(result.error, ErrorKind::kNone) << result.message;
+    EXPECT_EQ(result.status, 201);
+    EXPECT_EQ(result.headers.at("x-path"), "/p");
+    EXPECT_EQ(result.body, request.body);
+  }
+}
+
+// Guards against a pool that never reuses: a new connection for each call costs a round trip.
+TEST_F(HttpClientTest, UsesOneConnectionForCallsInARow) {
+  ScriptedServer server(Script{{kOk, kOk}});
+  EXPECT_EQ(client_.Fetch(To(server.address())).body, "ok");
+  EXPECT_EQ(client_.Fetch(To(server.address())).body, "ok");
+  EXPECT_EQ(server.connections(), 1);
+}
+
+// Guards against a refusal that says "not run" about a request that may have run (promise 5).
+TEST_F(HttpClientTest, TellsAnUnsentRequestFromALostAnswer) {
+  Address nobody;
+  { nobody = ScriptedServer(Script()).address(); }
+  EXPECT_EQ(client_.Fetch(To(nobody, "PUT")).error, ErrorKind::kConnectionLost);
+  ScriptedServer closing(Script{{""}});
+  EXPECT_EQ(client_.Fetch(To(closing.address(), "PUT")).error, ErrorKind::kTimeout);
+  HttpClientRequest request = To(closing.address());
+  request.target = "/a b";
+  EXPECT_EQ(client_.Fetch(request).error, ErrorKind::kConnectionLost);
+}
+
+TEST_F(HttpClientTest, SilentServerGivesATimeout) {
+  ScriptedServer silent(Script{{ScriptedServer::kSilence}});
+  HttpClientRequest request = To(silent.address());
+  request.timeout = Duration(50);
+  EXPECT_EQ(client_.Fetch(request).error, ErrorKind::kTimeout);
+}
+
+// Guards against a shorter answer that looks whole (promise 4).
+TEST_F(HttpClientTest, TruncatedAnswersAreErrors) {
+  for (const char* answer :
+       {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+        "HTTP/1.1 200 OK\r\n\r\nabc", "HTTP/1.1 200 OK\r\nConte", "garbage\r\n\r\n"}) {
+    ScriptedServer server(Script{{answer}});
+    const HttpResult result = client_.Fetch(To(server.address()));
+    EXPECT_EQ(result.error, ErrorKind::kTimeout) << answer;
+    EXPECT_EQ(result.body, "");
+  }
+  ScriptedServer server(Script{{kOk}});
+  HttpClientRequest request = To(server.address());
+  request.max_response_bytes = 1;
+  EXPECT_EQ(client_.Fetch(request).error, ErrorKind::kTimeout);
+}
+
+// Guards against running a PUT twice, and against failing a GET because an idle connection was
+// closed.
+TEST_F(HttpClientTest, RetriesOnlyAGetOnAClosedPooledConnection) {
+  // The second request on the first connection is read and then cut off.
+  const Script script = {{kOk, ""}, {kOk}};
+  ScriptedServer for_get(script);
+  EXPECT_EQ(client_.Fetch(To(for_get.address())).error, ErrorKind::kNone);
+  EXPECT_EQ(client_.Fetch(To(for_get.address())).error, ErrorKind::kNone);
+  EXPECT_EQ(for_get.connections(), 2);
+  ScriptedServer for_put(script);
+  EXPECT_EQ(client_.Fetch(To(for_put.address(), "PUT")).error, ErrorKind::kNone);
+  EXPECT_EQ(client_.Fetch(To(for_put.address(), "PUT")).error, ErrorKind::kTimeout);
+  EXPECT_EQ(for_put.connections(), 1);
+}
+
+TEST_F(HttpClientTest, FreshConnectionAvoidsThePoolAndInterimAnswersAreSkipped) {
+  ScriptedServer server(Script{{kOk, kOk}, {std::string("HTTP/1.1 100 Continue\r\n\r\n") + kOk}});
+  EXPECT_EQ(client_.Fetch(To(server.address())).body, "ok");
+  HttpClientRequest request = To(server.address());
+  request.fresh_connection = true;
+  EXPECT_EQ(client_.Fetch(request).body, "ok");
+  EXPECT_EQ(server.connections(), 2);
+}
+
+TEST_F(HttpClientTest, StreamsPiecesAndReportsWholeAndBrokenEnds) {
+  const std::string chunks =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n";
+  ScriptedServer server(Script{{chunks + "0\r\n\r\n"}, {chunks}});
+  for (const ErrorKind expected : {ErrorKind::kNone, ErrorKind::kTimeout}) {
+    std::mutex mutex;
+    std::string data;
+    std::optional<HttpResult> end;
+    HttpClientRequest request = To(server.address());
+    request.fresh_connection = true;
+    const auto stream = client_.OpenStream(
+        request,
+        [&](const std::string& piece) {
+          const std::lock_guard<std::mutex> lock(mutex);
+          data += piece;
+        },
+        [&](const HttpResult& result) {
+          const std::lock_guard<std::mutex> lock(mutex);
+          end = result;
+        });
+    ASSERT_TRUE(Eventually([&] {
+      const std::lock_guard<std::mutex> lock(mutex);
+      return end.has_value();
+    }));
+    EXPECT_EQ(data, "abcde");
+    EXPECT_EQ(end->error, expected);
+  }
+}
+
+// Guards against a stream whose handlers run after its owner has gone, and a fiber that waits for
+// ever.
+TEST_F(HttpClientTest, DestructionEndsStreamsSilentlyAndCallsWithAnError) {
+  ScriptedServer silent(Script{{ScriptedServer::kSilence}, {ScriptedServer::kSilence}});
+  auto client = std::make_unique<HttpClient>(io_);
+  bool ended = false;
+  client
+      ->OpenStream(
+          To(silent.address()), [](const std::string&) {},
+          [&ended](const HttpResult&) { ended = true; })
+      .reset();
+  EXPECT_FALSE(ended);
+  std::atomic<int> error{-1};
+  client->Send(To(silent.address()),
+               [&error](const HttpResult& result) { error = static_cast<int>(result.error); });
+  client.reset();
+  EXPECT_NE(error.load(), -1);
+  EXPECT_NE(error.load(), static_cast<int>(ErrorKind::kNone));
+}
+
+}  // namespace
+}  // namespace basilspring
--- /dev/null
+++ b/tests/connection/http_server_test.cc
@@ -0,0 +1,192 @@
+#include "basilspring/connection/http_server.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+
+#include "basilspring/process/io_thread.h"
+#include "tests/connection/raw_socket.h"
+
+namespace basilspring {
+namespace {
+
+class HttpServerTest : public testing::Test {
+ protected:
+  void Serve(HttpServer::Handler handler, const HttpLimits& limits = {}) {
+    server_ =
+        std::make_unique<HttpServer>(io_, Address{"127.0.0.1", 0}, std::move(handler), limits);
+  }
+  void ServeEcho(const HttpLimits& limits = {}) {
+    Serve(
+        [](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
+          HttpResponse response;
+          response.body = request.method + " " + request.path + " q=" + request.Query("q") +
+                          " body=" + request.body;
+          responder->Respond(response);
+        },
+        limits);
+  }
+  /// Serves requests that stay open until the test answers them through `held_`.
+  void ServeHeld() {
+    Serve([this](const HttpRequest&, std::shared_ptr<HttpResponder> responder) {
+      responder->OnDisconnect([this] { disconnected_ = true; });
+      held_ = std::move(responder);
+    });
+  }
+  void AwaitHeld() {
+    ASSERT_TRUE(Eventually([this] { return server_->in_flight() == 1; }));
+  }
+  std::string Exchange(std::string_view bytes) {
+    const RawSocket socket(server_->address());
+    EXPECT_TRUE(socket.Write(bytes));
+    socket.FinishSending();
+    return socket.ReadAll();
+  }
+
+  IoThread io_;
+  std::shared_ptr<HttpResponder> held_;
+  std::atomic<bool> disconnected_{false};
+  std::unique_ptr<HttpServer> server_;
+};
+
+bool HasStatus(const std::string& answer, int status) {
+  return answer.starts_with("HTTP/1.1 " + std::to_string(status) + " ");
+}
+
+TEST_F(HttpServerTest, DecodesTargetAndKeepsTheConnectionForPipelinedRequests) {
+  ServeEcho();
+  const std::string answer = Exchange(
+      "POST /a%20b?q=x%2Fy HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
+      "POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nde\r\n0\r\n\r\n");
+  EXPECT_NE(answer.find("POST /a b q=x/y body=abc"), answer.npos) << answer;
+  EXPECT_NE(answer.find("POST /c q= body=de"), answer.npos) << answer;
+}
+
+// Guards against requests that two readers could split differently, and against crashes on noise.
+TEST_F(HttpServerTest, AnswersMalformedRequestsWith400) {
+  ServeEcho();
+  for (const char* request :
+       {"nonsense\r\n\r\n", "GET / HTTP/1.1\r\n\r\n", "GET /%zz HTTP/1.1\r\nHost: h\r\n\r\n",
+        "GET / HTTP/3.7\r\nHost: h\r\n\r\n", "GET relative HTTP/1.1\r\nHost: h\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc"}) {
+    EXPECT_TRUE(HasStatus(Exchange(request), 400)) << request;
+  }
+}
+
+TEST_F(HttpServerTest, AnswersLargeRequestsWith413And431) {
+  HttpLimits limits;
+  limits.max_header_bytes = 512;
+  limits.max_body_bytes = 1000;
+  ServeEcho(limits);
+  EXPECT_TRUE(HasStatus(Exchange("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n" +
+                                 std::string(1001, 'x')),
+                        413));
+  EXPECT_TRUE(
+      HasStatus(Exchange("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3e9\r\n" +
+                         std::string(1001, 'x') + "\r\n0\r\n\r\n"),
+                413));
+  EXPECT_TRUE(HasStatus(
+      Exchange("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(600, 'x') + "\r\n\r\n"), 431));
+}
+
+// Guards against peers that hold a connection by sending a request byte by byte.
+TEST_F(HttpServerTest, AnswersSlowRequestsWith408AndClosesIdleConnections) {
+  HttpLimits limits;
+  limits.read_timeout = Duration(30);
+  limits.idle_timeout = Duration(30);
+  ServeEcho(limits);
+  const RawSocket slow(server_->address());
+  slow.Write("GET / HT");
+  EXPECT_TRUE(HasStatus(slow.ReadAll(), 408));
+  const RawSocket idle(server_->address());
+  EXPECT_EQ(idle.ReadAll(), "");
+}
+
+TEST_F(HttpServerTest, AnswersConnectionsOverTheLimitWith503) {
+  HttpLimits limits;
+  limits.max_connections = 1;
+  ServeEcho(limits);
+  const RawSocket first(server_->address());
+  first.Write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  first.ReadUntilText("body=");
+  EXPECT_TRUE(HasStatus(Exchange("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), 503));
+}
+
+// Guards against treating a caller that has finished sending like one that has gone away.
+TEST_F(HttpServerTest, HalfClosedCallerGetsItsAnswer) {
+  ServeHeld();
+  const RawSocket caller(server_->address());
+  caller.Write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  caller.FinishSending();
+  AwaitHeld();
+  EXPECT_NE(caller.ReadUntilText("\r\n\r\n").find("100 Continue"), std::string::npos);
+  HttpResponse response;
+  response.body = "late";
+  held_->Respond(response);
+  EXPECT_NE(caller.ReadAll().find("late"), std::string::npos);
+  EXPECT_FALSE(disconnected_);
+  EXPECT_EQ(server_->in_flight(), 0U);
+}
+
+TEST_F(HttpServerTest, ReportsACallerThatGoesAway) {
+  ServeHeld();
+  {
+    const RawSocket caller(server_->address());
+    caller.Write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    AwaitHeld();
+  }
+  EXPECT_TRUE(Eventually([this] { return disconnected_.load(); }));
+  EXPECT_EQ(server_->in_flight(), 0U);
+  held_->Respond(HttpResponse());
+}
+
+// Guards against a caller that waits for ever and against a stream that looks whole when it is not.
+TEST_F(HttpServerTest, DroppedResponderAndThrowingHandlerGive500AndUnfinishedStreamsAreTruncated) {
+  Serve([](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
+    if (request.path == "/throw") throw std::runtime_error("fault");
+    if (request.path == "/drop") return;
+    responder->StartStream(HttpResponse());
+    responder->WriteChunk("abc");
+    if (request.path == "/whole") responder->FinishStream();
+  });
+  EXPECT_TRUE(HasStatus(Exchange("GET /throw HTTP/1.1\r\nHost: h\r\n\r\n"), 500));
+  EXPECT_TRUE(HasStatus(Exchange("GET /drop HTTP/1.1\r\nHost: h\r\n\r\n"), 500));
+  EXPECT_TRUE(
+      Exchange("GET /whole HTTP/1.1\r\nHost: h\r\n\r\n").ends_with("3\r\nabc\r\n0\r\n\r\n"));
+  EXPECT_EQ(Exchange("GET /cut HTTP/1.1\r\nHost: h\r\n\r\n").find("0\r\n\r\n"), std::string::npos);
+}
+
+// Guards against a planned stop that cuts off a request in flight (promise 8).
+TEST_F(HttpServerTest, StopAcceptingFinishesOpenRequestsAndClosesTheirConnections) {
+  ServeHeld();
+  const RawSocket caller(server_->address());
+  caller.Write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  AwaitHeld();
+  server_->StopAccepting();
+  EXPECT_FALSE(RawSocket(server_->address()).connected());
+  EXPECT_EQ(server_->in_flight(), 1U);
+  HttpResponse response;
+  response.body = "done";
+  held_->Respond(response);
+  const std::string answer = caller.ReadAll();
+  EXPECT_NE(answer.find("Connection: close"), answer.npos);
+  EXPECT_TRUE(answer.ends_with("done"));
+}
+
+// Guards against a use after free when a duty answers after the server has gone.
+TEST_F(HttpServerTest, ResponderOutlivesTheServer) {
+  ServeHeld();
+  const RawSocket caller(server_->address());
+  caller.Write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  AwaitHeld();
+  server_.reset();
+  EXPECT_TRUE(disconnected_);
+  held_->Respond(HttpResponse());
+  EXPECT_EQ(caller.ReadAll(), "");
+}
+
+}  // namespace
+}  // namespace basilspring
