--- a/src/main.cc
+++ b/src/main.cc
@@ -1,6 +1,3 @@
-#include <fmt/format.h>
+#include "basilspring/process/command_line.h"
 
-int main() {
-  fmt::print("basilspring\n");
-  return 0;
-}
+int main(int argc, char** argv) { return basilspring::RunCommandLine(argc, argv); }
--- a/standin/main.cc
+++ b/standin/main.cc
@@ -1,6 +1,20 @@
 #include <fmt/format.h>
 
-int main() {
-  fmt::print("basilspring-standin\n");
-  return 0;
+#include <exception>
+#include <string_view>
+
+#include "standin/backend_main.h"
+#include "standin/store_main.h"
+
+int main(int argc, char** argv) {
+  const std::string_view role = argc > 1 ? argv[1] : "";
+  try {
+    if (role == "store") return basilspring::standin::RunStoreStandin(argc - 1, argv + 1);
+    if (role == "backend") return basilspring::standin::RunBackendStandin(argc - 1, argv + 1);
+  } catch (const std::exception& error) {
+    fmt::print(stderr, "basilspring-standin {}: {}\n", role, error.what());
+    return 1;
+  }
+  fmt::print(stderr, "usage: basilspring-standin store|backend ...\n");
+  return 2;
 }
--- a/standin/store_server.cc
+++ b/standin/store_server.cc
@@ -1,6 +1,7 @@
 #include "standin/store_server.h"
 
 #include <boost/json.hpp>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -23,6 +24,7 @@
 // Watches get a progress notification this often, so that a client can tell a quiet watch from a
 // dead one.
 constexpr Duration kProgressInterval(1000);
+constexpr std::size_t kMaxHeldCalls = 2000;
 
 struct OpenWatch {
   WatchRequest request;
@@ -42,6 +44,8 @@
   void FeedWatches(bool progress);
   void OnTimer();
   bool FaultHits(StoreFault kind);
+  // Keeps a call unanswered: a responder that is dropped answers 500.
+  void Hold(const std::shared_ptr<HttpResponder>& responder);
 
   mutable std::mutex mutex;
   Address address;
@@ -51,6 +55,7 @@
   std::map<std::string, std::uint64_t> calls;
   std::vector<std::shared_ptr<OpenWatch>> watches;
   TimePoint next_progress;
+  std::deque<std::shared_ptr<HttpResponder>> held;
   // Declared last, so that no handler runs while the rest is destroyed.
   IoThread io;
   std::unique_ptr<HttpServer> server;
@@ -73,14 +78,20 @@
                                const std::shared_ptr<HttpResponder>& responder) {
   const std::lock_guard<std::mutex> lock(mutex);
   ++calls[request.path];
-  if (FaultHits(StoreFault::kHang)) return;
+  if (FaultHits(StoreFault::kHang)) {
+    Hold(responder);
+    return;
+  }
   if (request.path == "/v3/watch") {
     StartWatch(request, responder);
     return;
   }
   const ApiAnswer answer = ExecuteCall(state, request.path, request.body, Clock::Now());
   FeedWatches(false);
-  if (FaultHits(StoreFault::kLoseAnswers)) return;
+  if (FaultHits(StoreFault::kLoseAnswers)) {
+    Hold(responder);
+    return;
+  }
   HttpResponse response;
   response.status = answer.status;
   response.body = answer.body;
@@ -91,6 +102,11 @@
   }
 }
 
+void StoreServer::Impl::Hold(const std::shared_ptr<HttpResponder>& responder) {
+  held.push_back(responder);
+  if (held.size() > kMaxHeldCalls) held.pop_front();
+}
+
 void StoreServer::Impl::StartWatch(const HttpRequest& request,
                                    const std::shared_ptr<HttpResponder>& responder) {
   auto watch = std::make_shared<OpenWatch>();
@@ -156,6 +172,7 @@
 void StoreServer::SetFault(const StoreFaultSettings& fault) {
   bool close = false;
   bool open = false;
+  std::deque<std::shared_ptr<HttpResponder>> released;
   {
     const std::lock_guard<std::mutex> lock(impl_->mutex);
     impl_->fault = fault;
@@ -163,6 +180,7 @@
     close = fault.fault == StoreFault::kDown && impl_->server != nullptr;
     open = fault.fault != StoreFault::kDown && impl_->server == nullptr;
     if (close) impl_->watches.clear();
+    released.swap(impl_->held);
   }
   // Not under the mutex: handlers on the I/O thread take it.
   if (close) impl_->server.reset();
