Add the placement policy and the binding of guarantees

Cause: the cell scheduler needs the pure policy behind cell_state.h, placement.h and guarantee.h. ApplyBinding is added to guarantee.h: it sets the bound runs and decides again which tasks are borrowed, which must happen after each rebinding. A gang is guaranteed whole or borrowed whole, so that a preempted gang never contains guaranteed tasks. A guarantee carries the worker's cores, memory and slots in proportion to its accelerators, since otherwise another workspace's guaranteed tasks could use up the cores of a run that is free. Ruled out: classifying each task by itself; evicting a gang would then stop its guaranteed tasks.

--- a/include/basilspring/version/guarantee.h
+++ b/include/basilspring/version/guarantee.h
@@ -55,9 +55,16 @@
 
 /// Binds the guarantees to the workers of a cell. Runs of `cell.bound_runs()` that still stand for
 /// a guarantee are kept where possible, above all those with guaranteed tasks on them; the rest
-/// move.
+/// move. Workers that take no new work or are in quarantine are left out, and their racks don't
+/// count as whole.
 BindingResult BindGuarantees(const CellState& cell, const std::vector<Guarantee>& guarantees);
 
+/// Makes `runs` the bound runs of the cell and sets for each task whether it is borrowed. A gang is
+/// guaranteed only when each of its tasks holds accelerators of its workspace's own runs and their
+/// share of the worker's cores, memory and slots; otherwise all of it is borrowed. To be called
+/// whenever bound runs or workers change, and after a rebuild.
+void ApplyBinding(CellState& cell, std::vector<BoundRun> runs);
+
 /// "workspace quotes: 2 of run8 don't fit" and so on, for operators.
 std::string DescribeShortfalls(const std::vector<Shortfall>& shortfalls);
 
--- /dev/null
+++ b/src/request/placement_victims.cc
@@ -0,0 +1,318 @@
+#include <algorithm>
+#include <bit>
+#include <limits>
+#include <string_view>
+#include <unordered_map>
+
+#include "request/accelerator_runs.h"
+#include "request/placement_plan.h"
+
+namespace basilspring::internal {
+namespace {
+
+// A victim of a higher class costs more than any number of victims of the class below it: no gang
+// of 64 tasks with 32 accelerators each loses 10^13 accelerator milliseconds within 50 days.
+constexpr double kClassStep = 1e13;
+
+// An attempt with the room it holds, over all workers.
+struct Gang {
+  const PlacedTask* any_task = nullptr;
+  bool borrowed = false;
+  bool chosen = false;
+  double work = 0;
+  double cost = 0;
+  std::vector<std::size_t> workers;
+};
+
+// The part of a gang that is on one worker.
+struct GangPart {
+  std::size_t gang = 0;
+  std::uint64_t cores = 0;
+  std::uint64_t memory = 0;
+  std::uint64_t slots = 0;
+  AcceleratorMask accelerators = 0;
+};
+
+// One way to make room for a task on a worker.
+struct Option {
+  double victims_cost = std::numeric_limits<double>::infinity();
+  std::uint32_t fit_cost = 0;
+  AcceleratorMask mask = 0;
+  std::vector<std::size_t> gangs;
+
+  bool possible() const { return victims_cost < std::numeric_limits<double>::infinity(); }
+  bool BetterThan(const Option& other) const {
+    if (victims_cost != other.victims_cost) return victims_cost < other.victims_cost;
+    return fit_cost < other.fit_cost;
+  }
+};
+
+struct WorkerPlan {
+  // Counted from the tasks, since free amounts of an overcommitted worker saturate at zero.
+  std::uint64_t cores = 0;
+  std::uint64_t memory = 0;
+  std::uint64_t slots = 0;
+  AcceleratorMask held = 0;
+  Room share;
+  std::vector<GangPart> parts;
+  Option best;
+
+  void Take(const GangPart& part) {
+    cores += part.cores;
+    memory += part.memory;
+    slots += part.slots;
+    held |= part.accelerators;
+  }
+  void GiveBack(const GangPart& part) {
+    cores -= part.cores;
+    memory -= part.memory;
+    slots -= part.slots;
+    held &= ~part.accelerators;
+  }
+};
+
+class VictimPlanner {
+ public:
+  VictimPlanner(const PlacementInput& input, const Candidates& candidates, Scope scope,
+                bool use_avoided)
+      : input_(input),
+        shape_(input.job->shape),
+        candidates_(candidates),
+        scope_(scope),
+        use_avoided_(use_avoided) {}
+
+  std::optional<Plan> Run() {
+    CollectGangs();
+    for (std::size_t i = 0; i < workers_.size(); ++i) Update(i);
+    Plan plan;
+    while (plan.tasks.size() < shape_.tasks) {
+      const std::size_t best = Cheapest();
+      if (!workers_[best].best.possible()) return std::nullopt;
+      Commit(best, plan);
+    }
+    return plan;
+  }
+
+ private:
+  void CollectGangs();
+  void AddPart(std::size_t index, std::size_t gang, const PlacedTask& task);
+  void RatePart(const PlacedTask& task, Gang& gang) const;
+  bool MayEvict(const Gang& gang) const;
+  void Update(std::size_t index);
+  void UpdateRun(std::size_t index, const Room& reachable);
+  void UpdateScattered(std::size_t index, const Room& reachable);
+  Option Clear(const WorkerPlan& worker, const Candidate& candidate, AcceleratorMask mask) const;
+  Room RoomOf(const WorkerPlan& worker, const Candidate& candidate) const;
+  std::size_t Cheapest() const;
+  void Commit(std::size_t index, Plan& plan);
+
+  const PlacementInput& input_;
+  const GangShape& shape_;
+  const Candidates& candidates_;
+  Scope scope_;
+  bool use_avoided_;
+  std::vector<Gang> gangs_;
+  std::vector<WorkerPlan> workers_;
+};
+
+void VictimPlanner::RatePart(const PlacedTask& task, Gang& gang) const {
+  const auto run_time = std::max<std::int64_t>((input_.now - task.started).milliseconds(), 0);
+  // A task without accelerators counts as an eighth of one, so that its run time still matters.
+  const double accelerators = task.accelerators == 0 ? 0.125 : CountBits(task.accelerators);
+  gang.work += accelerators * static_cast<double>(run_time);
+  gang.borrowed = gang.borrowed || task.borrowed;
+}
+
+bool VictimPlanner::MayEvict(const Gang& gang) const {
+  if (!gang.borrowed) return false;
+  const PlacedTask& task = *gang.any_task;
+  if (scope_ == Scope::kAnywhere) return task.job_class != JobClass::kUrgent;
+  // A workspace that evicted its own work of the same class would gain nothing.
+  return task.workspace != input_.job->workspace || task.job_class > input_.job->job_class;
+}
+
+void VictimPlanner::CollectGangs() {
+  std::unordered_map<std::string_view, std::size_t> by_attempt;
+  workers_.resize(candidates_.list.size());
+  for (std::size_t i = 0; i < workers_.size(); ++i) {
+    workers_[i].share = candidates_.list[i].share;
+    for (const PlacedTask& task : candidates_.list[i].worker->tasks) {
+      const std::size_t gang =
+          by_attempt.try_emplace(task.attempt.value(), gangs_.size()).first->second;
+      if (gang == gangs_.size()) gangs_.push_back({&task});
+      RatePart(task, gangs_[gang]);
+      AddPart(i, gang, task);
+    }
+  }
+  for (Gang& gang : gangs_) {
+    const auto lower_classes =
+        static_cast<double>(JobClass::kBackground) - static_cast<double>(gang.any_task->job_class);
+    gang.cost = gang.work + lower_classes * kClassStep + 1;
+  }
+  for (WorkerPlan& worker : workers_) {
+    std::erase_if(worker.parts, [&](const GangPart& p) { return !MayEvict(gangs_[p.gang]); });
+    std::sort(worker.parts.begin(), worker.parts.end(), [&](const GangPart& a, const GangPart& b) {
+      return gangs_[a.gang].cost < gangs_[b.gang].cost;
+    });
+  }
+}
+
+void VictimPlanner::AddPart(std::size_t index, std::size_t gang, const PlacedTask& task) {
+  WorkerPlan& worker = workers_[index];
+  const GangPart part{gang, task.shape.cores.value(), task.shape.memory.value(), 1,
+                      task.accelerators};
+  worker.Take(part);
+  std::vector<std::size_t>& workers = gangs_[gang].workers;
+  if (workers.empty() || workers.back() != index) {
+    workers.push_back(index);
+    worker.parts.push_back(part);
+    return;
+  }
+  const auto same = std::find_if(worker.parts.begin(), worker.parts.end(),
+                                 [gang](const GangPart& p) { return p.gang == gang; });
+  same->cores += part.cores;
+  same->memory += part.memory;
+  same->slots += 1;
+  same->accelerators |= part.accelerators;
+}
+
+Room VictimPlanner::RoomOf(const WorkerPlan& worker, const Candidate& candidate) const {
+  const WorkerCapacity& capacity = candidate.worker->capacity;
+  const auto left = [](std::uint32_t total, std::uint64_t used) {
+    return used >= total ? 0U : total - static_cast<std::uint32_t>(used);
+  };
+  return {left(capacity.cores.value(), worker.cores), left(capacity.memory.value(), worker.memory),
+          left(capacity.slots.value(), worker.slots),
+          AllAccelerators(capacity.accelerators.value()) & ~worker.held};
+}
+
+// Chooses the gangs that have to leave so that the task fits at `mask`: those on the mask, then the
+// cheapest others until there are cores, memory and slots.
+Option VictimPlanner::Clear(const WorkerPlan& worker, const Candidate& candidate,
+                            AcceleratorMask mask) const {
+  Option option;
+  option.mask = mask;
+  WorkerPlan left;
+  left.cores = worker.cores;
+  left.memory = worker.memory;
+  left.slots = worker.slots;
+  left.held = worker.held;
+  double cost = 0;
+  const auto evict = [&](const GangPart& part) {
+    left.GiveBack(part);
+    cost += gangs_[part.gang].cost;
+    option.gangs.push_back(part.gang);
+  };
+  for (const GangPart& part : worker.parts) {
+    if (!gangs_[part.gang].chosen && (part.accelerators & mask) != 0) evict(part);
+  }
+  if ((left.held & mask) != 0) return {};
+  for (const GangPart& part : worker.parts) {
+    if (RoomOf(left, candidate).HoldsTask(shape_)) break;
+    if (!gangs_[part.gang].chosen && (part.accelerators & mask) == 0) evict(part);
+  }
+  if (!RoomOf(left, candidate).HoldsTask(shape_)) return {};
+  option.victims_cost = cost;
+  return option;
+}
+
+void VictimPlanner::UpdateRun(std::size_t index, const Room& reachable) {
+  WorkerPlan& worker = workers_[index];
+  const Candidate& candidate = candidates_.list[index];
+  const std::uint32_t count = shape_.accelerators.value();
+  const std::uint32_t size = std::bit_ceil(count);
+  for (std::uint32_t first = 0; first < kMaxAcceleratorsPerWorker; first += size) {
+    const AcceleratorMask mask = RunMask(first, count);
+    if ((reachable.accelerators & mask) != mask) continue;
+    Option option = Clear(worker, candidate, mask);
+    if (!option.possible()) continue;
+    Room at_mask = reachable;
+    at_mask.accelerators = mask | (reachable.accelerators & ~worker.held);
+    const auto fit = FitTask(shape_, at_mask, candidate, scope_);
+    option.fit_cost = fit ? fit->cost : 0;
+    if (!worker.best.possible() || option.BetterThan(worker.best)) worker.best = std::move(option);
+  }
+}
+
+void VictimPlanner::UpdateScattered(std::size_t index, const Room& reachable) {
+  WorkerPlan& worker = workers_[index];
+  const std::uint32_t count = shape_.accelerators.value();
+  if (CountBits(reachable.accelerators) < count) return;
+  // Free accelerators first, then those of the cheapest gangs.
+  AcceleratorMask pool = reachable.accelerators & ~worker.held;
+  for (const GangPart& part : worker.parts) {
+    if (CountBits(pool) >= count) break;
+    if (!gangs_[part.gang].chosen) pool |= part.accelerators & reachable.accelerators;
+  }
+  const AcceleratorMask free = pool & ~worker.held;
+  AcceleratorMask mask = ScatteredAccelerators(free, std::min(count, CountBits(free)));
+  mask |= ScatteredAccelerators(pool & ~free, count - CountBits(mask));
+  worker.best = Clear(worker, candidates_.list[index], mask);
+}
+
+void VictimPlanner::Update(std::size_t index) {
+  WorkerPlan& worker = workers_[index];
+  const Candidate& candidate = candidates_.list[index];
+  worker.best = {};
+  if (!Usable(candidate, scope_) || (candidate.avoided && !use_avoided_)) return;
+  if (scope_ == Scope::kGuaranteed && !worker.share.HoldsTask(shape_)) return;
+  WorkerPlan emptied;
+  emptied.cores = worker.cores;
+  emptied.memory = worker.memory;
+  emptied.slots = worker.slots;
+  emptied.held = worker.held;
+  for (const GangPart& part : worker.parts) {
+    if (!gangs_[part.gang].chosen) emptied.GiveBack(part);
+  }
+  Room reachable = RoomOf(emptied, candidate);
+  if (!reachable.HoldsTask(shape_)) return;
+  if (scope_ == Scope::kGuaranteed) reachable.accelerators &= candidate.own;
+  if (shape_.accelerators.value() == 0) {
+    worker.best = Clear(worker, candidate, 0);
+  } else if (shape_.adjacent) {
+    UpdateRun(index, reachable);
+  } else {
+    UpdateScattered(index, reachable);
+  }
+}
+
+std::size_t VictimPlanner::Cheapest() const {
+  std::size_t best = 0;
+  for (std::size_t i = 1; i < workers_.size(); ++i) {
+    if (workers_[i].best.BetterThan(workers_[best].best)) best = i;
+  }
+  return best;
+}
+
+void VictimPlanner::Commit(std::size_t index, Plan& plan) {
+  const Option option = std::move(workers_[index].best);
+  std::vector<std::size_t> changed = {index};
+  for (const std::size_t number : option.gangs) {
+    Gang& gang = gangs_[number];
+    gang.chosen = true;
+    plan.work_lost += gang.work;
+    for (const std::size_t i : gang.workers) {
+      for (const GangPart& part : workers_[i].parts) {
+        if (part.gang == number) workers_[i].GiveBack(part);
+      }
+      plan.victims.push_back(
+          {candidates_.list[i].worker->id, gang.any_task->attempt, gang.any_task->job});
+      changed.push_back(i);
+    }
+  }
+  workers_[index].Take({0, shape_.cores.value(), shape_.memory.value(), 1, option.mask});
+  workers_[index].share.Take(shape_, option.mask);
+  plan.tasks.push_back({index, option.mask});
+  plan.cost += option.fit_cost;
+  for (const std::size_t i : changed) Update(i);
+}
+
+}  // namespace
+
+std::optional<Plan> PlanWithVictims(const PlacementInput& input, const Candidates& candidates,
+                                    Scope scope, bool use_avoided) {
+  if (candidates.list.empty()) return std::nullopt;
+  return VictimPlanner(input, candidates, scope, use_avoided).Run();
+}
+
+}  // namespace basilspring::internal
--- /dev/null
+++ b/src/version/guarantee.cc
@@ -0,0 +1,112 @@
+#include "basilspring/version/guarantee.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <string_view>
+#include <tuple>
+#include <unordered_map>
+#include <utility>
+
+#include "request/accelerator_runs.h"
+#include "request/placement_plan.h"
+#include "version/guarantee_packer.h"
+
+namespace basilspring {
+namespace {
+
+using internal::GuaranteePacker;
+using internal::OldRun;
+using internal::PackedRack;
+using internal::PackedWorker;
+using internal::PackOrder;
+
+struct Inventory {
+  std::vector<PackedWorker> workers;
+  std::vector<PackedRack> racks;
+  std::vector<OldRun> old_runs;
+};
+
+BindingResult PackBest(const Inventory& inventory, const std::vector<Guarantee>& guarantees) {
+  const auto pack = [&](PackOrder order) {
+    return GuaranteePacker(inventory.workers, inventory.racks, inventory.old_runs, order)
+        .Pack(guarantees);
+  };
+  BindingResult kept = pack(PackOrder::kKeepOldRuns);
+  if (kept.shortfalls.empty()) return kept;
+  BindingResult tightest = pack(PackOrder::kTightest);
+  const auto bound = [](const BindingResult& result) {
+    std::uint32_t accelerators = 0;
+    for (const BoundRun& run : result.runs) accelerators += internal::CountBits(run.accelerators);
+    return accelerators;
+  };
+  const bool better = tightest.shortfalls.empty() || bound(tightest) > bound(kept);
+  return better ? tightest : kept;
+}
+
+bool InUse(const BoundRun& run, const WorkerState& worker) {
+  return std::any_of(worker.tasks.begin(), worker.tasks.end(), [&](const PlacedTask& task) {
+    return !task.borrowed && (task.accelerators & run.accelerators) != 0 &&
+           task.workspace == run.workspace;
+  });
+}
+
+Inventory InventoryOf(const CellState& cell) {
+  Inventory inventory;
+  std::unordered_map<std::string_view, std::size_t> racks;
+  std::unordered_map<std::string_view, std::size_t> workers;
+  for (const auto& [id, worker] : cell.workers()) {
+    const std::size_t rack = racks.try_emplace(worker.rack.value(), racks.size()).first->second;
+    if (rack == inventory.racks.size()) inventory.racks.emplace_back();
+    if (!worker.accepting || worker.quarantined) {
+      inventory.racks[rack].whole = false;
+      continue;
+    }
+    workers.emplace(id.value(), inventory.workers.size());
+    inventory.racks[rack].workers.push_back(inventory.workers.size());
+    inventory.workers.push_back(
+        {id, rack, internal::AllAccelerators(worker.capacity.accelerators.value())});
+  }
+  for (const BoundRun& run : cell.bound_runs()) {
+    const auto it = workers.find(run.worker.value());
+    if (it == workers.end() || run.accelerators == 0) continue;
+    if ((run.accelerators & ~inventory.workers[it->second].all) != 0) continue;
+    inventory.old_runs.push_back(
+        {run.workspace, it->second, run.accelerators, InUse(run, *cell.Find(run.worker))});
+  }
+  return inventory;
+}
+
+}  // namespace
+
+BindingResult PackGuarantees(const std::vector<RackInventory>& racks,
+                             const std::vector<Guarantee>& guarantees) {
+  Inventory inventory;
+  for (const RackInventory& rack : racks) {
+    PackedRack packed;
+    for (const RackInventory::Worker& worker : rack.workers) {
+      packed.workers.push_back(inventory.workers.size());
+      inventory.workers.push_back(
+          {worker.id, inventory.racks.size(), internal::AllAccelerators(worker.accelerators)});
+    }
+    inventory.racks.push_back(std::move(packed));
+  }
+  return PackBest(inventory, guarantees);
+}
+
+BindingResult BindGuarantees(const CellState& cell, const std::vector<Guarantee>& guarantees) {
+  return PackBest(InventoryOf(cell), guarantees);
+}
+
+std::string DescribeShortfalls(const std::vector<Shortfall>& shortfalls) {
+  std::string text;
+  for (const Shortfall& shortfall : shortfalls) {
+    if (!text.empty()) text += "; ";
+    text +=
+        fmt::format("workspace {}: {} of {} {} fit", shortfall.workspace.value(), shortfall.missing,
+                    shortfall.level, shortfall.missing == 1 ? "doesn't" : "don't");
+  }
+  return text;
+}
+
+}  // namespace basilspring
--- /dev/null
+++ b/src/version/guarantee_packer.cc
@@ -0,0 +1,206 @@
+#include "version/guarantee_packer.h"
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <tuple>
+#include <utility>
+
+#include "request/accelerator_runs.h"
+
+namespace basilspring::internal {
+namespace {
+
+// Takes shapes of one level for all workspaces: first those that stand where they stood, so that no
+// other workspace's new shape takes their place. `bind` returns false when there is no room.
+template <typename BindOne>
+std::vector<std::uint32_t> TakeShapes(const std::vector<Guarantee>& guarantees,
+                                      std::uint32_t Guarantee::*count, BindOne bind) {
+  std::vector<std::uint32_t> missing;
+  missing.reserve(guarantees.size());
+  for (const Guarantee& guarantee : guarantees) missing.push_back(guarantee.*count);
+  for (const bool only_old : {true, false}) {
+    for (std::size_t i = 0; i < guarantees.size(); ++i) {
+      while (missing[i] > 0 && bind(guarantees[i].workspace, only_old)) --missing[i];
+    }
+  }
+  return missing;
+}
+
+void AddShortfalls(const std::vector<Guarantee>& guarantees, std::string_view level,
+                   const std::vector<std::uint32_t>& missing, BindingResult& result) {
+  for (std::size_t i = 0; i < guarantees.size(); ++i) {
+    if (missing[i] == 0) continue;
+    result.shortfalls.push_back({guarantees[i].workspace, std::string(level), missing[i]});
+  }
+}
+
+// Displacement and size of a place; the smaller is taken.
+using Rank = std::pair<int, std::uint32_t>;
+
+Rank RankOf(PackOrder order, int displacement, std::uint32_t size) {
+  if (order == PackOrder::kKeepOldRuns) return {displacement, size};
+  return {static_cast<int>(size), static_cast<std::uint32_t>(displacement + (1 << 20))};
+}
+
+}  // namespace
+
+GuaranteePacker::GuaranteePacker(std::vector<PackedWorker> workers, std::vector<PackedRack> racks,
+                                 std::vector<OldRun> old_runs, PackOrder order)
+    : workers_(std::move(workers)),
+      racks_(std::move(racks)),
+      old_runs_(std::move(old_runs)),
+      order_(order) {
+  for (PackedWorker& worker : workers_) worker.unbound = worker.all;
+  std::stable_sort(old_runs_.begin(), old_runs_.end(),
+                   [](const OldRun& a, const OldRun& b) { return a.in_use && !b.in_use; });
+  for (const OldRun& run : old_runs_) {
+    PackedWorker& worker = workers_[run.worker];
+    worker.old_runs |= run.accelerators;
+    if (run.in_use) worker.old_in_use |= run.accelerators;
+    std::vector<AcceleratorMask>& own = own_old_runs_[run.workspace];
+    own.resize(workers_.size());
+    own[run.worker] |= run.accelerators;
+  }
+}
+
+BindingResult GuaranteePacker::Pack(const std::vector<Guarantee>& guarantees) {
+  PackRacks(guarantees);
+  PackWorkers(guarantees);
+  PackRuns(guarantees, "run8", 8, &Guarantee::run8);
+  PackRuns(guarantees, "run4", 4, &Guarantee::run4);
+  PackRuns(guarantees, "run2", 2, &Guarantee::run2);
+  PackRuns(guarantees, "run1", 1, &Guarantee::run1);
+  return std::move(result_);
+}
+
+void GuaranteePacker::PackRacks(const std::vector<Guarantee>& guarantees) {
+  AddShortfalls(guarantees, "rack",
+                TakeShapes(guarantees, &Guarantee::rack,
+                           [this](const WorkspaceId& workspace, bool only_old) {
+                             return BindBestRack(workspace, only_old);
+                           }),
+                result_);
+}
+
+void GuaranteePacker::PackWorkers(const std::vector<Guarantee>& guarantees) {
+  AddShortfalls(guarantees, "worker",
+                TakeShapes(guarantees, &Guarantee::worker,
+                           [this](const WorkspaceId& workspace, bool only_old) {
+                             return BindBestWorker(workspace, only_old);
+                           }),
+                result_);
+}
+
+void GuaranteePacker::PackRuns(const std::vector<Guarantee>& guarantees, std::string_view level,
+                               std::uint32_t size, std::uint32_t Guarantee::*count) {
+  AddShortfalls(guarantees, level,
+                TakeShapes(guarantees, count,
+                           [this, size](const WorkspaceId& workspace, bool only_old) {
+                             return only_old ? BindOldRun(workspace, size)
+                                             : BindBestRun(workspace, size);
+                           }),
+                result_);
+}
+
+bool GuaranteePacker::BindBestRack(const WorkspaceId& workspace, bool only_old) {
+  const std::vector<AcceleratorMask>* own = OwnOldRuns(workspace);
+  if (only_old && own == nullptr) return false;
+  const PackedRack* best = nullptr;
+  Rank best_rank;
+  for (const PackedRack& rack : racks_) {
+    std::uint32_t size = 0;
+    int displacement = 0;
+    bool fits = rack.whole;
+    for (const std::size_t i : rack.workers) {
+      fits = fits && Untouched(i) && (!only_old || (*own)[i] == workers_[i].all);
+      size += CountBits(workers_[i].all);
+      displacement += Displacement(own, i, workers_[i].all);
+    }
+    if (!fits || size == 0) continue;
+    const Rank rank = RankOf(order_, displacement, size);
+    if (best == nullptr || rank < best_rank) std::tie(best, best_rank) = std::pair(&rack, rank);
+  }
+  if (best == nullptr) return false;
+  for (const std::size_t i : best->workers) Bind(workspace, i, workers_[i].all);
+  return true;
+}
+
+bool GuaranteePacker::BindBestWorker(const WorkspaceId& workspace, bool only_old) {
+  const std::vector<AcceleratorMask>* own = OwnOldRuns(workspace);
+  if (only_old && own == nullptr) return false;
+  std::optional<std::size_t> best;
+  Rank best_rank;
+  for (std::size_t i = 0; i < workers_.size(); ++i) {
+    const AcceleratorMask all = workers_[i].all;
+    if (all == 0 || !Untouched(i) || (only_old && (*own)[i] != all)) continue;
+    const Rank rank = RankOf(order_, Displacement(own, i, all), CountBits(all));
+    if (!best || rank < best_rank) std::tie(best, best_rank) = std::pair(i, rank);
+  }
+  if (!best) return false;
+  Bind(workspace, *best, workers_[*best].all);
+  return true;
+}
+
+bool GuaranteePacker::BindOldRun(const WorkspaceId& workspace, std::uint32_t size) {
+  for (const OldRun& run : old_runs_) {
+    if (run.workspace != workspace || CountBits(run.accelerators) != size) continue;
+    const AcceleratorMask unbound = workers_[run.worker].unbound;
+    if ((unbound & run.accelerators) != run.accelerators) continue;
+    const auto first = static_cast<std::uint32_t>(std::countr_zero(run.accelerators));
+    if (RunMask(first & ~(size - 1), size) != run.accelerators) continue;
+    Bind(workspace, run.worker, run.accelerators);
+    return true;
+  }
+  return false;
+}
+
+bool GuaranteePacker::BindBestRun(const WorkspaceId& workspace, std::uint32_t size) {
+  const std::vector<AcceleratorMask>* own = OwnOldRuns(workspace);
+  std::optional<std::pair<std::size_t, AcceleratorMask>> best;
+  Rank best_rank;
+  for (std::size_t i = 0; i < workers_.size(); ++i) {
+    const AcceleratorMask unbound = workers_[i].unbound;
+    for (std::uint32_t first = 0; first < kMaxAcceleratorsPerWorker; first += size) {
+      if ((unbound >> first) == 0) break;
+      const std::uint32_t enclosing = EnclosingFreeBlock(unbound, first, size);
+      if (enclosing == 0) continue;
+      const AcceleratorMask mask = RunMask(first, size);
+      const Rank rank = RankOf(order_, Displacement(own, i, mask), enclosing);
+      if (best && rank >= best_rank) continue;
+      best = std::pair(i, mask);
+      best_rank = rank;
+    }
+  }
+  if (!best) return false;
+  Bind(workspace, best->first, best->second);
+  return true;
+}
+
+int GuaranteePacker::Displacement(const std::vector<AcceleratorMask>* own, std::size_t worker,
+                                  AcceleratorMask mask) const {
+  const AcceleratorMask mine = own == nullptr ? 0 : (*own)[worker];
+  const AcceleratorMask old = workers_[worker].old_runs & mask;
+  const AcceleratorMask in_use = workers_[worker].old_in_use & mask;
+  const auto bits = [](AcceleratorMask m) { return static_cast<int>(CountBits(m)); };
+  // An old run in use counts four times an idle one: its tasks would become borrowers.
+  return bits(old & ~mine) + 3 * bits(in_use & ~mine) - bits(old & mine) - 3 * bits(in_use & mine);
+}
+
+const std::vector<AcceleratorMask>* GuaranteePacker::OwnOldRuns(
+    const WorkspaceId& workspace) const {
+  const auto it = own_old_runs_.find(workspace);
+  return it == own_old_runs_.end() ? nullptr : &it->second;
+}
+
+bool GuaranteePacker::Untouched(std::size_t worker) const {
+  return workers_[worker].unbound == workers_[worker].all;
+}
+
+void GuaranteePacker::Bind(const WorkspaceId& workspace, std::size_t worker, AcceleratorMask mask) {
+  if (mask == 0) return;
+  workers_[worker].unbound &= ~mask;
+  result_.runs.push_back({workspace, workers_[worker].id, mask});
+}
+
+}  // namespace basilspring::internal
