--- a/include/basilspring/process/permit_authority.h
+++ b/include/basilspring/process/permit_authority.h
@@ -50,6 +50,10 @@
   TimePoint BeginChange(TimePoint now, const DataCentreId& data_centre);
   /// The outcome of the write is known and the configuration with it was applied; vouches again.
   void EndChange(const DataCentreId& data_centre);
+  /// Registered entries that have not answered for the registration silence, while this entry could
+  /// reach the store: hosts that were replaced. Without their removal no permit could rest on
+  /// vouches any more.
+  std::vector<ProcessId> SilentPeers(TimePoint now) const;
   /// Stops vouching to an entry and returns the time from which it may be removed from the
   /// registry.
   TimePoint BeginRemoval(TimePoint now, const ProcessId& entry);
@@ -62,6 +66,8 @@
   struct Peer {
     Address address;
     bool acknowledged = false;
+    /// When it was first known, or last answered.
+    TimePoint last_heard;
     /// When the request that the last vouch answers was sent.
     std::optional<TimePoint> vouched_since;
     ConfigRevision revision;
@@ -83,10 +89,12 @@
   std::optional<TimePoint> registered_since_;
   std::optional<TimePoint> last_registry_read_;
   std::map<ProcessId, Peer> peers_;
-  std::set<DataCentreId> changing_;
+  /// Changes in progress by data centre; two operators can change one at the same time.
+  std::map<DataCentreId, int> changing_;
   std::set<ProcessId> removing_;
   std::uint64_t next_request_ = 1;
   TimePoint next_tick_;
+  TimePoint next_registration_;
 };
 
 }  // namespace basilspring
--- a/include/basilspring/process/timings.h
+++ b/include/basilspring/process/timings.h
@@ -33,6 +33,10 @@
   /// A new entry that not all registered entries have acknowledged may change a data centre after
   /// this.
   Duration registration_wait = Duration(900000);
+  /// Entries make themselves known to each other this often; one that has not answered for the
+  /// silence is removed from the registry.
+  Duration registration_interval = Duration(5000);
+  Duration registration_silence = Duration(60000);
   /// How long answers of durable jobs can be fetched.
   Duration answer_retention = Duration(3600000);
 
--- a/src/process/permit_authority.cc
+++ b/src/process/permit_authority.cc
@@ -34,8 +34,9 @@
   const bool registered = entries.find(self_) != entries.end();
   if (registered && !registered_since_.has_value()) registered_since_ = started;
   if (!registered) registered_since_.reset();
-  std::erase_if(peers_,
-                [&entries](const auto& peer) { return entries.find(peer.first) == entries.end(); });
+  const auto gone = [&entries](const ProcessId& id) { return entries.find(id) == entries.end(); };
+  std::erase_if(peers_, [&gone](const auto& peer) { return gone(peer.first); });
+  std::erase_if(removing_, gone);
   for (const auto& [id, address] : entries) {
     if (id == self_) continue;
     Peer& peer = peers_[id];
@@ -43,6 +44,7 @@
       // The same name at another address is another process: nothing it said before counts.
       peer = Peer();
       peer.address = address;
+      peer.last_heard = started;
     }
   }
 }
@@ -51,8 +53,12 @@
   std::vector<PermitMessage> messages;
   if (now < next_tick_) return messages;
   next_tick_ = now + timings_.permit_read;
+  const bool register_again = now >= next_registration_;
+  if (register_again) next_registration_ = now + timings_.registration_interval;
   for (auto& [id, peer] : peers_) {
-    if (!peer.acknowledged) messages.push_back({peer.address, Registration{self_, address_}});
+    if (!peer.acknowledged || register_again) {
+      messages.push_back({peer.address, Registration{self_, address_}});
+    }
     // Vouches are only asked for when the store is away; the traffic is quadratic in the number of
     // entries.
     if (!vouching(now)) continue;
@@ -64,15 +70,17 @@
   return messages;
 }
 
-std::optional<Message> PermitAuthority::OnMessage(TimePoint /*now*/, const Address& from,
+std::optional<Message> PermitAuthority::OnMessage(TimePoint now, const Address& from,
                                                   const Message& message) {
   if (const auto* const request = std::get_if<VouchRequest>(&message)) {
     Vouch vouch;
     vouch.from = self_;
     vouch.request = request->request;
     vouch.config_revision = revision_;
-    vouch.changing.assign(changing_.begin(), changing_.end());
-    vouch.granted = removing_.find(request->from) == removing_.end();
+    for (const auto& [data_centre, changes] : changing_) vouch.changing.push_back(data_centre);
+    // An entry that was removed from the registry, or is about to be, gets no vouch.
+    vouch.granted = peers_.find(request->from) != peers_.end() &&
+                    removing_.find(request->from) == removing_.end();
     return vouch;
   }
   if (const auto* const registration = std::get_if<Registration>(&message)) {
@@ -80,11 +88,15 @@
     Peer& peer = peers_[registration->entry];
     if (peer.address != registration->address) peer = Peer();
     peer.address = registration->address;
+    peer.last_heard = now;
     return RegistrationAck{self_};
   }
   if (const auto* const ack = std::get_if<RegistrationAck>(&message)) {
     const auto peer = peers_.find(ack->from);
-    if (peer != peers_.end() && peer->second.address == from) peer->second.acknowledged = true;
+    if (peer != peers_.end() && peer->second.address == from) {
+      peer->second.acknowledged = true;
+      peer->second.last_heard = now;
+    }
   }
   if (const auto* const vouch = std::get_if<Vouch>(&message)) OnVouch(*vouch);
   return std::nullopt;
@@ -157,12 +169,24 @@
 }
 
 TimePoint PermitAuthority::BeginChange(TimePoint now, const DataCentreId& data_centre) {
-  changing_.insert(data_centre);
+  ++changing_[data_centre];
   // Permits on vouches that this entry gave until now lapse by then.
   return now + timings_.permit_validity;
 }
 
-void PermitAuthority::EndChange(const DataCentreId& data_centre) { changing_.erase(data_centre); }
+void PermitAuthority::EndChange(const DataCentreId& data_centre) {
+  const auto change = changing_.find(data_centre);
+  if (change != changing_.end() && --change->second == 0) changing_.erase(change);
+}
+
+std::vector<ProcessId> PermitAuthority::SilentPeers(TimePoint now) const {
+  std::vector<ProcessId> silent;
+  if (!registered_since_.has_value() || vouching(now)) return silent;
+  for (const auto& [id, peer] : peers_) {
+    if (now - peer.last_heard >= timings_.registration_silence) silent.push_back(id);
+  }
+  return silent;
+}
 
 TimePoint PermitAuthority::BeginRemoval(TimePoint now, const ProcessId& entry) {
   removing_.insert(entry);
--- a/tests/process/permit_authority_test.cc
+++ b/tests/process/permit_authority_test.cc
@@ -112,6 +112,23 @@
   EXPECT_EQ(Remaining(a_, TimePoint(10000)), Duration(0));
 }
 
+// Guards against registrations of replaced hosts that stop all permits in the next outage.
+TEST_F(PermitAuthorityTest, SilentEntriesAreNamedForRemovalOnlyWithTheStore) {
+  const TimePoint late = TimePoint(0) + Timings().registration_silence;
+  EXPECT_TRUE(a_.SilentPeers(late).empty());
+  a_.OnGuardRead(late, ConfigRevision(5));
+  EXPECT_EQ(a_.SilentPeers(late), std::vector<ProcessId>{ProcessId("b")});
+  a_.OnMessage(late, kB, RegistrationAck{ProcessId("b")});
+  EXPECT_TRUE(a_.SilentPeers(late).empty());
+}
+
+// Guards against vouches for an entry that is no longer in the registry but does not know it.
+TEST_F(PermitAuthorityTest, ARemovedEntryGetsNoVouch) {
+  b_.OnRegistry(TimePoint(100), {{ProcessId("b"), kB}});
+  ExchangeVouches(TimePoint(10000));
+  EXPECT_EQ(Remaining(a_, TimePoint(10000)), Duration(0));
+}
+
 // Guards against permits after the time at which a lone new entry may change a data centre.
 TEST_F(PermitAuthorityTest, NoPermitsAfterTheVouchingLimit) {
   const TimePoint late = TimePoint(0) + Timings().vouching_limit;
