Add the core of the cell scheduler

Cause: a cell needs one scheduler that places jobs, starts gangs whole and answers.

Change: CellCore takes messages, store results and ticks and appends messages, store operations and log lines. The answer is written and the job record deleted in one transaction.

Ruled out: delivering a "not run" refusal of a durable job before its record is deleted, because a later scheduler would still run the job.

--- /dev/null
+++ b/src/process/cell_configuration.cc
@@ -0,0 +1,107 @@
+#include <algorithm>
+
+#include "basilspring/version/guarantee.h"
+#include "process/cell_core_internal.h"
+
+namespace basilspring {
+
+void CellCore::Impl::OnConfiguration(const Address& from, const ConfigurationUpdate& update) {
+  if (update.revision > revision_) {
+    try {
+      tree_ = SettingsTree::FromNodes(update.nodes);
+    } catch (const Error& error) {
+      // Entries check a configuration before they write it, so this is a fault of the software.
+      Log(EventId::kInternalError, "revision={} cause=\"{}\"", update.revision.value(),
+          error.what());
+      return;
+    }
+    revision_ = update.revision;
+    ApplySettings();
+    Log(EventId::kConfigurationApplied, "cell={} revision={} nodes={} state={} guarantees={}",
+        identity_.cell.value(), revision_.value(), update.nodes.size(),
+        settings_.out ? "out" : "in", guarantees_.size());
+  } else if (update.revision < revision_) {
+    Log(EventId::kConfigurationIgnored, "cell={} revision={} in_force={}", identity_.cell.value(),
+        update.revision.value(), revision_.value());
+  }
+  Send(from, ConfigurationInForce{identity_.cell, revision_});
+}
+
+SettingScope CellCore::Impl::Scope(const WorkspaceId& workspace) const {
+  return {identity_.region, identity_.data_centre, workspace};
+}
+
+std::int64_t CellCore::Impl::WorkspaceNumber(std::string_view key,
+                                             const WorkspaceId& workspace) const {
+  return tree_ ? tree_->ResolveNumber(key, Scope(workspace)) : 0;
+}
+
+void CellCore::Impl::ApplySettings() {
+  const auto number = [this](std::string_view key) { return WorkspaceNumber(key, WorkspaceId()); };
+  settings_.out = tree_->ResolveText("state", Scope(WorkspaceId())) == "out";
+  for (std::size_t i = 0; i < kJobClassCount; ++i) {
+    const std::string key = fmt::format("queue.limit.{}", JobClassName(static_cast<JobClass>(i)));
+    settings_.queue_limit[i] = static_cast<std::uint64_t>(number(key));
+  }
+  settings_.preemption_grace = Duration(number("preemption.grace_ms"));
+  settings_.max_attempts =
+      static_cast<std::uint32_t>(std::max<std::int64_t>(number("attempts.max"), 1));
+  settings_.default_run_time = Duration(number("run_time.default_ms"));
+  guarantees_.clear();
+  for (const WorkspaceId& workspace : tree_->Workspaces()) {
+    const auto count = [&](std::string_view key) {
+      return static_cast<std::uint32_t>(WorkspaceNumber(key, workspace));
+    };
+    const Guarantee guarantee{workspace,
+                              count("guarantee.run1"),
+                              count("guarantee.run2"),
+                              count("guarantee.run4"),
+                              count("guarantee.run8"),
+                              count("guarantee.worker"),
+                              count("guarantee.rack")};
+    if (guarantee != Guarantee{workspace}) guarantees_.push_back(guarantee);
+  }
+  rebind_due_ = true;
+  dirty_ = true;
+  // A newer configuration overrides what permits said about an older one.
+  if (revision_ > out_revision_) out_by_permit_ = false;
+  NoteDataCentreState();
+}
+
+void CellCore::Impl::Rebind() {
+  rebind_due_ = false;
+  BindingResult result = BindGuarantees(cell_, guarantees_);
+  cell_.SetBoundRuns(std::move(result.runs));
+  guaranteed_.clear();
+  for (const BoundRun& run : cell_.bound_runs()) guaranteed_.insert(run.workspace);
+  ReclassifyTasks();
+  dirty_ = true;
+  const std::string shortfalls = DescribeShortfalls(result.shortfalls);
+  if (shortfalls == last_shortfalls_) return;
+  last_shortfalls_ = shortfalls;
+  if (result.shortfalls.empty()) return;
+  Log(EventId::kGuaranteeShort, "cell={} revision={} {}", identity_.cell.value(), revision_.value(),
+      shortfalls);
+}
+
+bool CellCore::Impl::InsideOwnRun(const WorkspaceId& workspace, const Member& member) const {
+  AcceleratorMask own = 0;
+  for (const BoundRun& run : cell_.bound_runs()) {
+    if (run.workspace == workspace && run.worker == member.worker) own |= run.accelerators;
+  }
+  return (member.accelerators & ~own) == 0;
+}
+
+void CellCore::Impl::ReclassifyTasks() {
+  for (auto& [id, attempt] : attempts_) {
+    for (Member& member : attempt.members) {
+      if (!member.holds || member.accelerators == 0) continue;
+      const bool borrowed = !InsideOwnRun(jobs_.at(attempt.job).spec.workspace, member);
+      if (borrowed == member.borrowed) continue;
+      member.borrowed = borrowed;
+      cell_.SetBorrowed(member.worker, id, member.rank, borrowed);
+    }
+  }
+}
+
+}  // namespace basilspring
--- /dev/null
+++ b/src/process/cell_jobs.cc
@@ -0,0 +1,221 @@
+#include <algorithm>
+
+#include "process/cell_core_internal.h"
+
+namespace basilspring {
+
+void CellCore::Impl::OnSubmit(const Address& from, const SubmitJob& submit) {
+  const JobSpec& spec = submit.spec;
+  auto known = jobs_.find(spec.id);
+  if (known != jobs_.end() && known->second.result && !spec.durable &&
+      ErrorInfo(known->second.result->error).retryable) {
+    // A refusal that may be retried isn't the final answer of this job id.
+    ForgetJob(spec.id);
+    known = jobs_.end();
+  }
+  if (known != jobs_.end()) {
+    AttachEntry(known->second, from, spec);
+    return;
+  }
+  // An entry sends the job again to the successor.
+  if (handing_over_) return;
+  Job& job = jobs_[spec.id];
+  job.spec = spec;
+  job.entry = from;
+  job.submitted = now_;
+  if (spec.deadline > Duration(0)) job.deadline = now_ + spec.deadline;
+  // An entry repeats its jobs as soon as it sees a new scheduler, so until a little after the
+  // rebuild a former scheduler may have run the job.
+  job.from_takeover = !ready_ || now_ < acquired_ + timings_.rebuild_wait + timings_.summary * 2;
+  ++counters_.submitted[static_cast<std::size_t>(spec.job_class)];
+  if (const std::optional<JobResult> fault = AdmissionFault(spec)) {
+    Log(EventId::kJobRefused, "job={} workspace={} class={} error={} reason=\"{}\"",
+        spec.id.value(), spec.workspace.value(), JobClassName(spec.job_class),
+        ErrorInfo(fault->error).name, fault->message);
+    RefuseJob(job, fault->error, fault->message);
+    return;
+  }
+  Enqueue(job);
+  Send(from, JobAccepted{spec.id, JobState::kQueued});
+  if (early_cancels_.erase(spec.id) > 0) CancelNow(job);
+}
+
+void CellCore::Impl::AttachEntry(Job& job, const Address& from, const JobSpec& spec) {
+  job.entry = from;
+  if (!job.spec_known) {
+    job.spec = spec;
+    job.spec_known = true;
+    if (spec.deadline > Duration(0)) job.deadline = now_ + spec.deadline;
+    dirty_ = true;
+  }
+  if (job.result && !job.write_in_flight && !job.write_due) {
+    job.delivered = false;
+    Deliver(job);
+  } else if (job.result && job.delivered) {
+    // Delivered before although the store is down: the outcome says "ran".
+    Send(from, JobFinished{job.spec.id, *job.result, job.attempts});
+  } else {
+    Send(from, JobAccepted{job.spec.id, job.state});
+  }
+}
+
+std::optional<JobResult> CellCore::Impl::AdmissionFault(const JobSpec& spec) const {
+  const std::uint64_t needed =
+      std::uint64_t{spec.shape.tasks} * std::uint64_t{spec.shape.accelerators.value()};
+  const std::int64_t quota = WorkspaceNumber("quota.accelerators", spec.workspace);
+  if (quota > 0 && needed > static_cast<std::uint64_t>(quota)) {
+    return JobResult{ErrorKind::kQuotaExceeded,
+                     fmt::format("the job needs {} accelerators; the quota of workspace {} is {}",
+                                 needed, spec.workspace.value(), quota)};
+  }
+  const std::size_t length = queue_.Length(spec.job_class);
+  const std::uint64_t limit = settings_.queue_limit[static_cast<std::size_t>(spec.job_class)];
+  if (length >= limit) {
+    return JobResult{ErrorKind::kOverloaded, fmt::format("{} {} jobs wait; the limit is {}", length,
+                                                         JobClassName(spec.job_class), limit)};
+  }
+  std::string reason;
+  if (InventoryKnown() && !CanEverFit(capacity_, spec.shape, &reason)) {
+    return JobResult{ErrorKind::kNeverFits, reason};
+  }
+  return std::nullopt;
+}
+
+bool CellCore::Impl::InventoryKnown() const {
+  // Agents look for a new scheduler after scheduler_silence, so all live ones have reported by
+  // then. Before that, a job that seems too large may fit on a worker that isn't known yet.
+  return ready_ && now_ >= acquired_ + timings_.scheduler_silence + timings_.find_cell_interval * 2;
+}
+
+void CellCore::Impl::Enqueue(Job& job) {
+  job.state = JobState::kQueued;
+  job.queued_at = now_;
+  job.attempt = AttemptId();
+  queue_.Add(job.spec.id, job.spec.job_class, job.submitted);
+  dirty_ = true;
+  Log(EventId::kJobQueued, "job={} workspace={} class={} tasks={} accelerators={} queued={}",
+      job.spec.id.value(), job.spec.workspace.value(), JobClassName(job.spec.job_class),
+      job.spec.shape.tasks, job.spec.shape.accelerators.value(), queue_.Length(job.spec.job_class));
+}
+
+void CellCore::Impl::Requeue(Job& job, const std::string& reason, Duration pause) {
+  ++counters_.requeued;
+  job.not_before = now_ + pause;
+  Log(EventId::kJobRequeued, "job={} attempts={} failures={} pause_ms={} reason=\"{}\"",
+      job.spec.id.value(), job.attempts, job.failures, pause.milliseconds(), reason);
+  Enqueue(job);
+  Send(job.entry, JobProgress{job.spec.id, JobState::kQueued, job.attempts});
+}
+
+void CellCore::Impl::OnCancel(const Address& from, const CancelJob& cancel) {
+  const auto found = jobs_.find(cancel.job);
+  if (found == jobs_.end()) {
+    if (!ready_ && early_cancels_.size() < internal::kEarlyCancels) {
+      early_cancels_.insert(cancel.job);
+      return;
+    }
+    Send(from, JobFinished{cancel.job, JobResult{ErrorKind::kNotFound, "the job is unknown here"}});
+    return;
+  }
+  Job& job = found->second;
+  job.entry = from;
+  if (job.result) {
+    AttachEntry(job, from, job.spec);
+    return;
+  }
+  CancelNow(job);
+}
+
+void CellCore::Impl::CancelNow(Job& job) {
+  if (job.cancel || job.refusal || job.result) return;
+  job.cancel = true;
+  Attempt* const attempt = FindAttempt(job.attempt);
+  if (attempt == nullptr) {
+    // While an attempt of it may still be found on the agents, the job is not known to be queued.
+    if (!HasFoundAttempt(job.spec.id)) RefuseJob(job, ErrorKind::kCancelled, "cancelled by caller");
+    return;
+  }
+  if (attempt->failure) return;
+  FailAttempt(*attempt, {ErrorKind::kCancelled, "cancelled by caller", StopReason::kCancelled},
+              Duration(0));
+}
+
+void CellCore::Impl::OnQuery(const Address& from, const QueryJob& query) {
+  JobReport report;
+  report.job = query.job;
+  report.query = query.query;
+  const auto found = jobs_.find(query.job);
+  if (found != jobs_.end()) {
+    const Job& job = found->second;
+    report.known = true;
+    report.state = job.state;
+    report.attempts = job.attempts;
+    if (!job.last_reason.empty()) report.reasons.push_back(job.last_reason);
+    report.reasons.insert(report.reasons.end(), job.reasons.begin(), job.reasons.end());
+    if (const Attempt* const attempt = FindAttempt(job.attempt)) {
+      for (const Member& member : attempt->members) report.workers.push_back(member.worker);
+    }
+  }
+  Send(from, report);
+}
+
+bool CellCore::Impl::MayHaveRun(const Job& job) const {
+  return job.ran || (job.from_takeover && predecessor_);
+}
+
+void CellCore::Impl::TickJobs() {
+  RetryStore();
+  std::vector<JobId> expired;
+  for (const auto& [id, job] : jobs_) {
+    if (job.result || job.refusal) continue;
+    if (job.deadline && now_ >= *job.deadline) expired.push_back(id);
+    // The pause after a failed attempt is over.
+    if (job.state == JobState::kQueued && job.not_before > last_tick_ && job.not_before <= now_) {
+      dirty_ = true;
+    }
+  }
+  last_tick_ = now_;
+  for (const JobId& id : expired) ExpireDeadline(jobs_.at(id));
+  DropOrphans();
+  DropOldResults();
+}
+
+void CellCore::Impl::DropOrphans() {
+  std::vector<JobId> dropped;
+  for (const auto& [id, job] : jobs_) {
+    const bool waits = !job.spec_known && job.state == JobState::kQueued && !job.refusal;
+    if (waits && now_ - job.queued_at > internal::kKeepOrphan) dropped.push_back(id);
+  }
+  for (const JobId& id : dropped) {
+    const Job& job = jobs_.at(id);
+    Log(EventId::kJobRefused, "job={} reason=\"its entry did not submit it again\"", id.value());
+    queue_.Remove(id, job.spec.job_class, job.submitted);
+    ForgetJob(id);
+  }
+}
+
+void CellCore::Impl::ExpireDeadline(Job& job) {
+  if (Attempt* const attempt = FindAttempt(job.attempt)) {
+    if (attempt->failure) return;
+    FailAttempt(*attempt,
+                {ErrorKind::kDeadlineExceeded, "the deadline passed", StopReason::kDeadline},
+                Duration(0));
+    return;
+  }
+  if (HasFoundAttempt(job.spec.id)) return;
+  RefuseJob(job, ErrorKind::kDeadlineExceeded,
+            fmt::format("the deadline passed after {} ms in the queue",
+                        (now_ - job.submitted).milliseconds()));
+}
+
+void CellCore::Impl::RefuseImpossibleJobs() {
+  for (const JobId& id : queue_.Order(queue_.size())) {
+    Job& job = jobs_.at(id);
+    std::string reason;
+    if (!job.spec_known || CanEverFit(capacity_, job.spec.shape, &reason)) continue;
+    Log(EventId::kJobRefused, "job={} error=never_fits reason=\"{}\"", id.value(), reason);
+    RefuseJob(job, ErrorKind::kNeverFits, reason);
+  }
+}
+
+}  // namespace basilspring
--- /dev/null
+++ b/src/process/cell_results.cc
@@ -0,0 +1,167 @@
+#include <algorithm>
+
+#include "process/cell_core_internal.h"
+
+namespace basilspring {
+namespace {
+
+std::size_t ResultBytes(const JobResult& result) {
+  std::size_t bytes = result.message.size();
+  for (const std::string& output : result.answer.outputs) bytes += output.size();
+  return bytes;
+}
+
+JobState FinalState(ErrorKind error) {
+  switch (error) {
+    case ErrorKind::kNone:
+      return JobState::kDone;
+    case ErrorKind::kCancelled:
+    case ErrorKind::kCancelledRunning:
+      return JobState::kCancelled;
+    case ErrorKind::kOutcomeUnknown:
+      return JobState::kUnknown;
+    default:
+      return JobState::kFailed;
+  }
+}
+
+// The kind that stays true when a task of the job has run or may have run.
+ErrorKind KindAfterRun(ErrorKind kind) {
+  if (ErrorInfo(kind).outcome != RunOutcome::kNotRun) return kind;
+  return kind == ErrorKind::kCancelled ? ErrorKind::kCancelledRunning
+                                       : ErrorKind::kAttemptsExhausted;
+}
+
+}  // namespace
+
+void CellCore::Impl::RefuseJob(Job& job, ErrorKind error, const std::string& message) {
+  queue_.Remove(job.spec.id, job.spec.job_class, job.submitted);
+  JobResult result{error, message};
+  if (ErrorInfo(error).retryable) result.retry_after = RetryAfter(job.spec.job_class);
+  if (job.spec.idempotent) {
+    if (MayHaveRun(job)) result.error = KindAfterRun(error);
+    FinishJob(job, std::move(result));
+    return;
+  }
+  job.refusal = std::move(result);
+  job.state = JobState::kStopping;
+  SendFence(job);
+}
+
+void CellCore::Impl::SendFence(Job& job) {
+  job.fencing = true;
+  unwritten_.insert(job.spec.id);
+  out_->operations.emplace_back(
+      FenceRequest{job.spec.id, job.spec.workspace, job.spec.request_key});
+}
+
+void CellCore::Impl::OnFenceReply(const FenceReply& reply) {
+  const auto found = jobs_.find(reply.job);
+  if (found == jobs_.end() || !found->second.fencing) return;
+  Job& job = found->second;
+  job.fencing = false;
+  if (reply.outcome == StoreOutcome::kDone) {
+    FinishJob(job, *job.refusal);
+  } else if (reply.outcome == StoreOutcome::kRefused) {
+    FinishJob(job, {ErrorKind::kOutcomeUnknown, "an earlier attempt had claimed the request"});
+  } else {
+    // "Not run" may be said only once the fence stands, so the refusal waits for the store.
+    job.write_after = now_ + internal::kStoreRetry;
+  }
+}
+
+void CellCore::Impl::FinishJob(Job& job, JobResult result) {
+  queue_.Remove(job.spec.id, job.spec.job_class, job.submitted);
+  job.refusal.reset();
+  job.state = FinalState(result.error);
+  job.attempt = AttemptId();
+  job.finished_at = now_;
+  job.result = std::move(result);
+  job.spec.payload.clear();
+  finished_.push_back(job.spec.id);
+  finished_bytes_ += ResultBytes(*job.result);
+  ++counters_.finished[{job.spec.job_class, job.result->error}];
+  Log(EventId::kJobFinished, "job={} workspace={} class={} outcome={} attempts={} total_ms={} {}",
+      job.spec.id.value(), job.spec.workspace.value(), JobClassName(job.spec.job_class),
+      ErrorInfo(job.result->error).name, job.attempts, (now_ - job.submitted).milliseconds(),
+      job.result->message);
+  if (job.spec.durable) {
+    WriteResult(job);
+  } else {
+    unwritten_.erase(job.spec.id);
+    Deliver(job);
+    SendAcks(job);
+  }
+}
+
+void CellCore::Impl::WriteResult(Job& job) {
+  job.write_due = true;
+  job.write_in_flight = true;
+  unwritten_.insert(job.spec.id);
+  out_->operations.emplace_back(ResultWrite{job.spec.id, *job.result, job.spec.idempotent,
+                                            job.spec.workspace, job.spec.request_key});
+}
+
+void CellCore::Impl::OnResultReply(const ResultReply& reply) {
+  const auto found = jobs_.find(reply.job);
+  if (found == jobs_.end() || !found->second.write_in_flight) return;
+  Job& job = found->second;
+  job.write_in_flight = false;
+  // kRefused: an answer is already stored and the record is gone, which is all that is needed.
+  if (reply.outcome == StoreOutcome::kDone || reply.outcome == StoreOutcome::kRefused) {
+    job.write_due = false;
+    unwritten_.erase(job.spec.id);
+    if (!job.delivered) Deliver(job);
+    SendAcks(job);
+    return;
+  }
+  job.write_after = now_ + internal::kStoreRetry;
+  // While the record stands, a later scheduler may still run the job, so "not run" has to wait.
+  if (!job.delivered && ErrorInfo(job.result->error).outcome != RunOutcome::kNotRun) Deliver(job);
+}
+
+void CellCore::Impl::RetryStore() {
+  for (const JobId& id : std::vector<JobId>(unwritten_.begin(), unwritten_.end())) {
+    Job& job = jobs_.at(id);
+    if (job.fencing || job.write_in_flight || now_ < job.write_after) continue;
+    if (job.refusal) {
+      SendFence(job);
+    } else if (job.write_due) {
+      WriteResult(job);
+    }
+  }
+}
+
+void CellCore::Impl::Deliver(Job& job) {
+  if (job.entry.empty()) return;
+  Send(job.entry, JobFinished{job.spec.id, *job.result, job.attempts});
+  job.delivered = true;
+}
+
+void CellCore::Impl::SendAcks(Job& job) {
+  for (const auto& [agent, ack] : job.acks) Send(agent, ack);
+  job.acks.clear();
+}
+
+void CellCore::Impl::ForgetJob(const JobId& id) {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) return;
+  if (found->second.result) finished_bytes_ -= ResultBytes(*found->second.result);
+  finished_.erase(std::remove(finished_.begin(), finished_.end(), id), finished_.end());
+  unwritten_.erase(id);
+  jobs_.erase(found);
+}
+
+void CellCore::Impl::DropOldResults() {
+  const std::deque<JobId> finished = finished_;
+  for (const JobId& id : finished) {
+    const Job& job = jobs_.at(id);
+    const bool crowded =
+        finished_.size() > internal::kKeptResults || finished_bytes_ > internal::kKeptResultBytes;
+    if (!crowded && now_ - job.finished_at < internal::kKeepResult) return;
+    // The only copy of a result that the store hasn't taken is kept.
+    if (!job.write_due) ForgetJob(id);
+  }
+}
+
+}  // namespace basilspring
--- /dev/null
+++ b/src/process/cell_summary.cc
@@ -0,0 +1,117 @@
+#include <algorithm>
+#include <bit>
+
+#include "process/cell_core_internal.h"
+
+namespace basilspring {
+namespace {
+
+constexpr std::array<std::uint32_t, 4> kRunLevels = {1, 2, 4, 8};
+
+// Aligned runs of this length that are wholly free.
+std::uint32_t FreeRuns(AcceleratorMask free, std::uint32_t length) {
+  const AcceleratorMask run = (AcceleratorMask{1} << length) - 1;
+  std::uint32_t count = 0;
+  for (std::uint32_t start = 0; start + length <= kMaxAcceleratorsPerWorker; start += length) {
+    if (((free >> start) & run) == run) ++count;
+  }
+  return count;
+}
+
+}  // namespace
+
+void CellCore::Impl::OnEntryHello(const EntryHello& hello) {
+  const bool known = hello_entries_.contains(hello.address);
+  hello_entries_[hello.address] = now_;
+  if (!known) SendDatagram(hello.address, Summary());
+}
+
+std::vector<Address> CellCore::Impl::Entries() const {
+  std::vector<Address> entries = known_entries_;
+  for (const auto& [address, heard] : hello_entries_) {
+    if (std::find(entries.begin(), entries.end(), address) == entries.end()) {
+      entries.push_back(address);
+    }
+  }
+  return entries;
+}
+
+void CellCore::Impl::TickSummary() {
+  if (now_ < next_summary_) return;
+  next_summary_ = now_ + timings_.summary;
+  std::erase_if(hello_entries_, [this](const auto& entry) {
+    return now_ - entry.second > internal::kForgetEntryAfter;
+  });
+  const CellSummary summary = Summary();
+  for (const Address& entry : Entries()) SendDatagram(entry, summary);
+}
+
+CellSummary CellCore::Impl::Summary() const {
+  CellSummary summary;
+  summary.cell = identity_.cell;
+  summary.region = identity_.region;
+  summary.data_centre = identity_.data_centre;
+  summary.epoch = identity_.epoch;
+  summary.scheduler = identity_.self;
+  summary.config_revision = revision_;
+  summary.ready = ready_ && !handing_over_;
+  summary.free_runs.assign(kRunLevels.size(), 0);
+  std::map<RackId, RackCapacity> racks;
+  for (const auto& [id, worker] : cell_.workers()) {
+    const std::uint32_t accelerators = worker.capacity.accelerators.value();
+    RackCapacity& rack = racks[worker.rack];
+    rack.accelerators_per_worker =
+        rack.workers == 0 ? accelerators : std::min(rack.accelerators_per_worker, accelerators);
+    ++rack.workers;
+    rack.rack = worker.rack;
+    ++summary.workers;
+    summary.total_accelerators += accelerators;
+    summary.running_tasks += static_cast<std::uint32_t>(worker.tasks.size());
+    if (!worker.accepting || worker.quarantined) continue;
+    summary.free_accelerators +=
+        static_cast<std::uint32_t>(std::popcount(worker.free_accelerators));
+    summary.free_slots += worker.free_slots.value();
+    for (std::size_t i = 0; i < kRunLevels.size(); ++i) {
+      summary.free_runs[i] += FreeRuns(worker.free_accelerators, kRunLevels[i]);
+    }
+  }
+  for (auto& [id, rack] : racks) summary.racks.push_back(rack);
+  for (std::size_t i = 0; i < kJobClassCount; ++i) {
+    summary.queued.push_back(static_cast<std::uint32_t>(queue_.Length(static_cast<JobClass>(i))));
+  }
+  summary.estimated_wait = EstimatedWaits();
+  return summary;
+}
+
+void CellCore::Impl::NoteWait(const Job& job) {
+  std::int64_t& average = wait_average_ms_[static_cast<std::size_t>(job.spec.job_class)];
+  average += ((now_ - job.queued_at).milliseconds() - average) / 8;
+}
+
+void CellCore::Impl::NoteRunTime(const Job& job, Duration run_time) {
+  std::int64_t& average = run_average_ms_[static_cast<std::size_t>(job.spec.job_class)];
+  average += (run_time.milliseconds() - average) / 8;
+}
+
+std::vector<Duration> CellCore::Impl::EstimatedWaits() const {
+  std::vector<Duration> waits;
+  const auto running = static_cast<std::int64_t>(std::max<std::size_t>(attempts_.size(), 1));
+  std::int64_t ahead_ms = 0;
+  for (std::size_t i = 0; i < kJobClassCount; ++i) {
+    const auto job_class = static_cast<JobClass>(i);
+    const auto queued = static_cast<std::int64_t>(queue_.Length(job_class));
+    // Jobs ahead of a new one, of this class and those before it, share the running places.
+    ahead_ms += queued * run_average_ms_[i] / running;
+    std::int64_t wait = queued == 0 ? 0 : wait_average_ms_[i];
+    if (queued > 0) wait = std::max(wait, (now_ - queue_.Oldest(job_class)).milliseconds());
+    waits.emplace_back(std::max(wait, ahead_ms));
+  }
+  return waits;
+}
+
+Duration CellCore::Impl::RetryAfter(JobClass job_class) const {
+  return std::clamp(EstimatedWaits()[static_cast<std::size_t>(job_class)], Duration::Seconds(1),
+                    Duration::Seconds(60));
+}
+
+}  // namespace basilspring
--- /dev/null
+++ b/src/process/cell_workers.cc
@@ -0,0 +1,157 @@
+#include <algorithm>
+
+#include "process/cell_core_internal.h"
+
+namespace basilspring {
+
+void CellCore::Impl::OnHeartbeat(const Address& from, const Heartbeat& heartbeat) {
+  if (CheckEpoch(heartbeat.epoch, "heartbeat")) return;
+  SendDatagram(from, HeartbeatReply{identity_.cell, identity_.epoch, heartbeat.sequence});
+  Worker& worker = workers_[heartbeat.worker];
+  worker.agent = heartbeat.address;
+  worker.rack = heartbeat.rack;
+  worker.last_heard = now_;
+  // A lower sequence number means that the agent was restarted; another epoch, that it doesn't know
+  // this scheduler. In both cases its tasks may differ from what is known here.
+  const bool restarted = heartbeat.sequence < worker.last_sequence;
+  worker.last_sequence = heartbeat.sequence;
+  if (!worker.reported || restarted || heartbeat.epoch != identity_.epoch) {
+    RequestReport(heartbeat.worker);
+    return;
+  }
+  if (heartbeat.tasks < RunningOn(heartbeat.worker)) RequestReport(heartbeat.worker);
+  UpdateAccepting(heartbeat.worker, worker, heartbeat.accepting);
+}
+
+void CellCore::Impl::RequestReport(const WorkerId& id) {
+  const auto found = workers_.find(id);
+  if (found == workers_.end()) return;
+  Worker& worker = found->second;
+  // Bounds the reports of an agent that goes on to differ; the first request is never held back.
+  if (worker.hello_sent && now_ - *worker.hello_sent < timings_.heartbeat / 2) return;
+  worker.hello_sent = now_;
+  Send(worker.agent, SchedulerHello{identity_.cell, identity_.epoch});
+}
+
+std::uint32_t CellCore::Impl::RunningOn(const WorkerId& id) const {
+  std::uint32_t running = 0;
+  for (const auto& [attempt_id, attempt] : attempts_) {
+    for (const Member& member : attempt.members) {
+      running += member.worker == id && member.state == MemberState::kRunning ? 1 : 0;
+    }
+  }
+  return running;
+}
+
+void CellCore::Impl::OnAgentReport(const Address& from, const AgentReport& report) {
+  if (CheckEpoch(report.epoch, "agent report") || report.cell != identity_.cell) return;
+  Worker& worker = workers_[report.worker];
+  const bool joined = !worker.reported;
+  worker.agent = report.address.empty() ? from : report.address;
+  worker.rack = report.rack;
+  worker.last_heard = now_;
+  worker.reported = true;
+  lost_.erase(report.worker);
+  if (joined || worker.capacity != report.capacity || worker.accepting != report.accepting) {
+    rebind_due_ = true;
+    dirty_ = true;
+  }
+  worker.capacity = report.capacity;
+  worker.accepting = report.accepting;
+  cell_.UpsertWorker(report.worker, report.rack, worker.agent, report.capacity, report.accepting);
+  capacity_.UpsertWorker(report.worker, report.rack, worker.agent, report.capacity, true);
+  if (joined) {
+    Log(EventId::kWorkerJoined, "worker={} rack={} accelerators={} cores={} slots={} tasks={}",
+        report.worker.value(), report.rack.value(), report.capacity.accelerators.value(),
+        report.capacity.cores.value(), report.capacity.slots.value(), report.tasks.size());
+  }
+  ReconcileMissing(report);
+  for (const TaskReport& task : report.tasks) OnReportedTask(report.worker, worker.agent, task);
+}
+
+void CellCore::Impl::ReconcileMissing(const AgentReport& report) {
+  for (const AttemptId& id : AttemptIds()) {
+    Attempt* const attempt = FindAttempt(id);
+    if (attempt == nullptr) continue;
+    bool missing = false;
+    for (Member& member : attempt->members) {
+      if (member.worker != report.worker || member.over() ||
+          member.state == MemberState::kPlanned) {
+        continue;
+      }
+      const bool reported = std::any_of(
+          report.tasks.begin(), report.tasks.end(),
+          [&](const TaskReport& task) { return task.attempt == id && task.rank == member.rank; });
+      // A report can cross a command that was sent just before; a task that the agent had started
+      // can't be missing for that reason.
+      const bool settled =
+          member.state == MemberState::kRunning || now_ - member.last_command > timings_.heartbeat;
+      if (reported || !settled) continue;
+      member.state = attempt->start_sent ? MemberState::kLost : MemberState::kStopped;
+      ReleaseMember(*attempt, member);
+      missing = true;
+    }
+    if (missing) {
+      FailAttempt(*attempt,
+                  {ErrorKind::kConnectionLost,
+                   fmt::format("worker {} no longer has the task", report.worker.value()),
+                   StopReason::kGangMemberLost, attempt->start_sent},
+                  Duration(0));
+    }
+  }
+}
+
+void CellCore::Impl::UpdateAccepting(const WorkerId& id, Worker& worker, bool accepting) {
+  if (worker.accepting == accepting) return;
+  worker.accepting = accepting;
+  cell_.SetAccepting(id, accepting);
+  rebind_due_ = true;
+  dirty_ = true;
+  // A backend server that came back may announce another capacity.
+  if (accepting) RequestReport(id);
+}
+
+void CellCore::Impl::TickWorkers() {
+  std::vector<WorkerId> silent;
+  for (const auto& [id, worker] : workers_) {
+    if (now_ - worker.last_heard > timings_.worker_silence) silent.push_back(id);
+  }
+  for (const WorkerId& id : silent) LoseWorker(id);
+  std::erase_if(lost_, [this](const auto& lost) {
+    if (now_ - lost.second <= internal::kForgetWorkerAfter) return false;
+    capacity_.RemoveWorker(lost.first);
+    return true;
+  });
+  TickHealth();
+}
+
+void CellCore::Impl::LoseWorker(const WorkerId& id) {
+  Log(EventId::kWorkerLost, "worker={} silent_ms={}", id.value(),
+      (now_ - workers_.at(id).last_heard).milliseconds());
+  ++counters_.lost_workers;
+  for (auto& [attempt_id, found] : found_) {
+    std::erase_if(found.ranks, [&](const auto& rank) { return rank.second.worker == id; });
+  }
+  for (const AttemptId& attempt_id : AttemptIds()) {
+    Attempt* const attempt = FindAttempt(attempt_id);
+    if (attempt == nullptr) continue;
+    bool lost = false;
+    for (Member& member : attempt->members) {
+      if (member.worker != id || member.over()) continue;
+      member.state = attempt->start_sent ? MemberState::kLost : MemberState::kStopped;
+      ReleaseMember(*attempt, member);
+      lost = true;
+    }
+    if (!lost) continue;
+    FailAttempt(*attempt,
+                {ErrorKind::kConnectionLost, fmt::format("worker {} was lost", id.value()),
+                 StopReason::kGangMemberLost, attempt->start_sent},
+                Duration(0));
+  }
+  cell_.RemoveWorker(id);
+  workers_.erase(id);
+  lost_[id] = now_;
+  rebind_due_ = true;
+}
+
+}  // namespace basilspring
