Test the cell core: gangs, claims and changes of scheduler

Cause: the promises about gangs and non-idempotent requests rest on the scheduler's behaviour at each step.

Change: a harness drives the core against fake agents and a fake store. An answer that is already stored replaces the result of a later attempt, so a resubmitted request gets its answer and not "unknown". Tasks' borrowed flags follow the binding of guarantees.

Ruled out: acknowledging TaskDone on receipt, because a scheduler that dies then loses the output.

--- a/include/basilspring/process/cell_core.h
+++ b/include/basilspring/process/cell_core.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -94,7 +95,10 @@
 };
 struct ResultReply {
   JobId job;
+  /// kRefused: an answer is already stored.
   StoreOutcome outcome = StoreOutcome::kDone;
+  /// The stored answer, with kRefused.
+  std::optional<JobResult> stored;
 };
 /// All job records of the cell, as listed after the lease was acquired.
 struct RecordsListed {
--- a/src/process/cell_configuration.cc
+++ b/src/process/cell_configuration.cc
@@ -33,20 +33,25 @@
 
 std::int64_t CellCore::Impl::WorkspaceNumber(std::string_view key,
                                              const WorkspaceId& workspace) const {
-  return tree_ ? tree_->ResolveNumber(key, Scope(workspace)) : 0;
+  // Without a configuration, the defaults of an empty tree are in force.
+  static const SettingsTree defaults;
+  return (tree_ ? *tree_ : defaults).ResolveNumber(key, Scope(workspace));
 }
 
-void CellCore::Impl::ApplySettings() {
+void CellCore::Impl::ApplyNumbers() {
   const auto number = [this](std::string_view key) { return WorkspaceNumber(key, WorkspaceId()); };
-  settings_.out = tree_->ResolveText("state", Scope(WorkspaceId())) == "out";
   for (std::size_t i = 0; i < kJobClassCount; ++i) {
     const std::string key = fmt::format("queue.limit.{}", JobClassName(static_cast<JobClass>(i)));
     settings_.queue_limit[i] = static_cast<std::uint64_t>(number(key));
   }
   settings_.preemption_grace = Duration(number("preemption.grace_ms"));
-  settings_.max_attempts =
-      static_cast<std::uint32_t>(std::max<std::int64_t>(number("attempts.max"), 1));
+  settings_.max_attempts = static_cast<std::uint32_t>(number("attempts.max"));
   settings_.default_run_time = Duration(number("run_time.default_ms"));
+}
+
+void CellCore::Impl::ApplySettings() {
+  ApplyNumbers();
+  settings_.out = tree_->ResolveText("state", Scope(WorkspaceId())) == "out";
   guarantees_.clear();
   for (const WorkspaceId& workspace : tree_->Workspaces()) {
     const auto count = [&](std::string_view key) {
@@ -71,10 +76,10 @@
 void CellCore::Impl::Rebind() {
   rebind_due_ = false;
   BindingResult result = BindGuarantees(cell_, guarantees_);
-  cell_.SetBoundRuns(std::move(result.runs));
+  ApplyBinding(cell_, std::move(result.runs));
   guaranteed_.clear();
   for (const BoundRun& run : cell_.bound_runs()) guaranteed_.insert(run.workspace);
-  ReclassifyTasks();
+  CopyBorrowed();
   dirty_ = true;
   const std::string shortfalls = DescribeShortfalls(result.shortfalls);
   if (shortfalls == last_shortfalls_) return;
@@ -84,22 +89,12 @@
       shortfalls);
 }
 
-bool CellCore::Impl::InsideOwnRun(const WorkspaceId& workspace, const Member& member) const {
-  AcceleratorMask own = 0;
-  for (const BoundRun& run : cell_.bound_runs()) {
-    if (run.workspace == workspace && run.worker == member.worker) own |= run.accelerators;
-  }
-  return (member.accelerators & ~own) == 0;
-}
-
-void CellCore::Impl::ReclassifyTasks() {
-  for (auto& [id, attempt] : attempts_) {
-    for (Member& member : attempt.members) {
-      if (!member.holds || member.accelerators == 0) continue;
-      const bool borrowed = !InsideOwnRun(jobs_.at(attempt.job).spec.workspace, member);
-      if (borrowed == member.borrowed) continue;
-      member.borrowed = borrowed;
-      cell_.SetBorrowed(member.worker, id, member.rank, borrowed);
+void CellCore::Impl::CopyBorrowed() {
+  for (const auto& [worker_id, worker] : cell_.workers()) {
+    for (const PlacedTask& task : worker.tasks) {
+      Attempt* attempt = nullptr;
+      Member* const member = FindMember(task.attempt, task.rank, &attempt);
+      if (member != nullptr) member->borrowed = task.borrowed;
     }
   }
 }
--- a/src/process/cell_core.cc
+++ b/src/process/cell_core.cc
@@ -9,6 +9,8 @@
 struct Overloaded : Handlers... {
   using Handlers::operator()...;
 };
+template <typename... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
 
 }  // namespace
 
@@ -26,7 +28,7 @@
 CellCore::Impl::Impl(CellIdentity identity, const Timings& timings, TimePoint acquired)
     : identity_(std::move(identity)), timings_(timings), acquired_(acquired), now_(acquired) {
   predecessor_ = identity_.last_epoch.value() > 0;
-  settings_.queue_limit.fill(internal::kDefaultQueueLimit);
+  ApplyNumbers();
 }
 
 void CellCore::Impl::Handle(TimePoint now, const CellEvent& event, CellOutput& output) {
--- a/src/process/cell_core_internal.h
+++ b/src/process/cell_core_internal.h
@@ -42,9 +42,6 @@
 inline constexpr std::size_t kEarlyCancels = 4096;
 /// Workers that a job failed on, remembered for its next placement.
 inline constexpr std::size_t kAvoidedWorkers = 16;
-/// Jobs of one class that may wait while no configuration is in force yet.
-inline constexpr std::uint64_t kDefaultQueueLimit = 10000;
-inline constexpr Duration kDefaultGrace = Duration(2000);
 /// Permits are kept up for this long after the last placement.
 inline constexpr Duration kKeepPermit = Duration(5000);
 inline constexpr std::size_t kPermitRequests = 16;
@@ -198,7 +195,7 @@
 struct CellSettings {
   bool out = false;
   std::array<std::uint64_t, kJobClassCount> queue_limit{};
-  Duration preemption_grace = kDefaultGrace;
+  Duration preemption_grace;
   std::uint32_t max_attempts = 3;
   Duration default_run_time;
 };
@@ -262,6 +259,7 @@
   void FinishJob(Job& job, JobResult result);
   void SendFence(Job& job);
   void WriteResult(Job& job);
+  void ReplaceResult(Job& job, const JobResult& stored);
   void RetryStore();
   void ForgetJob(const JobId& id);
   void Deliver(Job& job);
@@ -358,11 +356,12 @@
   // cell_configuration.cc
   void OnConfiguration(const Address& from, const ConfigurationUpdate& update);
   void ApplySettings();
+  void ApplyNumbers();
   SettingScope Scope(const WorkspaceId& workspace) const;
   std::int64_t WorkspaceNumber(std::string_view key, const WorkspaceId& workspace) const;
   void Rebind();
-  bool InsideOwnRun(const WorkspaceId& workspace, const Member& member) const;
-  void ReclassifyTasks();
+  /// Copies from the cell's state to the attempts which tasks are borrowed.
+  void CopyBorrowed();
 
   // cell_summary.cc
   void OnEntryHello(const EntryHello& hello);
--- a/src/process/cell_jobs.cc
+++ b/src/process/cell_jobs.cc
@@ -63,7 +63,7 @@
   const std::uint64_t needed =
       std::uint64_t{spec.shape.tasks} * std::uint64_t{spec.shape.accelerators.value()};
   const std::int64_t quota = WorkspaceNumber("quota.accelerators", spec.workspace);
-  if (quota > 0 && needed > static_cast<std::uint64_t>(quota)) {
+  if (needed > static_cast<std::uint64_t>(quota)) {
     return JobResult{ErrorKind::kQuotaExceeded,
                      fmt::format("the job needs {} accelerators; the quota of workspace {} is {}",
                                  needed, spec.workspace.value(), quota)};
--- a/src/process/cell_outcome.cc
+++ b/src/process/cell_outcome.cc
@@ -90,12 +90,10 @@
 }
 
 void CellCore::Impl::ConcludeCancelled(Job& job) {
-  if (!job.spec.idempotent) {
-    // Not claimed, or the outcome of the claim is unknown: the fence tells.
-    RefuseJob(job, ErrorKind::kCancelled, "cancelled by caller");
-  } else if (job.ran) {
+  if (job.spec.idempotent && job.ran) {
     FinishJob(job, {ErrorKind::kCancelledRunning, "cancelled by caller while it ran"});
   } else {
+    // Of a non-idempotent job that may be claimed, the fence tells whether it is.
     RefuseJob(job, ErrorKind::kCancelled, "cancelled by caller");
   }
 }
--- a/src/process/cell_placement.cc
+++ b/src/process/cell_placement.cc
@@ -45,7 +45,7 @@
   const std::int64_t quota = WorkspaceNumber("quota.accelerators", job.spec.workspace);
   const std::uint64_t needed =
       std::uint64_t{job.spec.shape.tasks} * std::uint64_t{job.spec.shape.accelerators.value()};
-  if (quota <= 0 || needed == 0) return false;
+  if (needed == 0) return false;
   return AcceleratorsInUse(job.spec.workspace) + needed > static_cast<std::uint64_t>(quota);
 }
 
--- a/src/process/cell_results.cc
+++ b/src/process/cell_results.cc
@@ -107,8 +107,9 @@
   if (found == jobs_.end() || !found->second.write_in_flight) return;
   Job& job = found->second;
   job.write_in_flight = false;
-  // kRefused: an answer is already stored and the record is gone, which is all that is needed.
   if (reply.outcome == StoreOutcome::kDone || reply.outcome == StoreOutcome::kRefused) {
+    // A former scheduler had finished the job: the answer that it stored is the one that counts.
+    if (reply.stored) ReplaceResult(job, *reply.stored);
     job.write_due = false;
     unwritten_.erase(job.spec.id);
     if (!job.delivered) Deliver(job);
@@ -120,6 +121,15 @@
   if (!job.delivered && ErrorInfo(job.result->error).outcome != RunOutcome::kNotRun) Deliver(job);
 }
 
+void CellCore::Impl::ReplaceResult(Job& job, const JobResult& stored) {
+  Log(EventId::kJobFinished, "job={} outcome={} replaces={} source=store", job.spec.id.value(),
+      ErrorInfo(stored.error).name, ErrorInfo(job.result->error).name);
+  finished_bytes_ -= ResultBytes(*job.result);
+  job.result = stored;
+  job.state = FinalState(stored.error);
+  finished_bytes_ += ResultBytes(stored);
+}
+
 void CellCore::Impl::RetryStore() {
   for (const JobId& id : std::vector<JobId>(unwritten_.begin(), unwritten_.end())) {
     Job& job = jobs_.at(id);
--- /dev/null
+++ b/tests/process/cell_claim_test.cc
@@ -0,0 +1,142 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "tests/process/cell_harness.h"
+
+namespace basilspring {
+namespace {
+
+using testing::CellHarness;
+
+class CellClaim : public ::testing::Test {
+ protected:
+  CellClaim() {
+    cell.AddWorker("a");
+    cell.AddWorker("b");
+    cell.Run(6000);
+  }
+  void SubmitOnce(const std::string& id, std::uint32_t tasks = 1) {
+    cell.Submit(id, tasks, 8, /*idempotent=*/false);
+  }
+  CellHarness cell;
+};
+
+// Guards against a start before the claim stands, and against a second claim after the first.
+TEST_F(CellClaim, StartsOnlyAfterTheClaim) {
+  cell.hold_store = true;
+  SubmitOnce("j", 2);
+  EXPECT_EQ(cell.Running("j"), 0U);
+  ASSERT_EQ(cell.held.size(), 1U);
+  const auto claim = std::get<ClaimRequest>(cell.held[0]);
+  cell.hold_store = false;
+  cell.requests[claim.job] = "claimed " + claim.attempt.value();
+  cell.Deliver(ClaimReply{claim.job, claim.attempt, StoreOutcome::kDone});
+  EXPECT_EQ(cell.Running("j"), 2U);
+  cell.FinishTasks("j");
+  EXPECT_EQ(cell.Outcome("j"), ErrorKind::kNone);
+  EXPECT_TRUE(cell.records.empty());
+  EXPECT_TRUE(cell.answers.contains(JobId("j")));
+}
+
+// Guards against a second run after a member of a claimed attempt was lost.
+TEST_F(CellClaim, LostMemberAfterTheClaimIsUnknown) {
+  SubmitOnce("j", 2);
+  ASSERT_EQ(cell.Running("j"), 2U);
+  cell.agent("a").silent = true;
+  cell.Run(9000);
+  EXPECT_EQ(cell.Outcome("j"), ErrorKind::kOutcomeUnknown);
+  EXPECT_EQ(cell.Sent<Start>().size(), 2U);
+}
+
+// Guards against "not run" after a claim that took effect: no task was started, and still the
+// answer has to be "unknown".
+TEST_F(CellClaim, RefusedStartAfterTheClaimIsUnknown) {
+  cell.agent("a").start_error = ErrorKind::kPermitExpired;
+  cell.agent("b").start_error = ErrorKind::kPermitExpired;
+  SubmitOnce("j");
+  cell.Run(1000);
+  EXPECT_EQ(cell.Outcome("j"), ErrorKind::kOutcomeUnknown);
+}
+
+// Guards against a double run when the claim took effect and its answer was lost: the attempt that
+// doesn't know must not start, and the next one must find the claim.
+TEST_F(CellClaim, LostAnswerOfTheClaimNeverRunsTwice) {
+  cell.lose_claim_answer = true;
+  SubmitOnce("j");
+  cell.lose_claim_answer = false;
+  cell.Run(3000);
+  EXPECT_TRUE(cell.Sent<Start>().empty());
+  EXPECT_EQ(cell.Outcome("j"), ErrorKind::kOutcomeUnknown);
+}
+
+// Guards against work that is given up because the store was away for a while.
+TEST_F(CellClaim, WaitsForTheStore) {
+  cell.store_down = true;
+  SubmitOnce("j");
+  cell.Run(3000);
+  EXPECT_TRUE(cell.Sent<Start>().empty());
+  cell.store_down = false;
+  cell.Run(6000);
+  EXPECT_EQ(cell.Running("j"), 1U);
+}
+
+// Guards against a cancelled job that another scheduler runs later: "not run" is said only after
+// the fence.
+TEST_F(CellClaim, CancelOfAQueuedJobFencesFirst) {
+  cell.Submit("blocker", 2);
+  SubmitOnce("j");
+  cell.store_down = true;
+  cell.Cancel("j");
+  cell.Run(500);
+  EXPECT_EQ(cell.Result("j"), nullptr);
+  cell.store_down = false;
+  cell.Run(2000);
+  EXPECT_EQ(cell.Outcome("j"), ErrorKind::kCancelled);
+  EXPECT_EQ(cell.requests[JobId("j")], "fenced");
+}
+
+// Guards against a claim that is in flight when the caller cancels.
+TEST_F(CellClaim, CancelDuringTheClaimStartsNothing) {
+  cell.hold_store = true;
+  SubmitOnce("j");
+  ASSERT_EQ(cell.held.size(), 1U);
+  const auto claim = std::get<ClaimRequest>(cell.held[0]);
+  cell.Cancel("j");
+  cell.hold_store = false;
+  cell.requests[claim.job] = "claimed " + claim.attempt.value();
+  cell.Deliver(ClaimReply{claim.job, claim.attempt, StoreOutcome::kDone});
+  EXPECT_TRUE(cell.Sent<Start>().empty());
+  EXPECT_EQ(cell.Outcome("j"), ErrorKind::kOutcomeUnknown);
+  EXPECT_EQ(cell.Reserved(), 0U);
+}
+
+// Guards against losing an answer with the store: it is delivered, and written when the store is
+// back; the agents keep the outputs until then.
+TEST_F(CellClaim, DeliversWithTheStoreDownAndWritesLater) {
+  SubmitOnce("j");
+  cell.store_down = true;
+  cell.FinishTasks("j");
+  EXPECT_EQ(cell.Outcome("j"), ErrorKind::kNone);
+  EXPECT_TRUE(cell.answers.empty());
+  EXPECT_TRUE(cell.Sent<TaskDoneAck>().empty());
+  cell.store_down = false;
+  cell.Run(2000);
+  EXPECT_TRUE(cell.answers.contains(JobId("j")));
+  EXPECT_EQ(cell.Sent<TaskDoneAck>().size(), 1U);
+}
+
+// Guards against "not run" for a durable job whose record still lets a later scheduler run it.
+TEST_F(CellClaim, RefusalOfADurableJobWaitsForItsRecord) {
+  cell.store_down = true;
+  cell.Submit("huge", 3, 8, true, JobClass::kBatch);
+  cell.Run(1000);
+  EXPECT_EQ(cell.Result("huge"), nullptr);
+  cell.store_down = false;
+  cell.Run(2000);
+  EXPECT_EQ(cell.Outcome("huge"), ErrorKind::kNeverFits);
+  EXPECT_TRUE(cell.records.empty());
+}
+
+}  // namespace
+}  // namespace basilspring
--- /dev/null
+++ b/tests/process/cell_recovery_test.cc
@@ -0,0 +1,163 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "tests/process/cell_harness.h"
+
+namespace basilspring {
+namespace {
+
+using testing::CellHarness;
+
+class CellRecovery : public ::testing::TestWithParam<bool> {
+ protected:
+  CellRecovery() {
+    cell.AddWorker("a");
+    cell.AddWorker("b");
+    cell.Run(6000);
+  }
+  CellHarness cell;
+};
+
+// Guards against a job that is lost or run twice when the scheduler changes while its gang is
+// prepared but not started.
+TEST_P(CellRecovery, ChangeDuringPrepare) {
+  cell.agent("b").ignore_prepare = true;
+  cell.Submit("j", 2, 8, GetParam(), JobClass::kBatch);
+  EXPECT_EQ(cell.Reserved(), 1U);
+  cell.agent("b").ignore_prepare = false;
+  cell.ReplaceScheduler();
+  cell.Run(4000);
+  EXPECT_EQ(cell.Running("j"), 2U);
+  EXPECT_EQ(cell.Reserved(), 0U);
+  cell.FinishTasks("j");
+  EXPECT_EQ(cell.Outcome("j"), ErrorKind::kCount) << "no entry has asked for it yet";
+  EXPECT_TRUE(cell.answers.contains(JobId("j")));
+}
+
+// Guards against a second run of a request that the former scheduler had claimed but not started.
+TEST_F(CellRecovery, ChangeAfterTheClaim) {
+  cell.hold_store = true;
+  cell.Submit("j", 2, 8, false);
+  const auto claim = std::get<ClaimRequest>(cell.held.at(0));
+  cell.requests[claim.job] = "claimed " + claim.attempt.value();
+  cell.hold_store = false;
+  cell.ReplaceScheduler();
+  cell.Submit("j", 2, 8, false);
+  cell.Run(4000);
+  EXPECT_TRUE(cell.Sent<Start>().empty());
+  EXPECT_EQ(cell.Outcome("j"), ErrorKind::kOutcomeUnknown);
+}
+
+// Guards against a partial gang: the former scheduler died between two Starts.
+TEST_P(CellRecovery, ChangeBetweenTheStarts) {
+  cell.agent("b").ignore_start = true;
+  cell.Submit("j", 2, 8, GetParam(), JobClass::kBatch);
+  EXPECT_EQ(cell.Running("j"), 1U);
+  cell.agent("b").ignore_start = false;
+  cell.ReplaceScheduler();
+  cell.Submit("j", 2, 8, GetParam(), JobClass::kBatch);
+  cell.Run(4000);
+  EXPECT_EQ(cell.Running("j"), GetParam() ? 2U : 0U);
+  EXPECT_EQ(cell.Outcome("j"), GetParam() ? ErrorKind::kCount : ErrorKind::kOutcomeUnknown);
+}
+
+// Guards against running work that is stopped or run again because the scheduler changed.
+TEST_P(CellRecovery, ChangeWhileRunning) {
+  cell.Submit("j", 2, 8, GetParam());
+  cell.ReplaceScheduler();
+  EXPECT_EQ(cell.Running("j"), 2U);
+  cell.Submit("j", 2, 8, GetParam());
+  cell.FinishTasks("j");
+  EXPECT_EQ(cell.Outcome("j"), ErrorKind::kNone);
+  EXPECT_EQ(cell.Sent<Start>().size(), 2U);
+  EXPECT_TRUE(cell.Sent<StopTask>().empty());
+}
+
+// Guards against losing outputs that the former scheduler had received but not passed on.
+TEST_P(CellRecovery, ChangeAfterTheFirstTaskIsDone) {
+  cell.Submit("j", 2, 8, GetParam());
+  cell.agent("b").silent = true;
+  cell.FinishTasks("j");
+  cell.agent("b").silent = false;
+  cell.ReplaceScheduler();
+  cell.Submit("j", 2, 8, GetParam());
+  EXPECT_EQ(cell.Outcome("j"), ErrorKind::kNone);
+  EXPECT_EQ(cell.Result("j")->answer.outputs, (std::vector<std::string>{"j/0", "j/1"}));
+  cell.Run(100);
+  EXPECT_TRUE(cell.agent("a").tasks.empty());
+}
+
+// Guards against a gang that goes on with one member after the other host died together with the
+// scheduler.
+TEST_P(CellRecovery, MemberMissingAfterTheChange) {
+  cell.Submit("j", 2, 8, GetParam(), JobClass::kBatch);
+  cell.agent("b").silent = true;
+  cell.ReplaceScheduler();
+  cell.Submit("j", 2, 8, GetParam(), JobClass::kBatch);
+  cell.Run(200);
+  EXPECT_EQ(cell.Running("j"), 1U) << "only the task of the silent worker is left";
+  EXPECT_EQ(cell.Outcome("j"), GetParam() ? ErrorKind::kCount : ErrorKind::kOutcomeUnknown);
+  // The worker comes back late with its task, which must be stopped.
+  cell.agent("b").silent = false;
+  cell.Run(2500);
+  EXPECT_EQ(cell.Running("j"), GetParam() ? 2U : 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(IdempotentOrNot, CellRecovery, ::testing::Bool());
+
+// Guards against jobs that are forgotten or queued twice when an entry submits them again.
+TEST_F(CellRecovery, ResubmissionAttachesToTheKnownJob) {
+  cell.Submit("blocker", 2);
+  cell.Submit("j", 1, 8, true, JobClass::kBatch);
+  cell.ReplaceScheduler();
+  cell.entry.port = 2;
+  cell.Submit("j", 1, 8, true, JobClass::kBatch);
+  cell.Submit("j", 1, 8, true, JobClass::kBatch);
+  cell.FinishTasks("blocker");
+  cell.Run(1000);
+  EXPECT_EQ(cell.Running("j"), 1U);
+  cell.FinishTasks("j");
+  EXPECT_EQ(cell.Outcome("j"), ErrorKind::kNone);
+  EXPECT_EQ(cell.sent.back().to, cell.agent("a").address) << "the acknowledgement comes last";
+  const std::size_t before = cell.Sent<JobFinished>().size();
+  cell.Submit("j", 1, 8, true, JobClass::kBatch);
+  EXPECT_EQ(cell.Sent<JobFinished>().size(), before + 1) << "the result is sent again";
+}
+
+// Guards against "unknown" for a request that has its answer: the former scheduler stored it, and
+// the entry that had not received it submits the job again.
+TEST_F(CellRecovery, ResubmissionOfAFinishedJobGetsTheStoredAnswer) {
+  cell.Submit("j", 1, 8, false);
+  cell.FinishTasks("j");
+  cell.ReplaceScheduler();
+  cell.sent.clear();
+  cell.Submit("j", 1, 8, false);
+  cell.Run(1000);
+  EXPECT_TRUE(cell.Sent<Start>().empty());
+  ASSERT_EQ(cell.Outcome("j"), ErrorKind::kNone);
+  EXPECT_EQ(cell.Result("j")->answer.outputs, std::vector<std::string>{"j/0"});
+}
+
+// Guards against "not run" about a job that a former scheduler may have run.
+TEST_F(CellRecovery, CancelAfterAChangeDoesNotClaimNotRun) {
+  cell.Submit("j", 2, 8, true, JobClass::kBatch);
+  cell.agent("a").silent = cell.agent("b").silent = true;
+  cell.ReplaceScheduler();
+  cell.Cancel("j");
+  EXPECT_EQ(ErrorInfo(cell.Outcome("j")).outcome, RunOutcome::kRan);
+}
+
+// Guards against a deposed scheduler that goes on giving commands.
+TEST_F(CellRecovery, StopsAtAHigherEpoch) {
+  cell.agent("a").epoch = Epoch(99);
+  cell.Run(2000);
+  EXPECT_TRUE(cell.deposed);
+  cell.sent.clear();
+  cell.Submit("j");
+  cell.Run(3000);
+  EXPECT_TRUE(cell.sent.empty());
+}
+
+}  // namespace
+}  // namespace basilspring
