--- /dev/null
+++ b/src/request/room_reservation.cc
@@ -0,0 +1,106 @@
+#include "basilspring/request/room_reservation.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "request/accelerator_runs.h"
+#include "request/placement_plan.h"
+
+namespace basilspring {
+namespace {
+
+std::uint32_t TasksThatFit(const GangShape& shape, internal::Room room) {
+  std::uint32_t count = 0;
+  while (count < shape.tasks) {
+    const auto mask = internal::FirstFitMask(shape, room);
+    if (!mask) break;
+    room.Take(shape, *mask);
+    ++count;
+  }
+  return count;
+}
+
+// From `time` on, `count` tasks of the gang fit on the worker.
+struct RoomAt {
+  TimePoint time;
+  const WorkerState* worker = nullptr;
+  std::uint32_t count = 0;
+};
+
+internal::Room RoomWithout(const WorkerState& worker, std::size_t first_left,
+                           const std::vector<const PlacedTask*>& by_end) {
+  internal::Room room{worker.capacity.cores.value(), worker.capacity.memory.value(),
+                      worker.capacity.slots.value(),
+                      internal::AllAccelerators(worker.capacity.accelerators.value())};
+  for (std::size_t i = first_left; i < by_end.size(); ++i) {
+    room.Take(by_end[i]->shape, by_end[i]->accelerators);
+  }
+  return room;
+}
+
+void AppendTimeline(const WorkerState& worker, const GangShape& shape, TimePoint now,
+                    const ExpectedEnd& expected_end, std::vector<RoomAt>& timeline) {
+  std::vector<std::pair<TimePoint, const PlacedTask*>> ends;
+  for (const PlacedTask& task : worker.tasks) {
+    // A task that runs longer than expected may end at any moment.
+    ends.emplace_back(std::max(expected_end(task), now), &task);
+  }
+  std::sort(ends.begin(), ends.end());
+  std::vector<const PlacedTask*> by_end;
+  by_end.reserve(ends.size());
+  for (const auto& [end, task] : ends) by_end.push_back(task);
+  std::uint32_t before = 0;
+  for (std::size_t ended = 0; ended <= ends.size(); ++ended) {
+    const std::uint32_t count = TasksThatFit(shape, RoomWithout(worker, ended, by_end));
+    const TimePoint since = ended == 0 ? now : ends[ended - 1].first;
+    if (count > before) timeline.push_back({since, &worker, count});
+    before = std::max(before, count);
+  }
+}
+
+}  // namespace
+
+std::optional<RoomReservation> ReserveRoom(const CellState& cell, const JobId& job,
+                                           const GangShape& shape, TimePoint now,
+                                           const ExpectedEnd& expected_end) {
+  std::vector<RoomAt> timeline;
+  for (const auto& [id, worker] : cell.workers()) {
+    if (worker.accepting && !worker.quarantined) {
+      AppendTimeline(worker, shape, now, expected_end, timeline);
+    }
+  }
+  std::stable_sort(timeline.begin(), timeline.end(),
+                   [](const RoomAt& a, const RoomAt& b) { return a.time < b.time; });
+  std::map<const WorkerState*, std::uint32_t> counts;
+  std::uint32_t total = 0;
+  RoomReservation reservation{job, {}, now};
+  for (const RoomAt& room : timeline) {
+    if (total >= shape.tasks) break;
+    std::uint32_t& count = counts[room.worker];
+    total += room.count - count;
+    count = room.count;
+    reservation.start = room.time;
+  }
+  if (total < shape.tasks) return std::nullopt;
+  // The workers that hold most tasks suffice; the others stay open for other jobs.
+  std::vector<std::pair<std::uint32_t, const WorkerState*>> largest;
+  largest.reserve(counts.size());
+  for (const auto& [worker, count] : counts) largest.emplace_back(count, worker);
+  std::sort(largest.begin(), largest.end(), [](const auto& a, const auto& b) {
+    return a.first != b.first ? a.first > b.first : a.second->id < b.second->id;
+  });
+  std::uint32_t held = 0;
+  for (const auto& [count, worker] : largest) {
+    if (held >= shape.tasks) break;
+    reservation.workers.push_back(worker->id);
+    held += count;
+  }
+  return reservation;
+}
+
+bool MayBackfill(const RoomReservation& reservation, TimePoint now, Duration run_time) {
+  return now + run_time <= reservation.start;
+}
+
+}  // namespace basilspring
