--- /dev/null
+++ b/src/process/cell_configuration.cc
@@ -0,0 +1,102 @@
+#include <algorithm>
+
+#include "basilspring/version/guarantee.h"
+#include "process/cell_core_internal.h"
+
+namespace basilspring {
+
+void CellCore::Impl::OnConfiguration(const Address& from, const ConfigurationUpdate& update) {
+  if (update.revision > revision_) {
+    try {
+      tree_ = SettingsTree::FromNodes(update.nodes);
+    } catch (const Error& error) {
+      // Entries check a configuration before they write it, so this is a fault of the software.
+      Log(EventId::kInternalError, "revision={} cause=\"{}\"", update.revision.value(),
+          error.what());
+      return;
+    }
+    revision_ = update.revision;
+    ApplySettings();
+    Log(EventId::kConfigurationApplied, "cell={} revision={} nodes={} state={} guarantees={}",
+        identity_.cell.value(), revision_.value(), update.nodes.size(),
+        settings_.out ? "out" : "in", guarantees_.size());
+  } else if (update.revision < revision_) {
+    Log(EventId::kConfigurationIgnored, "cell={} revision={} in_force={}", identity_.cell.value(),
+        update.revision.value(), revision_.value());
+  }
+  Send(from, ConfigurationInForce{identity_.cell, revision_});
+}
+
+SettingScope CellCore::Impl::Scope(const WorkspaceId& workspace) const {
+  return {identity_.region, identity_.data_centre, workspace};
+}
+
+std::int64_t CellCore::Impl::WorkspaceNumber(std::string_view key,
+                                             const WorkspaceId& workspace) const {
+  // Without a configuration, the defaults of an empty tree are in force.
+  static const SettingsTree defaults;
+  return (tree_ ? *tree_ : defaults).ResolveNumber(key, Scope(workspace));
+}
+
+void CellCore::Impl::ApplyNumbers() {
+  const auto number = [this](std::string_view key) { return WorkspaceNumber(key, WorkspaceId()); };
+  for (std::size_t i = 0; i < kJobClassCount; ++i) {
+    const std::string key = fmt::format("queue.limit.{}", JobClassName(static_cast<JobClass>(i)));
+    settings_.queue_limit[i] = static_cast<std::uint64_t>(number(key));
+  }
+  settings_.preemption_grace = Duration(number("preemption.grace_ms"));
+  settings_.max_attempts = static_cast<std::uint32_t>(number("attempts.max"));
+  settings_.default_run_time = Duration(number("run_time.default_ms"));
+}
+
+void CellCore::Impl::ApplySettings() {
+  ApplyNumbers();
+  settings_.out = tree_->ResolveText("state", Scope(WorkspaceId())) == "out";
+  guarantees_.clear();
+  for (const WorkspaceId& workspace : tree_->Workspaces()) {
+    const auto count = [&](std::string_view key) {
+      return static_cast<std::uint32_t>(WorkspaceNumber(key, workspace));
+    };
+    const Guarantee guarantee{workspace,
+                              count("guarantee.run1"),
+                              count("guarantee.run2"),
+                              count("guarantee.run4"),
+                              count("guarantee.run8"),
+                              count("guarantee.worker"),
+                              count("guarantee.rack")};
+    if (guarantee != Guarantee{workspace}) guarantees_.push_back(guarantee);
+  }
+  rebind_due_ = true;
+  dirty_ = true;
+  // A newer configuration overrides what permits said about an older one.
+  if (revision_ > out_revision_) out_by_permit_ = false;
+  NoteDataCentreState();
+}
+
+void CellCore::Impl::Rebind() {
+  rebind_due_ = false;
+  BindingResult result = BindGuarantees(cell_, guarantees_);
+  ApplyBinding(cell_, std::move(result.runs));
+  guaranteed_.clear();
+  for (const BoundRun& run : cell_.bound_runs()) guaranteed_.insert(run.workspace);
+  CopyBorrowed();
+  dirty_ = true;
+  const std::string shortfalls = DescribeShortfalls(result.shortfalls);
+  if (shortfalls == last_shortfalls_) return;
+  last_shortfalls_ = shortfalls;
+  if (result.shortfalls.empty()) return;
+  Log(EventId::kGuaranteeShort, "cell={} revision={} {}", identity_.cell.value(), revision_.value(),
+      shortfalls);
+}
+
+void CellCore::Impl::CopyBorrowed() {
+  for (const auto& [worker_id, worker] : cell_.workers()) {
+    for (const PlacedTask& task : worker.tasks) {
+      Attempt* attempt = nullptr;
+      Member* const member = FindMember(task.attempt, task.rank, &attempt);
+      if (member != nullptr) member->borrowed = task.borrowed;
+    }
+  }
+}
+
+}  // namespace basilspring
