--- a/include/basilspring/connection/messages.h
+++ b/include/basilspring/connection/messages.h
@@ -432,7 +432,12 @@
   bool running = false;
   /// Set in answers of rank 0: whether it has heard all members within the task lease.
   bool whole = false;
-  BASILSPRING_SERIALIZE(attempt, rank, worker, agent, running, whole)
+  /// The sender's task has ended with an output, so its silence doesn't break the gang.
+  bool finished = false;
+  /// Set in answers of rank 0: time since it heard the member that it has not heard for longest.
+  /// Members count their lease from that moment, so that the two hops together last one lease.
+  Duration whole_age;
+  BASILSPRING_SERIALIZE(attempt, rank, worker, agent, running, whole, finished, whole_age)
 };
 
 /// The holder of a cell that stops gracefully asks its agents to choose a successor at once.
