Test the placement policy with properties over random cells

Cause: the promise that a guarantee can always be reclaimed has to hold after any order of jobs, ends of jobs, losses and returns of workers, and data centre changes.

--- a/include/basilspring/request/placement.h
+++ b/include/basilspring/request/placement.h
@@ -40,7 +40,9 @@
   std::vector<TaskPlacement> tasks;
   /// Attempts that must be stopped first, whole gangs; empty when the room is free now.
   std::vector<Victim> victims;
+  /// Cost of the places; lower is better.
   double score = 0;
+  /// One line with the decision and its inputs.
   std::string reason;
 };
 
@@ -63,13 +65,18 @@
   /// Workers that this job already failed on, which are taken last.
   std::vector<WorkerId> avoid;
   /// Workers whose free room is kept for a larger job that waits; not used unless for that job.
+  /// Runs on them that are bound to the job's workspace stay usable: a reservation must not hold
+  /// back a guarantee.
   std::vector<WorkerId> reserved;
   /// Whether tasks may be preempted for this job: it is inside its guarantee, or urgent.
   bool may_preempt = false;
 };
 
-/// Decides where the gang goes: all of it or nothing. Pure; the cost is O(workers × (tasks of the
-/// gang + tasks of a worker)).
+/// Decides where the gang goes: all of it or nothing. Tried in this order: the workspace's own runs
+/// as far as free, any free room, the workspace's own runs with borrowers evicted, and, for urgent
+/// jobs, the room of borrowed batch and background work; then all again with the avoided workers. A
+/// gang that doesn't fit into the workspace's own runs whole is borrowed whole. Pure; the cost is
+/// O(workers × (tasks of the gang + tasks of a worker)).
 PlacementResult PlaceGang(const PlacementInput& input);
 
 /// Whether the shape could ever be placed on this cell's workers if they were all empty and in
@@ -82,7 +89,9 @@
   std::uint32_t free = 0;
   std::uint32_t largest_run = 0;
   /// Accelerators that could be used if free ones were taken in the largest aligned runs possible,
-  /// as a share of the free ones; 1 when nothing is free.
+  /// as a share of the free ones; 1 when nothing is free. The runs asked for are those that as many
+  /// free accelerators would form without fragmentation: as many of the largest as fit, then
+  /// smaller ones for the rest.
   double placeable_share = 1.0;
 };
 Fragmentation MeasureFragmentation(const CellState& cell);
--- /dev/null
+++ b/tests/request/placement_property_test.cc
@@ -0,0 +1,266 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <set>
+
+#include "basilspring/request/placement.h"
+#include "basilspring/version/guarantee.h"
+
+namespace basilspring {
+namespace {
+
+constexpr std::size_t kWorkspaces = 4;
+constexpr AcceleratorMask kAll = 0xff;
+
+WorkspaceId Workspace(std::size_t i) { return WorkspaceId("team" + std::to_string(i)); }
+
+// A cell of 3 to 9 workers, with guarantees that were accepted, through random jobs, ends of jobs,
+// losses and returns of workers, and the data centre out and in.
+class Model {
+ public:
+  Model() : workers_(*rc::gen::inRange<std::size_t>(3, 10)) {
+    std::vector<RackInventory> racks((workers_ + 2) / 3);
+    for (std::size_t i = 0; i < workers_; ++i) {
+      racks[i / 3].rack = Rack(i);
+      racks[i / 3].workers.push_back({Id(i), 8});
+      Upsert(i, true);
+    }
+    const auto count = [](int most) {
+      return static_cast<std::uint32_t>(*rc::gen::inRange(0, most + 1));
+    };
+    for (std::size_t i = 0; i < kWorkspaces; ++i) {
+      const Guarantee guarantee{Workspace(i), count(3), count(2),    count(2),
+                                count(1),     count(1), count(4) / 4};
+      std::vector<Guarantee> wanted = guarantees_;
+      wanted.push_back(guarantee);
+      // As the entry does: a configuration that doesn't fit is not accepted.
+      if (PackGuarantees(racks, wanted).shortfalls.empty()) guarantees_ = std::move(wanted);
+    }
+    Rebind();
+  }
+
+  void Step() {
+    now_ = now_ + Duration(1000);
+    switch (*rc::gen::weightedElement<int>({{12, 0}, {4, 1}, {1, 2}, {2, 3}, {1, 4}})) {
+      case 0:
+        return Submit(RandomJob());
+      case 1:
+        return EndRandomJob();
+      case 2:
+        return LoseWorker(*rc::gen::inRange<std::size_t>(0, workers_));
+      case 3:
+        Upsert(*rc::gen::inRange<std::size_t>(0, workers_), true);
+        return Rebind();
+      default:
+        return TakeDataCentreOutAndIn();
+    }
+  }
+
+  void Check() const {
+    CheckNothingIsOvercommitted();
+    for (const Guarantee& guarantee : guarantees_) {
+      CheckReclaim(guarantee);
+      CheckRunsAreWhole(guarantee);
+    }
+  }
+
+ private:
+  static WorkerId Id(std::size_t i) { return WorkerId("w" + std::to_string(i)); }
+  static RackId Rack(std::size_t i) { return RackId("r" + std::to_string(i / 3)); }
+
+  void Upsert(std::size_t i, bool accepting) {
+    cell_.UpsertWorker(Id(i), Rack(i), {},
+                       {Cores(16), Megabytes(1600), Accelerators(8), Slots(8), Connections(60)},
+                       accepting);
+  }
+
+  void Rebind() {
+    BindingResult binding = BindGuarantees(cell_, guarantees_);
+    shortfalls_ = binding.shortfalls;
+    const bool complete = cell_.workers().size() == workers_ &&
+                          std::all_of(cell_.workers().begin(), cell_.workers().end(),
+                                      [](const auto& entry) { return entry.second.accepting; });
+    if (complete) RC_ASSERT(shortfalls_.empty());
+    ApplyBinding(cell_, std::move(binding.runs));
+  }
+
+  JobSpec RandomJob() {
+    JobSpec job;
+    job.id = JobId("j" + std::to_string(++jobs_));
+    job.workspace = Workspace(*rc::gen::inRange<std::size_t>(0, kWorkspaces));
+    job.job_class = *rc::gen::element(JobClass::kUrgent, JobClass::kBatch, JobClass::kBackground);
+    job.shape.tasks = *rc::gen::inRange(1U, 13U);
+    job.shape.cores = Cores(*rc::gen::inRange(1U, 7U));
+    job.shape.memory = Megabytes(*rc::gen::inRange(1U, 500U));
+    job.shape.accelerators = Accelerators(*rc::gen::inRange(0U, 9U));
+    job.shape.adjacent = *rc::gen::arbitrary<bool>();
+    return job;
+  }
+
+  void Submit(const JobSpec& job) {
+    PlacementInput input{&cell_, &job, now_};
+    input.may_preempt = *rc::gen::arbitrary<bool>();
+    const PlacementResult result = PlaceGang(input);
+    const auto* placed = std::get_if<Placed>(&result);
+    if (placed == nullptr) {
+      RC_ASSERT(!std::get<NotPlaced>(result).reason.empty());
+      return;
+    }
+    RC_ASSERT(placed->tasks.size() == job.shape.tasks);
+    RC_ASSERT(placed->victims.empty() || input.may_preempt);
+    CheckVictims(*placed);
+    for (const Victim& victim : placed->victims) RemoveAttempt(victim.attempt);
+    for (const TaskPlacement& task : placed->tasks) Start(job, task);
+  }
+
+  void CheckVictims(const Placed& placed) const {
+    std::set<std::pair<AttemptId, WorkerId>> victims;
+    for (const Victim& victim : placed.victims) victims.insert({victim.attempt, victim.worker});
+    for (const auto& [id, worker] : cell_.workers()) {
+      for (const PlacedTask& task : worker.tasks) {
+        const bool is_victim =
+            std::any_of(placed.victims.begin(), placed.victims.end(),
+                        [&](const Victim& victim) { return victim.attempt == task.attempt; });
+        if (!is_victim) continue;
+        RC_ASSERT(task.borrowed);
+        RC_ASSERT(victims.contains({task.attempt, id}));
+      }
+    }
+  }
+
+  void Start(const JobSpec& job, const TaskPlacement& task) {
+    const GangShape& shape = job.shape;
+    RC_ASSERT(static_cast<std::uint32_t>(std::popcount(task.accelerators)) ==
+              shape.accelerators.value());
+    if (shape.adjacent && task.accelerators != 0) {
+      const auto first = static_cast<std::uint32_t>(std::countr_zero(task.accelerators));
+      RC_ASSERT(first % std::bit_ceil(shape.accelerators.value()) == 0);
+      RC_ASSERT(task.accelerators >> first == (1U << shape.accelerators.value()) - 1);
+    }
+    cell_.AddTask(task.worker, {AttemptId(job.id.value()), job.id, task.rank, job.workspace,
+                                job.job_class, shape, task.accelerators, task.borrowed, now_});
+  }
+
+  void RemoveAttempt(const AttemptId& attempt) {
+    std::vector<std::pair<WorkerId, std::uint32_t>> tasks;
+    for (const auto& [id, worker] : cell_.workers()) {
+      for (const PlacedTask& task : worker.tasks) {
+        if (task.attempt == attempt) tasks.emplace_back(id, task.rank);
+      }
+    }
+    for (const auto& [worker, rank] : tasks) cell_.RemoveTask(worker, attempt, rank);
+  }
+
+  void EndRandomJob() {
+    std::set<AttemptId> attempts;
+    for (const auto& [id, worker] : cell_.workers()) {
+      for (const PlacedTask& task : worker.tasks) attempts.insert(task.attempt);
+    }
+    if (!attempts.empty()) RemoveAttempt(*rc::gen::elementOf(attempts));
+  }
+
+  void LoseWorker(std::size_t i) {
+    for (const PlacedTask& task : cell_.RemoveWorker(Id(i))) RemoveAttempt(task.attempt);
+    Rebind();
+  }
+
+  // Workers keep their tasks while the data centre is out.
+  void TakeDataCentreOutAndIn() {
+    for (std::size_t i = 0; i < workers_; ++i) cell_.SetAccepting(Id(i), false);
+    Rebind();
+    for (std::size_t i = 0; i < workers_; ++i) Upsert(i, true);
+    Rebind();
+  }
+
+  void CheckNothingIsOvercommitted() const {
+    for (const auto& [id, worker] : cell_.workers()) {
+      std::uint32_t cores = 0;
+      std::uint32_t memory = 0;
+      AcceleratorMask held = 0;
+      for (const PlacedTask& task : worker.tasks) {
+        cores += task.shape.cores.value();
+        memory += task.shape.memory.value();
+        RC_ASSERT((held & task.accelerators) == 0U);
+        held |= task.accelerators;
+      }
+      RC_ASSERT(cores <= worker.capacity.cores.value());
+      RC_ASSERT(memory <= worker.capacity.memory.value());
+      RC_ASSERT(worker.tasks.size() <= worker.capacity.slots.value());
+      RC_ASSERT((held & ~kAll) == 0U);
+    }
+  }
+
+  // With its own work ended, the workspace gets each of its runs, with the run's share of cores,
+  // memory and slots, and only borrowers make room.
+  void CheckReclaim(const Guarantee& guarantee) const {
+    Model after = *this;
+    for (const auto& [id, worker] : cell_.workers()) {
+      for (const PlacedTask& task : worker.tasks) {
+        if (task.workspace == guarantee.workspace) after.RemoveAttempt(task.attempt);
+      }
+    }
+    for (const BoundRun& run : cell_.bound_runs()) {
+      if (run.workspace != guarantee.workspace) continue;
+      const auto size = static_cast<std::uint32_t>(std::popcount(run.accelerators));
+      JobSpec job;
+      job.id = JobId("reclaim" + run.worker.value() + "-" + std::to_string(run.accelerators));
+      job.workspace = run.workspace;
+      job.shape = {1, Cores(2 * size), Megabytes(200 * size), Accelerators(size), true};
+      PlacementInput input{&after.cell_, &job, now_};
+      // Makes sure that free room elsewhere is not taken for the guarantee.
+      for (const auto& [id, worker] : cell_.workers()) input.reserved.push_back(id);
+      input.may_preempt = true;
+      const PlacementResult result = PlaceGang(input);
+      const auto* placed = std::get_if<Placed>(&result);
+      RC_ASSERT(placed != nullptr);
+      after.CheckVictims(*placed);
+      for (const Victim& victim : placed->victims) after.RemoveAttempt(victim.attempt);
+      for (const TaskPlacement& task : placed->tasks) {
+        RC_ASSERT(!task.borrowed);
+        after.Start(job, task);
+      }
+    }
+  }
+
+  // The bound runs are the whole guarantee, but for what was reported as missing.
+  void CheckRunsAreWhole(const Guarantee& guarantee) const {
+    std::map<std::uint32_t, std::uint32_t> sizes;
+    for (const BoundRun& run : cell_.bound_runs()) {
+      if (run.workspace == guarantee.workspace) ++sizes[std::popcount(run.accelerators)];
+    }
+    std::map<std::string, std::uint32_t> missing;
+    for (const Shortfall& shortfall : shortfalls_) {
+      if (shortfall.workspace == guarantee.workspace) missing[shortfall.level] += shortfall.missing;
+    }
+    RC_ASSERT(sizes[1] == guarantee.run1 - missing["run1"]);
+    RC_ASSERT(sizes[2] == guarantee.run2 - missing["run2"]);
+    RC_ASSERT(sizes[4] == guarantee.run4 - missing["run4"]);
+    RC_ASSERT(sizes[8] >= guarantee.run8 - missing["run8"] + guarantee.worker - missing["worker"] +
+                              guarantee.rack - missing["rack"]);
+  }
+
+  std::size_t workers_;
+  CellState cell_;
+  std::vector<Guarantee> guarantees_;
+  std::vector<Shortfall> shortfalls_;
+  TimePoint now_;
+  int jobs_ = 0;
+};
+
+// Guards against a guarantee that can't be reclaimed, against partly placed gangs, overcommitted
+// workers and guaranteed victims. On failure rapidcheck prints the seed and how to reproduce it.
+TEST(PlacementProperty, GuaranteesCanAlwaysBeReclaimed) {
+  const bool holds = rc::check([] {
+    Model model;
+    const int steps = *rc::gen::inRange(1, 40);
+    for (int i = 0; i < steps; ++i) {
+      model.Step();
+      model.Check();
+    }
+  });
+  EXPECT_TRUE(holds);
+}
+
+}  // namespace
+}  // namespace basilspring
