--- a/include/basilspring/connection/transport.h
+++ b/include/basilspring/connection/transport.h
@@ -23,6 +23,10 @@
   Duration silence_limit = Duration(5000);
   Duration connect_timeout = Duration(1000);
   Duration idle_close = Duration(60000);
+  /// Messages to a peer that has never answered are dropped after this time.
+  Duration unanswered_drop = Duration::Seconds(30);
+  /// Messages to a peer that has answered before are kept through an outage of this length.
+  Duration outage_drop = Duration::Seconds(600);
   std::size_t max_queued_messages = 4096;
   std::size_t max_queued_bytes = 16 * 1024 * 1024;
 };
@@ -33,6 +37,8 @@
   std::uint64_t bytes_received = 0;
   std::uint64_t messages_sent = 0;
   std::uint64_t messages_received = 0;
+  /// Messages that were given up because their peer was unreachable for too long.
+  std::uint64_t messages_dropped = 0;
   std::uint64_t reconnects = 0;
   std::uint64_t duplicates_dropped = 0;
   std::uint64_t bad_frames = 0;
@@ -50,14 +56,19 @@
 /// ring.
 class Transport {
  public:
-  /// Listens at once. Throws Error(kInternal) when the port is taken.
+  /// Listens at once; port 0 takes one that is free for TCP and UDP. Throws Error(kInternal) when
+  /// the port is taken.
   Transport(IoThread& io, const ProcessId& process, const Address& listen, MessageHandler handler,
             const TransportOptions& options = {});
   ~Transport();
   Transport(const Transport&) = delete;
   Transport& operator=(const Transport&) = delete;
 
-  /// Queues the message for the peer; false when the queue of this peer is full.
+  /// The listen address, with the actual port.
+  Address address() const;
+
+  /// Queues the message for the peer; false when the queue of this peer is full or the message
+  /// exceeds a frame.
   bool Send(const Address& to, const Message& message);
 
   /// Sends one datagram; lost without notice. False when the message does not fit one.
