--- /dev/null
+++ b/src/process/entry_core.cc
@@ -0,0 +1,80 @@
+#include "basilspring/process/entry_core.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+#include "process/entry_core_internal.h"
+
+namespace basilspring {
+
+using internal::Request;
+
+EntryCore::EntryCore(EntryOptions options) : impl_(std::make_unique<Impl>(std::move(options))) {}
+
+EntryCore::~EntryCore() = default;
+
+void EntryCore::Handle(TimePoint now, const EntryEvent& event, EntryEffects& effects) {
+  impl_->now = now;
+  impl_->out = &effects;
+  std::visit([this](const auto& one) { impl_->On(one); }, event);
+  impl_->out = nullptr;
+}
+
+bool EntryCore::Drained() const {
+  if (!impl_->operations.empty() || !impl_->explains.empty()) return false;
+  for (const auto& [id, request] : impl_->requests) {
+    if (request.phase == internal::RequestPhase::kFinished) continue;
+    if (!request.waiters.empty()) return false;
+    if (!request.spec.durable && request.phase != internal::RequestPhase::kObserved) return false;
+  }
+  return true;
+}
+
+std::size_t EntryCore::in_flight() const { return impl_->unfinished; }
+
+std::vector<CellSummary> EntryCore::Summaries() const {
+  std::vector<CellSummary> summaries;
+  for (const auto& [id, cell] : impl_->cells) {
+    if (cell.summary.has_value()) summaries.push_back(*cell.summary);
+  }
+  return summaries;
+}
+
+Request* EntryCore::Impl::Find(const JobId& job) {
+  const auto found = requests.find(job);
+  return found == requests.end() ? nullptr : &found->second;
+}
+
+void EntryCore::Impl::Send(const Address& to, Message message) {
+  if (!to.empty()) out->messages.push_back({to, std::move(message)});
+}
+
+void EntryCore::Impl::LogLine(EventId event, std::string text) {
+  out->logs.push_back({event, std::move(text)});
+}
+
+void EntryCore::Impl::Reply(CallerId caller,
+                            std::variant<ResultReply, StateReply, ExplainReply, ListReply> body,
+                            bool last) {
+  if (last) callers.erase(caller);
+  out->replies.push_back({caller, std::move(body), last});
+}
+
+void EntryCore::Impl::ReplyError(CallerId caller, const JobId& job, ErrorKind kind,
+                                 const std::string& message) {
+  LogLine(EventId::kRequestRefused,
+          fmt::format("job={} error={} outcome=\"{}\" reason=\"{}\"", job.value(),
+                      ErrorInfo(kind).name, RunOutcomeName(ErrorInfo(kind).outcome), message));
+  JobResult result;
+  result.error = kind;
+  result.message = message;
+  if (ErrorInfo(kind).retryable) result.retry_after = Duration(1000);
+  Reply(caller, ResultReply{job, std::move(result)});
+}
+
+StateReply EntryCore::Impl::StateOf(const Request& request) const {
+  return {request.spec.id, request.state, request.attempts, request.cell};
+}
+
+}  // namespace basilspring
--- /dev/null
+++ b/src/process/entry_core_messages.cc
@@ -0,0 +1,182 @@
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "process/entry_core_internal.h"
+
+namespace basilspring {
+
+using internal::KnownCell;
+using internal::Request;
+using internal::RequestPhase;
+
+namespace {
+
+// A damaged answer is asked for again this often before the request fails.
+constexpr std::uint32_t kMaxDamagedAnswers = 3;
+// How often the state of an accepted job is asked for: its result is pushed, so this only finds
+// results that were lost with a process.
+constexpr Duration kAcceptedPoll = Duration(10000);
+constexpr Duration kObservedPoll = Duration(1000);
+
+bool Ended(JobState state) { return state >= JobState::kDone; }
+
+}  // namespace
+
+void EntryCore::Impl::On(const ProcessMessage& event) {
+  const Address& from = event.from;
+  if (const auto* const accepted = std::get_if<JobAccepted>(&event.message)) {
+    OnMessage(from, *accepted);
+  } else if (const auto* const progress = std::get_if<JobProgress>(&event.message)) {
+    OnMessage(from, *progress);
+  } else if (const auto* const finished = std::get_if<JobFinished>(&event.message)) {
+    OnMessage(from, *finished);
+  } else if (const auto* const report = std::get_if<JobReport>(&event.message)) {
+    OnMessage(from, *report);
+  } else if (const auto* const summary = std::get_if<CellSummary>(&event.message)) {
+    OnMessage(from, *summary);
+  }
+}
+
+void EntryCore::Impl::OnMessage(const Address& from, const JobAccepted& message) {
+  Request* const request = Find(message.job);
+  if (request == nullptr || request->phase != RequestPhase::kSubmitted) return;
+  if (from != request->scheduler) return;
+  request->accepted = true;
+  request->next_poll = now + kAcceptedPoll;
+  UpdateState(*request, message.state, request->attempts);
+}
+
+void EntryCore::Impl::OnMessage(const Address& from, const JobProgress& message) {
+  Request* const request = Find(message.job);
+  if (request == nullptr || request->phase == RequestPhase::kFinished) return;
+  if (!request->scheduler.empty() && from != request->scheduler) return;
+  UpdateState(*request, message.state, message.attempts);
+}
+
+void EntryCore::Impl::UpdateState(Request& request, JobState state, std::uint32_t attempts) {
+  const bool changed = request.state != state || request.attempts != attempts;
+  request.state = state;
+  request.attempts = attempts;
+  if (!changed || Ended(state)) return;
+  for (const internal::Waiter& waiter : request.waiters) {
+    if (waiter.streams_progress) Reply(waiter.caller, StateOf(request), false);
+  }
+}
+
+void EntryCore::Impl::OnMessage(const Address& from, const JobFinished& message) {
+  Request* const request = Find(message.job);
+  if (request == nullptr || request->phase == RequestPhase::kFinished) return;
+  request->attempts = std::max(request->attempts, message.attempts);
+  if (message.result.error == ErrorKind::kNone) {
+    const std::size_t outputs = message.result.answer.outputs.size();
+    // The shape of a job that another entry submitted is not known here.
+    const bool complete =
+        request->phase == RequestPhase::kObserved || outputs == request->spec.shape.tasks;
+    if (!complete || !AnswerIsWhole(message.result.answer)) {
+      return DamagedAnswer(*request, message.result);
+    }
+    return Finish(*request, message.result);
+  }
+  // A deposed scheduler, or one that the job was moved away from, does not know what became of it.
+  if (request->phase != RequestPhase::kSubmitted || from != request->scheduler) return;
+  Refused(*request, message.result);
+}
+
+void EntryCore::Impl::DamagedAnswer(Request& request, const JobResult& result) {
+  LogLine(
+      EventId::kRequestRefused,
+      fmt::format("job={} reason=\"damaged answer dropped\" outputs={} tasks={}",
+                  request.spec.id.value(), result.answer.outputs.size(), request.spec.shape.tasks));
+  if (request.phase != RequestPhase::kSubmitted) return;
+  if (++request.damaged_answers < kMaxDamagedAnswers) {
+    if (request.spec.durable) {
+      ReadAnswer(request);
+    } else {
+      Submit(request);
+    }
+    return;
+  }
+  JobResult failure;
+  failure.error = ErrorKind::kInternal;
+  failure.message = "the answer arrived damaged every time";
+  Finish(request, std::move(failure));
+}
+
+void EntryCore::Impl::OnMessage(const Address& from, const JobReport& message) {
+  if (message.query != 0) {
+    const auto found = explains.find(message.query);
+    if (found == explains.end() || found->second.job != message.job || !message.known) return;
+    const internal::PendingExplain pending = found->second;
+    explains.erase(found);
+    return ExplainWith(pending, &message);
+  }
+  Request* const request = Find(message.job);
+  if (request == nullptr) return;
+  if (request->phase == RequestPhase::kSubmitted && from == request->scheduler) {
+    if (message.known && !Ended(message.state)) {
+      request->accepted = true;
+      request->next_poll = now + kAcceptedPoll;
+      return UpdateState(*request, message.state, message.attempts);
+    }
+    // The result was lost on its way, or the scheduler never got the job.
+    if (request->operation != 0) return;
+    if (request->spec.durable) return ReadAnswer(*request);
+    return Submit(*request);
+  }
+  if (request->phase != RequestPhase::kObserved) return;
+  if (!message.known) {
+    if (request->known && ++request->lost_reports >= 1 && request->operation == 0) {
+      ReadAnswer(*request);
+    }
+    return;
+  }
+  for (const auto& [id, cell] : cells) {
+    if (cell.holder == from) request->cell = id;
+  }
+  if (!request->known && request->cancel_requested) Send(from, CancelJob{message.job});
+  request->known = true;
+  request->lost_reports = Ended(message.state) ? request->lost_reports + 1 : 0;
+  request->next_poll = now + kObservedPoll;
+  UpdateState(*request, message.state, message.attempts);
+  if (Ended(message.state) && request->operation == 0) ReadAnswer(*request);
+}
+
+void EntryCore::Impl::OnMessage(const Address& from, const CellSummary& message) {
+  KnownCell& cell = cells[message.cell];
+  cell.id = message.cell;
+  if (message.epoch < cell.epoch) return;
+  const bool changed = message.epoch > cell.epoch || cell.holder.empty();
+  cell.summary = message;
+  // Answers go to the address that the datagram came from.
+  cell.summary->scheduler = from;
+  cell.heard = now;
+  cell.tasks_sent = 0;
+  cell.epoch = message.epoch;
+  cell.holder = from;
+  if (changed) SchedulerChanged(cell);
+}
+
+void EntryCore::Impl::On(const CellChanged& event) {
+  KnownCell& cell = cells[event.cell];
+  cell.id = event.cell;
+  if (event.epoch < cell.epoch) return;
+  const bool changed = event.epoch > cell.epoch || event.holder != cell.holder;
+  cell.epoch = event.epoch;
+  cell.holder = event.holder;
+  if (changed && !event.holder.empty()) SchedulerChanged(cell);
+}
+
+void EntryCore::Impl::SchedulerChanged(KnownCell& cell) {
+  cell.heard = now;
+  for (auto& [id, request] : requests) {
+    if (request.cell != cell.id || request.phase != RequestPhase::kSubmitted) continue;
+    LogLine(EventId::kRequestResubmitted,
+            fmt::format("job={} cell={} epoch={} scheduler={}", id.value(), cell.id.value(),
+                        cell.epoch.value(), cell.holder.ToString()));
+    Submit(request);
+  }
+}
+
+}  // namespace basilspring
