--- a/include/basilspring/process/entry_core.h
+++ b/include/basilspring/process/entry_core.h
@@ -145,18 +145,21 @@
   std::vector<std::string> reads;
 };
 
-/// The end of a job, or a refusal; `job` is empty when there is none.
-struct ResultReply {
-  JobId job;
-  JobResult result;
-};
-
-/// The job has not ended yet.
+/// What is known of a job.
 struct StateReply {
   JobId job;
   JobState state = JobState::kQueued;
   std::uint32_t attempts = 0;
   CellId cell;
+  /// Empty when another entry accepted the job.
+  WorkspaceId workspace;
+  JobClass job_class = JobClass::kBatch;
+};
+
+/// The end of a job, or a refusal; `job.job` is empty when no job was made.
+struct ResultReply {
+  StateReply job;
+  JobResult result;
 };
 
 struct ExplainReply {
--- a/include/basilspring/request/retry_budget.h
+++ b/include/basilspring/request/retry_budget.h
@@ -5,24 +5,26 @@
 
 namespace basilspring {
 
-/// Limits retries to a share of the successes, so that retries can't multiply the load of an
-/// overloaded hop. A reserve allows retries when there is little traffic.
+/// Retries as a share of successes: each success adds a part of a token, each retry takes one. When
+/// most calls fail, retries stop instead of multiplying the load.
 class RetryBudget {
  public:
-  explicit RetryBudget(int percent) : percent_(percent) {}
+  /// `percent` of successes may be retries; `capacity` tokens at most are saved up, and as many are
+  /// there at the start, so that a process without successes yet can retry.
+  explicit RetryBudget(std::uint32_t percent, std::uint32_t capacity = 10);
+  /// Changes the share; saved tokens stay.
+  void SetPercent(std::uint32_t percent) { percent_ = percent; }
 
-  void SetPercent(int percent) { percent_ = percent; }
   void OnSuccess();
-  /// Takes one retry out of the budget; false when it is used up.
+  /// Takes a token; false means that the call must not be retried.
   bool TryRetry();
+  std::uint32_t tokens() const { return hundredths_ / 100; }
 
  private:
-  int percent_;
-  /// Hundredths of a retry.
-  std::int64_t credit_ = kReserve;
-
-  static constexpr std::int64_t kReserve = 1000;
-  static constexpr std::int64_t kLimit = 10000;
+  std::uint32_t percent_;
+  std::uint32_t capacity_hundredths_;
+  /// In hundredths of a token, so that no fraction is lost to rounding.
+  std::uint32_t hundredths_;
 };
 
 }  // namespace basilspring
--- a/src/process/entry_core.cc
+++ b/src/process/entry_core.cc
@@ -70,11 +70,15 @@
   result.error = kind;
   result.message = message;
   if (ErrorInfo(kind).retryable) result.retry_after = Duration(1000);
-  Reply(caller, ResultReply{job, std::move(result)});
+  StateReply state;
+  state.job = job;
+  state.state = JobState::kFailed;
+  Reply(caller, ResultReply{std::move(state), std::move(result)});
 }
 
 StateReply EntryCore::Impl::StateOf(const Request& request) const {
-  return {request.spec.id, request.state, request.attempts, request.cell};
+  return {request.spec.id, request.state,          request.attempts,
+          request.cell,    request.spec.workspace, request.spec.job_class};
 }
 
 }  // namespace basilspring
--- a/src/process/entry_core_finish.cc
+++ b/src/process/entry_core_finish.cc
@@ -116,7 +116,7 @@
   std::vector<internal::Waiter> waiters = std::move(request.waiters);
   request.waiters.clear();
   for (const internal::Waiter& waiter : waiters) {
-    Reply(waiter.caller, ResultReply{request.spec.id, request.result});
+    Reply(waiter.caller, ResultReply{StateOf(request), request.result});
   }
   Retain(request);
 }
--- a/src/process/entry_core_messages.cc
+++ b/src/process/entry_core_messages.cc
@@ -147,15 +147,18 @@
   KnownCell& cell = cells[message.cell];
   cell.id = message.cell;
   if (message.epoch < cell.epoch) return;
-  const bool changed = message.epoch > cell.epoch || cell.holder.empty();
+  // At the same epoch the store knows better: a scheduler whose lease lapsed may still send.
+  const bool changed = message.epoch > cell.epoch;
   cell.summary = message;
   // Answers go to the address that the datagram came from.
   cell.summary->scheduler = from;
   cell.heard = now;
   cell.tasks_sent = 0;
   cell.epoch = message.epoch;
-  cell.holder = from;
-  if (changed) SchedulerChanged(cell);
+  if (changed) {
+    cell.holder = from;
+    SchedulerChanged(cell);
+  }
 }
 
 void EntryCore::Impl::On(const CellChanged& event) {
--- a/src/process/entry_core_submit.cc
+++ b/src/process/entry_core_submit.cc
@@ -106,7 +106,7 @@
 void EntryCore::Impl::AddWaiter(Request& request, CallerId caller, Duration wait,
                                 bool streams_progress) {
   if (request.phase == RequestPhase::kFinished) {
-    Reply(caller, ResultReply{request.spec.id, request.result});
+    Reply(caller, ResultReply{StateOf(request), request.result});
     return;
   }
   callers[caller] = request.spec.id;
--- a/src/process/entry_core_tick.cc
+++ b/src/process/entry_core_tick.cc
@@ -17,6 +17,8 @@
 constexpr Duration kObservedPoll = Duration(1000);
 // The cell scheduler ends jobs at their deadline; its answer gets this long to arrive.
 constexpr Duration kDeadlineGrace = Duration(1000);
+// How long a stopping entry still waits for durable jobs.
+constexpr Duration kStopWait = Duration(5000);
 
 }  // namespace
 
@@ -26,7 +28,16 @@
   retries.SetPercent(event.retry_percent);
 }
 
-void EntryCore::Impl::On(const StopEvent& /*event*/) { stopping = true; }
+void EntryCore::Impl::On(const StopEvent& /*event*/) {
+  stopping = true;
+  // A durable job goes on without this entry: who waits long for it is told "accepted" in time.
+  for (auto& [id, request] : requests) {
+    if (!request.spec.durable && request.phase != RequestPhase::kObserved) continue;
+    for (internal::Waiter& waiter : request.waiters) {
+      waiter.until = std::min(waiter.until, now + kStopWait);
+    }
+  }
+}
 
 void EntryCore::Impl::On(const TickEvent& /*event*/) {
   // Requests can be erased on the way, so their ids are collected first.
--- a/src/request/retry_budget.cc
+++ b/src/request/retry_budget.cc
@@ -4,11 +4,16 @@
 
 namespace basilspring {
 
-void RetryBudget::OnSuccess() { credit_ = std::min(credit_ + percent_, kLimit); }
+RetryBudget::RetryBudget(std::uint32_t percent, std::uint32_t capacity)
+    : percent_(percent), capacity_hundredths_(capacity * 100), hundredths_(capacity * 100) {}
+
+void RetryBudget::OnSuccess() {
+  hundredths_ = std::min(hundredths_ + percent_, capacity_hundredths_);
+}
 
 bool RetryBudget::TryRetry() {
-  if (credit_ < 100) return false;
-  credit_ -= 100;
+  if (hundredths_ < 100) return false;
+  hundredths_ -= 100;
   return true;
 }
 
