--- a/src/process/agent_task_run.cc
+++ b/src/process/agent_task_run.cc
@@ -150,7 +150,12 @@
   AgentTask& state = task->second;
   const Timings& timings = options_.timings;
   if (step.now - state.renewed < timings.task_lease + timings.backend_poll * 2) {
-    Poll(step, task->first, state);
+    // After a timeout there has been a wait already; a connection that breaks at once gets a pause.
+    if (step.now - state.poll_sent >= timings.backend_poll) {
+      Poll(step, task->first, state);
+    } else {
+      state.next_poll = step.now + RetryPause(timings);
+    }
     return;
   }
   // Polls without an answer may have renewed the lease, so a stop is tried too.
@@ -180,6 +185,7 @@
 void AgentTasks::Poll(const Step& step, const TaskKey& key, AgentTask& task) const {
   const Duration poll = options_.timings.backend_poll;
   task.poll_pending = true;
+  task.poll_sent = step.now;
   BackendCall call;
   call.kind = BackendCallKind::kPoll;
   call.backend = task.backend;
--- a/src/process/agent_tasks.h
+++ b/src/process/agent_tasks.h
@@ -61,6 +61,7 @@
   /// The backend server has said that it runs, or ran, the task.
   bool confirmed = false;
   bool poll_pending = false;
+  TimePoint poll_sent;
   TimePoint next_poll;
   /// Last time at which the backend server answered that the task runs.
   TimePoint renewed;
--- a/tests/process/agent_core_test.cc
+++ b/tests/process/agent_core_test.cc
@@ -193,6 +193,7 @@
   Ready();
   StartSingle("j1#5.1");
   EXPECT_FALSE(out.calls.at(0).fresh_connection);
+  now = now + Duration(3000);
   Answer("j1#5.1", BackendCallKind::kPoll, BackendStatus::kNoAnswer);
   EXPECT_TRUE(out.calls.at(0).fresh_connection);
   for (int i = 0; i < 3; ++i) {
