--- a/src/process/agent_task_run.cc
+++ b/src/process/agent_task_run.cc
@@ -338,7 +338,9 @@
     }
   }
   for (const AttemptId& attempt : gangs_.Tick(step.now, step.out)) StopAttempt(step, attempt);
-  if (step.now >= next_redelivery_) Redeliver(step);
+  for (auto& [key, kept] : undelivered_) {
+    if (step.now >= kept.next_send) SendAgain(step, kept);
+  }
 }
 
 void AgentTasks::StopAttempt(const Step& step, const AttemptId& attempt) {
--- a/src/process/agent_tasks.cc
+++ b/src/process/agent_tasks.cc
@@ -9,9 +9,14 @@
 namespace basilspring::internal {
 namespace {
 
-// An agent whose outcomes nobody acknowledges takes no more work, so that its memory stays bounded:
-// each outcome can hold an output of half a megabyte.
-constexpr std::size_t kMaxUndelivered = 64;
+// An agent whose outcomes nobody acknowledges takes no more work, so that it stays within its
+// 128 MB.
+constexpr std::size_t kMaxUndelivered = 1024;
+constexpr std::size_t kMaxUndeliveredBytes = 32 * 1024 * 1024;
+
+// The scheduler acknowledges the outputs of a gang only when the whole gang is done, which can take
+// hours. Repeating half a megabyte every 2 s until then would exceed the 14 KB/s of a node.
+constexpr int kMaxSendIntervalInHeartbeats = 32;
 
 // Outputs in one AgentReport; the whole frame has to stay under a megabyte.
 constexpr std::size_t kMaxReportedOutputBytes = 256 * 1024;
@@ -84,9 +89,7 @@
     error = decision->error;
   } else if (tasks_.count(key) == 0) {
     error = admission;
-    if (error == ErrorKind::kNone && undelivered_.size() >= kMaxUndelivered) {
-      error = ErrorKind::kOverloaded;
-    }
+    if (error == ErrorKind::kNone && OutcomesFull()) error = ErrorKind::kOverloaded;
     if (error == ErrorKind::kNone && prepare.rank >= std::max(prepare.tasks, 1U)) {
       error = ErrorKind::kInvalidArgument;
     }
@@ -273,8 +276,9 @@
   Undelivered& kept = undelivered_[key];
   kept.outcome = std::move(outcome);
   kept.reservation = std::move(task->second.reservation);
+  kept.send_interval = options_.timings.heartbeat;
   tasks_.erase(task);
-  Send(step, kept.outcome);
+  SendAgain(step, kept);
 }
 
 void AgentTasks::Send(const Step& step, const Outcome& outcome) {
@@ -286,9 +290,26 @@
       outcome);
 }
 
+void AgentTasks::SendAgain(const Step& step, Undelivered& kept) const {
+  Send(step, kept.outcome);
+  kept.next_send = step.now + kept.send_interval;
+  kept.send_interval =
+      std::min(kept.send_interval * 2, options_.timings.heartbeat * kMaxSendIntervalInHeartbeats);
+}
+
 void AgentTasks::Redeliver(const Step& step) {
-  next_redelivery_ = step.now + options_.timings.heartbeat;
-  for (const auto& [key, kept] : undelivered_) Send(step, kept.outcome);
+  for (auto& [key, kept] : undelivered_) {
+    kept.send_interval = options_.timings.heartbeat;
+    SendAgain(step, kept);
+  }
+}
+
+bool AgentTasks::OutcomesFull() const {
+  std::size_t bytes = 0;
+  for (const auto& [key, kept] : undelivered_) {
+    if (const TaskDone* done = std::get_if<TaskDone>(&kept.outcome)) bytes += done->output.size();
+  }
+  return undelivered_.size() >= kMaxUndelivered || bytes >= kMaxUndeliveredBytes;
 }
 
 std::vector<TaskReport> AgentTasks::Reports(TimePoint now) const {
--- a/src/process/agent_tasks.h
+++ b/src/process/agent_tasks.h
@@ -99,7 +99,7 @@
 
   /// A command of a deposed scheduler was refused; whether its task had started before.
   void RefuseStale(const Step& step, const Address& from, const TaskKey& task, bool is_start);
-  /// Sends all outcomes that wait for an acknowledgement.
+  /// Sends all outcomes that wait for an acknowledgement, to a scheduler that is new.
   void Redeliver(const Step& step);
   /// Drops all reservations; their starts would be refused anyway.
   void DropReservations(const Step& step);
@@ -116,7 +116,11 @@
   struct Undelivered {
     Outcome outcome;
     Prepare reservation;
+    TimePoint next_send;
+    Duration send_interval;
   };
+  /// Whether so many outcomes are unacknowledged that no more work is taken.
+  bool OutcomesFull() const;
 
   /// kNone when the task may start now.
   ErrorKind CheckStart(const Step& step, const AgentTask& task, const Start& start,
@@ -147,6 +151,7 @@
   void FinishStopped(const Step& step, Tasks::iterator task, bool started);
   void LapseReservation(const Step& step, Tasks::iterator task);
   static void Send(const Step& step, const Outcome& outcome);
+  void SendAgain(const Step& step, Undelivered& kept) const;
 
   AgentOptions options_;
   WorkerResources resources_;
@@ -154,7 +159,6 @@
   Tasks tasks_;
   std::map<TaskKey, Undelivered> undelivered_;
   DecidedTasks decided_;
-  TimePoint next_redelivery_;
 };
 
 }  // namespace basilspring::internal
