--- a/src/process/operator_api.cc
+++ b/src/process/operator_api.cc
@@ -3,12 +3,14 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/fiber/operations.hpp>
 #include <boost/json.hpp>
 #include <chrono>
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "basilspring/connection/store_client.h"
@@ -280,7 +282,7 @@
                 TextMember(body, "author", false));
 }
 
-HttpResponse GetSettings(const OperatorContext& context) {
+HttpResponse GetSettings(OperatorContext& context, const HttpRequest& /*request*/) {
   json::object nodes;
   for (const ConfigNode& node : context.nodes()) nodes[node.path] = json::parse(node.json);
   return JsonResponse({{"revision", context.revision().value()}, {"nodes", std::move(nodes)}});
@@ -299,7 +301,7 @@
   return {RegionId(parts[0]), DataCentreId(parts[1]), WorkspaceId(parts[2])};
 }
 
-HttpResponse ResolveSettings(const OperatorContext& context, const HttpRequest& request) {
+HttpResponse ResolveSettings(OperatorContext& context, const HttpRequest& request) {
   const SettingScope scope = ScopeOfPath(request.Query("path"));
   const SettingsTree tree = SettingsTree::FromNodes(context.nodes());
   json::array settings;
@@ -348,7 +350,7 @@
           {"config_revision", summary.config_revision.value()}};
 }
 
-HttpResponse GetStatus(OperatorContext& context) {
+HttpResponse GetStatus(OperatorContext& context, const HttpRequest& /*request*/) {
   const SettingsTree tree = SettingsTree::FromNodes(context.nodes());
   json::array cells;
   for (const CellSummary& summary : context.summaries()) {
@@ -364,20 +366,34 @@
                        {"entries", std::move(entries)}});
 }
 
+struct Route {
+  std::string_view method;
+  std::string_view path;
+  HttpResponse (*handle)(OperatorContext& context, const HttpRequest& request);
+};
+
+constexpr std::array<Route, 6> kRoutes = {{
+    {"GET", "/v1/operator/status", &GetStatus},
+    {"GET", "/v1/operator/settings", &GetSettings},
+    {"GET", "/v1/operator/settings/resolve", &ResolveSettings},
+    {"GET", "/v1/operator/history", &GetHistory},
+    {"POST", "/v1/operator/settings", &ChangeSettings},
+    {"POST", "/v1/operator/datacentre", &ChangeDataCentre},
+}};
+
 }  // namespace
 
 HttpResponse HandleOperatorRequest(OperatorContext& context, const HttpRequest& request) {
   if (!context.has_configuration()) {
     throw Error(ErrorKind::kStoreUnavailable, "the configuration has not been read yet");
   }
-  const std::string call = request.method + " " + request.path;
-  if (call == "GET /v1/operator/status") return GetStatus(context);
-  if (call == "GET /v1/operator/settings") return GetSettings(context);
-  if (call == "GET /v1/operator/settings/resolve") return ResolveSettings(context, request);
-  if (call == "GET /v1/operator/history") return GetHistory(context, request);
-  if (call == "POST /v1/operator/settings") return ChangeSettings(context, request);
-  if (call == "POST /v1/operator/datacentre") return ChangeDataCentre(context, request);
-  throw Error(ErrorKind::kNotFound, fmt::format("there is no call \"{}\"", call));
+  for (const Route& route : kRoutes) {
+    if (route.method == request.method && route.path == request.path) {
+      return route.handle(context, request);
+    }
+  }
+  throw Error(ErrorKind::kNotFound,
+              fmt::format("there is no call {} {}", request.method, request.path));
 }
 
 }  // namespace basilspring
