Vouch only to entries that the registry contains

Cause: PermitAuthorityTest.ARemovedEntryGetsNoVouch failed: a removed entry that makes itself known again was put among the peers and got a vouch, although entries that registered since then are unknown to it. Change: a peer carries whether the last read of the registry contained it; only then it gets a vouch. Ruled out: ignoring the Registration of unknown entries, because the new entry's vouch must be required at once.

--- a/include/basilspring/process/permit_authority.h
+++ b/include/basilspring/process/permit_authority.h
@@ -65,6 +65,9 @@
  private:
   struct Peer {
     Address address;
+    /// Whether the last read of the registry contained it; an entry that only made itself known is
+    /// required for own permits, but gets no vouch.
+    bool registered = false;
     bool acknowledged = false;
     /// When it was first known, or last answered.
     TimePoint last_heard;
--- a/src/process/operator_api.cc
+++ b/src/process/operator_api.cc
@@ -40,7 +40,7 @@
   return fmt::format("{:08x}{:08x}{:08x}{:08x}", random(), random(), random(), random());
 }
 
-HttpResponse JsonResponse(json::object body) {
+HttpResponse JsonResponse(const json::object& body) {
   HttpResponse response;
   response.body = json::serialize(body);
   return response;
--- a/src/process/operator_commands.cc
+++ b/src/process/operator_commands.cc
@@ -2,6 +2,8 @@
 
 #include <array>
 #include <cstdlib>
+#include <map>
+#include <memory>
 #include <string>
 #include <utility>
 
@@ -110,6 +112,7 @@
                                      "/REGION/DATA-CENTRE", command_line);
   constexpr std::array<const char*, 6> kLevels = {"run1", "run2", "run4", "run8", "worker", "rack"};
   std::vector<std::unique_ptr<TCLAP::ValueArg<int>>> levels;
+  levels.reserve(kLevels.size());
   for (const char* const level : kLevels) {
     levels.push_back(std::make_unique<TCLAP::ValueArg<int>>(
         "", level, fmt::format("Guaranteed shapes at level {}", level), false, 0, "N",
--- a/src/process/permit_authority.cc
+++ b/src/process/permit_authority.cc
@@ -46,6 +46,7 @@
       peer.address = address;
       peer.last_heard = started;
     }
+    peer.registered = true;
   }
 }
 
@@ -79,7 +80,8 @@
     vouch.config_revision = revision_;
     for (const auto& [data_centre, changes] : changing_) vouch.changing.push_back(data_centre);
     // An entry that was removed from the registry, or is about to be, gets no vouch.
-    vouch.granted = peers_.find(request->from) != peers_.end() &&
+    const auto peer = peers_.find(request->from);
+    vouch.granted = peer != peers_.end() && peer->second.registered &&
                     removing_.find(request->from) == removing_.end();
     return vouch;
   }
--- a/src/process/timings.cc
+++ b/src/process/timings.cc
@@ -1,5 +1,7 @@
 #include "basilspring/process/timings.h"
 
+#include <initializer_list>
+
 namespace basilspring {
 
 Timings Timings::Scaled(int percent) const {
