Pass responders of the stand-in backend server by reference

Cause: clang-tidy refuses the copy of a shared pointer in each handler call.

Change: the handler takes a reference.

Measured: the 37 tests of the agent, its backend client, gang lease and scheduler link pass.

--- a/standin/backend_server.cc
+++ b/standin/backend_server.cc
@@ -65,8 +65,8 @@
         tasks_(options.capacity.slots.value()),
         client_(io_),
         server_(io_, options.listen,
-                [this](HttpRequest request, std::shared_ptr<HttpResponder> responder) {
-                  Handle(std::move(request), std::move(responder));
+                [this](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
+                  Handle(std::move(request), responder);
                 }) {
     if (!options.record_path.empty()) record_.open(options.record_path, std::ios::app);
   }
@@ -112,7 +112,7 @@
   };
 
   HttpClientRequest Announcement() const;
-  void Handle(HttpRequest request, std::shared_ptr<HttpResponder> responder);
+  void Handle(HttpRequest request, const std::shared_ptr<HttpResponder>& responder);
   void HandleLocked(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder);
   void StartTask(const HttpRequest& request, const std::string& id,
                  const std::shared_ptr<HttpResponder>& responder);
@@ -161,7 +161,8 @@
   return request;
 }
 
-void BackendServer::Impl::Handle(HttpRequest request, std::shared_ptr<HttpResponder> responder) {
+void BackendServer::Impl::Handle(HttpRequest request,
+                                 const std::shared_ptr<HttpResponder>& responder) {
   if (request.path == "/stats") {
     HttpResponse response;
     response.body = StatsJson();
