--- /dev/null
+++ b/src/process/entry.cc
@@ -0,0 +1,180 @@
+#include "basilspring/process/entry.h"
+
+#include <algorithm>
+#include <chrono>
+#include <future>
+#include <thread>
+#include <utility>
+
+#include "basilspring/process/log.h"
+#include "process/entry_driver.h"
+
+namespace basilspring {
+namespace internal {
+namespace {
+
+constexpr Duration kTick = Duration(50);
+// Time for the load balancer to see that /readyz fails before connections are refused.
+constexpr Duration kReadinessNotice = Duration(1000);
+
+EntryOptions CoreOptions(const ProcessSettings& settings) {
+  EntryOptions options;
+  options.region = settings.region;
+  options.max_requests = settings.max_requests;
+  options.answer_retention = settings.timings.answer_retention;
+  options.summary_age = settings.timings.summary * 5;
+  options.remote_summary_age = settings.timings.summary * 15;
+  options.cell_silence = settings.timings.summary * 10;
+  options.cell_wait = settings.timings.cell_lease + settings.timings.election_spread +
+                      settings.timings.rebuild_wait + settings.timings.find_cell_interval;
+  return options;
+}
+
+StoreOptions StoreOptionsWithSeed(StoreOptions options) {
+  options.seed = std::random_device()();
+  return options;
+}
+
+std::uint64_t RandomSeed() {
+  std::random_device device;
+  return (std::uint64_t{device()} << 32) | device();
+}
+
+}  // namespace
+
+EntryDriver::EntryDriver(const ProcessSettings& settings)
+    : settings_(settings),
+      http_client_(io_),
+      store_(io_, http_client_, StoreOptionsWithSeed(settings.store)),
+      core_(CoreOptions(settings)),
+      directory_(settings.name, settings.listen, settings.region),
+      permits_(settings.name, settings.listen, settings.timings),
+      random_(RandomSeed()) {
+  transport_ = std::make_unique<Transport>(
+      io_, settings_.name, settings_.listen,
+      [this](const Address& from, Message message) { OnMessage(from, std::move(message)); });
+  HttpLimits limits;
+  limits.max_connections = settings_.max_connections;
+  server_ = std::make_unique<HttpServer>(
+      io_, settings_.http,
+      [this](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
+        OnHttp(std::move(request), responder);
+      },
+      limits);
+  duty_ = std::make_unique<Duty>("entry", kTick, [this] { OnTick(); });
+  running_duty_ = duty_.get();
+  Post([this] {
+    needs_synchronization_ = true;
+    Spawn([this] { ReadGuardLoop(); });
+    Spawn([this] { RegisterLoop(); });
+  });
+}
+
+EntryDriver::~EntryDriver() {
+  closing_ = true;
+  running_duty_ = nullptr;
+  duty_->Stop();
+  calls_.clear();
+  server_.reset();
+  watch_.reset();
+  transport_.reset();
+}
+
+bool EntryDriver::Post(std::function<void()> work) {
+  Duty* const duty = running_duty_.load();
+  return duty != nullptr && duty->TryPost(std::move(work));
+}
+
+void EntryDriver::Spawn(std::function<void()> body) {
+  // An exception that leaves a fiber would end the process.
+  duty_->Spawn([body = std::move(body)] {
+    try {
+      body();
+    } catch (const std::exception& error) {
+      Log(EventId::kInternalError, "reason=\"{}\"", error.what());
+    }
+  });
+}
+
+void EntryDriver::OnTick() {
+  if (running_duty_.load() == nullptr) return;
+  const TimePoint now = Clock::Now();
+  last_tick_ = now.milliseconds();
+  Handle(TickEvent{});
+  TickPermits();
+  if (needs_synchronization_.exchange(false) && !synchronizing_) {
+    synchronizing_ = true;
+    Spawn([this] { Synchronize(); });
+  }
+  if (now >= next_second_) EverySecond();
+  if (stopping_) drained_ = core_.Drained();
+}
+
+void EntryDriver::EverySecond() {
+  const TimePoint now = Clock::Now();
+  next_second_ = now + settings_.timings.summary;
+  directory_.SetStoreReachable(synchronized_ &&
+                               now - last_store_read_ < settings_.timings.permit_validity);
+  SendAll(directory_.Greet(now));
+  UpdateRouting();
+  UpdateMetrics();
+}
+
+void EntryDriver::UpdateMetrics() {
+  const auto set = [this](const char* name, std::uint64_t value) {
+    metrics_.GetGauge(name).Set(static_cast<std::int64_t>(value));
+  };
+  const StoreCounters store = store_.counters();
+  set("basilspring_store_calls", store.calls);
+  set("basilspring_store_retries", store.retries);
+  set("basilspring_store_failures", store.failures);
+  const TransportCounters transport = transport_->counters();
+  set("basilspring_transport_bytes_sent", transport.bytes_sent);
+  set("basilspring_transport_bytes_received", transport.bytes_received);
+  set("basilspring_transport_reconnects", transport.reconnects);
+  set("basilspring_requests_in_flight", core_.in_flight());
+  set("basilspring_config_revision", directory_.revision().value());
+  set("basilspring_duty_ring_dropped", duty_->dropped());
+}
+
+void EntryDriver::Run() {
+  std::promise<void> stop;
+  io_.OnStopSignal([&stop] { stop.set_value(); });
+  Log(EventId::kProcessStarted, "role=entry listen={} http={} region={}",
+      settings_.listen.ToString(), server_->address().ToString(), settings_.region.value());
+  stop.get_future().wait();
+  Log(EventId::kProcessStopping, "requests_in_flight={}", server_->in_flight());
+  WaitUntilDrained();
+  Log(EventId::kProcessStopped, "requests_in_flight={}", server_->in_flight());
+}
+
+void EntryDriver::WaitUntilDrained() {
+  const TimePoint begun = Clock::Now();
+  const TimePoint limit = begun + settings_.drain_limit;
+  stopping_ = true;
+  while (!Post([this] { Handle(StopEvent{}); }) && Clock::Now() < limit) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  const TimePoint earliest = std::min(limit, begun + kReadinessNotice);
+  while (Clock::Now() < limit) {
+    const bool done = drained_ && server_->in_flight() == 0 && transport_->Drained();
+    if (done && Clock::Now() >= earliest) break;
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  server_->StopAccepting();
+  // Requests that arrived on open connections in the meantime are refused, and that has to go out.
+  while (Clock::Now() < limit && server_->in_flight() > 0) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+}
+
+}  // namespace internal
+
+int RunEntry(const ProcessSettings& settings) {
+  ConfigureLog(settings.log_level, settings.name.value());
+  internal::EntryDriver driver(settings);
+  driver.Run();
+  return 0;
+}
+
+}  // namespace basilspring
--- /dev/null
+++ b/src/process/entry_http.cc
@@ -0,0 +1,135 @@
+#include <fmt/format.h>
+
+#include <utility>
+
+#include "basilspring/process/log.h"
+#include "process/entry_driver.h"
+
+namespace basilspring {
+namespace internal {
+namespace {
+
+constexpr std::string_view kOperatorPrefix = "/v1/operator/";
+// A duty that has not ticked for this long is stuck.
+constexpr Duration kTickLimit = Duration(5000);
+
+HttpResponse Text(int status, std::string body) {
+  HttpResponse response;
+  response.status = status;
+  response.content_type = "text/plain";
+  response.body = std::move(body);
+  return response;
+}
+
+}  // namespace
+
+void EntryDriver::OnHttp(HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
+  if (request.path == "/metrics") {
+    responder->Respond(Text(200, metrics_.Render()));
+    return;
+  }
+  if (request.path == "/healthz") {
+    const Duration silence = Clock::Now() - TimePoint(last_tick_.load());
+    responder->Respond(silence > kTickLimit ? Text(503, "the duty thread is stuck\n")
+                                            : Text(200, "ok\n"));
+    return;
+  }
+  if (request.path == "/readyz") {
+    const bool ready = synchronized_ && !stopping_;
+    responder->Respond(
+        ready ? Text(200, "ready\n")
+              : Text(503, stopping_ ? "stopping\n" : "no configuration was read yet\n"));
+    return;
+  }
+  const bool posted = Post([this, request = std::move(request), responder] {
+    if (request.path.compare(0, kOperatorPrefix.size(), kOperatorPrefix) == 0) {
+      OnOperatorRequest(request, responder);
+    } else {
+      OnCallerRequest(request, responder);
+    }
+  });
+  if (!posted) {
+    Log(EventId::kQueueFull, "queue=duty dropped=HttpRequest");
+    responder->Respond(
+        FormatError(ErrorKind::kOverloaded, "the entry's queue is full", JobId(), Duration(1000)));
+  }
+}
+
+void EntryDriver::OnCallerRequest(const HttpRequest& request,
+                                  const std::shared_ptr<HttpResponder>& responder) {
+  const CallerId caller(next_caller_++);
+  CallerCall call;
+  try {
+    call = ParseCallerRequest(request, caller, NewJobId());
+  } catch (const Error& error) {
+    Log(EventId::kRequestRefused, "error={} reason=\"{}\"", ErrorInfo(error.kind()).name,
+        error.what());
+    responder->Respond(FormatError(error.kind(), error.what(), JobId(), Duration(0)));
+    return;
+  }
+  metrics_.GetCounter("basilspring_caller_requests_total").Add();
+  calls_[caller] = PendingCall{responder, call.style};
+  responder->OnDisconnect([this, caller] {
+    Post([this, caller] {
+      if (calls_.erase(caller) > 0) Handle(CallerGone{caller});
+    });
+  });
+  Handle(call.event);
+}
+
+void EntryDriver::OnOperatorRequest(const HttpRequest& request,
+                                    const std::shared_ptr<HttpResponder>& responder) {
+  Spawn([this, request, responder] {
+    HttpResponse response;
+    try {
+      response = HandleOperatorRequest(*this, request);
+    } catch (const Error& error) {
+      const Duration retry_after(ErrorInfo(error.kind()).retryable ? 1000 : 0);
+      response = FormatError(error.kind(), error.what(), JobId(), retry_after);
+    } catch (const std::exception& error) {
+      Log(EventId::kInternalError, "path={} reason=\"{}\"", request.path, error.what());
+      response = FormatError(ErrorKind::kInternal, error.what(), JobId(), Duration(0));
+    }
+    responder->Respond(std::move(response));
+  });
+}
+
+void EntryDriver::ReplyTo(const CallerReply& reply) {
+  const auto found = calls_.find(reply.caller);
+  if (found == calls_.end()) return;
+  PendingCall& call = found->second;
+  if (call.style == ReplyStyle::kEvents) {
+    const auto* const result = std::get_if<ResultReply>(&reply.body);
+    const bool unknown_job = result != nullptr && result->result.error == ErrorKind::kNotFound;
+    if (call.streaming || !unknown_job) {
+      if (!call.streaming) {
+        HttpResponse head;
+        head.content_type = "text/event-stream";
+        call.responder->StartStream(std::move(head));
+        call.streaming = true;
+      }
+      call.responder->WriteChunk(FormatProgressEvent(reply));
+      if (!reply.last) return;
+      call.responder->FinishStream();
+      calls_.erase(found);
+      return;
+    }
+  }
+  if (!reply.last) return;
+  HttpResponse response = FormatReply(call.style, reply);
+  metrics_
+      .GetCounter("basilspring_caller_answers_total", fmt::format("status=\"{}\"", response.status))
+      .Add();
+  call.responder->Respond(std::move(response));
+  calls_.erase(found);
+}
+
+JobId EntryDriver::NewJobId() {
+  // 128 random bits: unique in the deployment without a service that hands out numbers.
+  const std::uint64_t high = random_();
+  const std::uint64_t low = random_();
+  return JobId(fmt::format("j{:016x}{:016x}", high, low));
+}
+
+}  // namespace internal
+}  // namespace basilspring
