--- /dev/null
+++ b/bench/placement_bench.cc
@@ -0,0 +1,217 @@
+#include <benchmark/benchmark.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+
+#include "basilspring/request/placement.h"
+#include "basilspring/request/room_reservation.h"
+#include "basilspring/version/guarantee.h"
+
+namespace basilspring {
+namespace {
+
+constexpr int kWorkersPerRack = 8;
+// 1,700 tasks on 128 workers.
+constexpr double kTasksPerWorker = 1700.0 / 128;
+constexpr int kWorkspaces = 130;
+
+WorkerId Id(int i) { return WorkerId("plovdiv-a-worker-" + std::to_string(1000 + i)); }
+WorkspaceId Workspace(int i) { return WorkspaceId("workspace-" + std::to_string(100 + i)); }
+
+CellState EmptyCell(int workers) {
+  CellState cell;
+  for (int i = 0; i < workers; ++i) {
+    cell.UpsertWorker(Id(i), RackId("rack-" + std::to_string(i / kWorkersPerRack)), {},
+                      {Cores(128), Megabytes(256000), Accelerators(16), Slots(32), Connections(60)},
+                      true);
+  }
+  return cell;
+}
+
+// Guarantees of all workspaces, in runs of one size, for half of the cell's accelerators.
+std::vector<Guarantee> HalfTheCell(int workers, int run_size = 8) {
+  std::vector<Guarantee> guarantees;
+  const int runs = workers * 16 / run_size / 2;
+  for (int i = 0; i < runs; ++i) {
+    const auto w = static_cast<std::size_t>(i % kWorkspaces);
+    if (w == guarantees.size()) guarantees.push_back({Workspace(i)});
+    (run_size == 8 ? guarantees[w].run8 : guarantees[w].run1) += 1;
+  }
+  return guarantees;
+}
+
+// Fills a cell with small gangs of all classes, which hold `accelerators_per_worker` of 16, and
+// leaves the rest free. The seed is fixed, so that all runs measure the same cell.
+void Fill(CellState& cell, int accelerators_per_worker) {
+  std::mt19937 random(20240901);
+  int number = 0;
+  double owed = 0;
+  for (const auto& [id, worker] : cell.workers()) {
+    owed += kTasksPerWorker;
+    for (int held = 0; owed >= 1; owed -= 1, ++number) {
+      PlacedTask task;
+      task.attempt = AttemptId("job-" + std::to_string(number / 4) + "#12.1");
+      task.job = JobId("job-" + std::to_string(number / 4));
+      task.rank = static_cast<std::uint32_t>(number % 4);
+      task.workspace = Workspace(static_cast<int>((number / 4) % kWorkspaces));
+      task.job_class = (number / 4) % 3 == 0 ? JobClass::kBackground : JobClass::kBatch;
+      task.shape.cores = Cores(2);
+      if (held < accelerators_per_worker) task.accelerators = 1U << held++;
+      task.shape.accelerators = Accelerators(task.accelerators == 0 ? 0 : 1);
+      task.borrowed = true;
+      task.started = TimePoint(static_cast<std::int64_t>(random() % 3'600'000));
+      cell.AddTask(id, task);
+    }
+  }
+}
+
+CellState FullCell(int workers, int accelerators_per_worker) {
+  CellState cell = EmptyCell(workers);
+  ApplyBinding(cell, BindGuarantees(cell, HalfTheCell(workers)).runs);
+  Fill(cell, accelerators_per_worker);
+  return cell;
+}
+
+JobSpec Gang(std::uint32_t tasks, std::uint32_t accelerators, JobClass job_class) {
+  JobSpec job;
+  job.id = JobId("gang");
+  job.workspace = Workspace(kWorkspaces);
+  job.job_class = job_class;
+  job.shape = {tasks, Cores(2), Megabytes(1000), Accelerators(accelerators), accelerators > 1};
+  return job;
+}
+
+void RunPlaceGang(benchmark::State& state, const CellState& cell, const JobSpec& job,
+                  bool expect_placed, PlacementPolicy policy = PlacementPolicy::kGuarantees) {
+  PlacementInput input{&cell, &job, TimePoint(4'000'000), policy};
+  input.may_preempt = job.job_class == JobClass::kUrgent;
+  for (auto _ : state) {
+    const PlacementResult result = PlaceGang(input);
+    if (std::holds_alternative<Placed>(result) != expect_placed) {
+      state.SkipWithError("unexpected decision");
+    }
+    benchmark::DoNotOptimize(&result);
+  }
+  state.SetComplexityN(state.range(0));
+}
+
+// A gang of 64 tasks into free room; the argument is the number of workers.
+void GangInFreeRoom(benchmark::State& state) {
+  const auto workers = static_cast<int>(state.range(0));
+  RunPlaceGang(state, FullCell(workers, 11), Gang(64, 2, JobClass::kBatch), true);
+}
+// A gang of 64 that has to evict borrowers.
+void GangWithVictims(benchmark::State& state) {
+  const auto workers = static_cast<int>(state.range(0));
+  RunPlaceGang(state, FullCell(workers, 13), Gang(64, 4, JobClass::kUrgent), true);
+}
+// A gang of 64 inside a guarantee of half the cell, all of it lent to borrowers.
+void GuaranteedGangWithVictims(benchmark::State& state) {
+  const auto workers = static_cast<int>(state.range(0));
+  CellState cell = EmptyCell(workers);
+  const Guarantee half{Workspace(kWorkspaces), 0, 0, 0, static_cast<std::uint32_t>(workers), 0, 0};
+  ApplyBinding(cell, BindGuarantees(cell, {half}).runs);
+  Fill(cell, 13);
+  JobSpec job = Gang(std::min(64U, static_cast<std::uint32_t>(workers)), 8, JobClass::kUrgent);
+  RunPlaceGang(state, cell, job, true);
+}
+// An urgent gang of 64 that tries everything, twice because of an avoided worker, and doesn't fit.
+void UrgentGangThatWaits(benchmark::State& state) {
+  const auto workers = static_cast<int>(state.range(0));
+  CellState cell = EmptyCell(workers);
+  const Guarantee half{Workspace(kWorkspaces), 0, 0, 0, static_cast<std::uint32_t>(workers), 0, 0};
+  ApplyBinding(cell, BindGuarantees(cell, {half}).runs);
+  Fill(cell, 13);
+  // Guaranteed work on all workers but 32, so that only 32 of the 64 tasks fit.
+  int number = 0;
+  for (const auto& [id, worker] : std::map(cell.workers())) {
+    PlacedTask task;
+    task.attempt = AttemptId("urgent-" + std::to_string(number));
+    task.job_class = JobClass::kUrgent;
+    task.accelerators = 1U << 15U;
+    task.borrowed = false;
+    if (number++ >= 32) cell.AddTask(id, task);
+  }
+  const JobSpec job = Gang(64, 16, JobClass::kUrgent);
+  PlacementInput input{&cell, &job, TimePoint(4'000'000)};
+  input.may_preempt = true;
+  input.avoid = {Id(0)};
+  for (auto _ : state) {
+    const PlacementResult result = PlaceGang(input);
+    if (std::holds_alternative<Placed>(result)) state.SkipWithError("unexpected decision");
+    benchmark::DoNotOptimize(&result);
+  }
+  state.SetComplexityN(state.range(0));
+}
+// A gang of 64 that doesn't fit and gets its reasons.
+void GangThatWaits(benchmark::State& state) {
+  const auto workers = static_cast<int>(state.range(0));
+  RunPlaceGang(state, FullCell(workers, 13), Gang(64, 8, JobClass::kBatch), false);
+}
+void GangFirstFit(benchmark::State& state) {
+  const auto workers = static_cast<int>(state.range(0));
+  RunPlaceGang(state, FullCell(workers, 11), Gang(64, 2, JobClass::kBatch), true,
+               PlacementPolicy::kFirstFit);
+}
+// Gangs of 1 to 64 tasks in a cell of 128 workers.
+void GangSize(benchmark::State& state) {
+  const auto tasks = static_cast<std::uint32_t>(state.range(0));
+  RunPlaceGang(state, FullCell(128, 11), Gang(tasks, 2, JobClass::kBatch), true);
+}
+
+// Binds the guarantees again after the loss of a rack and places a gang of 64.
+void RackLoss(benchmark::State& state, int run_size) {
+  const auto workers = static_cast<int>(state.range(0));
+  const std::vector<Guarantee> guarantees = HalfTheCell(workers, run_size);
+  CellState cell = EmptyCell(workers);
+  ApplyBinding(cell, BindGuarantees(cell, guarantees).runs);
+  Fill(cell, 11);
+  for (int i = 0; i < kWorkersPerRack; ++i) cell.RemoveWorker(Id(i));
+  const std::vector<BoundRun> before = cell.bound_runs();
+  const JobSpec job = Gang(64, 2, JobClass::kBatch);
+  for (auto _ : state) {
+    cell.SetBoundRuns(before);
+    BindingResult binding = BindGuarantees(cell, guarantees);
+    if (!binding.shortfalls.empty()) state.SkipWithError("guarantees don't fit");
+    ApplyBinding(cell, std::move(binding.runs));
+    const PlacementResult result = PlaceGang({&cell, &job, TimePoint(4'000'000)});
+    benchmark::DoNotOptimize(&result);
+  }
+  state.SetComplexityN(state.range(0));
+}
+
+void RackLossRun8(benchmark::State& state) { RackLoss(state, 8); }
+void RackLossRun1(benchmark::State& state) { RackLoss(state, 1); }
+
+// Chooses the workers that are kept for a gang of 64.
+void RoomForGang(benchmark::State& state) {
+  const CellState cell = FullCell(static_cast<int>(state.range(0)), 13);
+  const JobSpec job = Gang(64, 4, JobClass::kBatch);
+  const auto end = [](const PlacedTask& task) { return task.started + Duration(7'200'000); };
+  for (auto _ : state) {
+    const auto room = ReserveRoom(cell, job.id, job.shape, TimePoint(4'000'000), end);
+    if (!room) state.SkipWithError("no room");
+    benchmark::DoNotOptimize(&room);
+  }
+  state.SetComplexityN(state.range(0));
+}
+
+void CellSizes(benchmark::internal::Benchmark* bench) {
+  bench->RangeMultiplier(2)->Range(32, 512)->Unit(benchmark::kMicrosecond)->Complexity();
+}
+BENCHMARK(GangInFreeRoom)->Apply(CellSizes);
+BENCHMARK(GangWithVictims)->Apply(CellSizes);
+BENCHMARK(GuaranteedGangWithVictims)->Apply(CellSizes);
+BENCHMARK(GangThatWaits)->Apply(CellSizes);
+BENCHMARK(UrgentGangThatWaits)->Apply(CellSizes);
+BENCHMARK(GangFirstFit)->Apply(CellSizes);
+BENCHMARK(GangSize)->RangeMultiplier(4)->Range(1, 64)->Unit(benchmark::kMicrosecond)->Complexity();
+BENCHMARK(RackLossRun8)->Apply(CellSizes);
+BENCHMARK(RackLossRun1)->Apply(CellSizes);
+BENCHMARK(RoomForGang)->Apply(CellSizes);
+
+}  // namespace
+}  // namespace basilspring
