Look up old runs by workspace when guarantees are bound again

Cause: BindOldRun searched the old runs of all workspaces for each shape, which made rebinding quadratic in the number of runs. Change: old runs are kept by workspace.

--- a/src/version/guarantee_packer.cc
+++ b/src/version/guarantee_packer.cc
@@ -47,20 +47,18 @@
 
 GuaranteePacker::GuaranteePacker(std::vector<PackedWorker> workers, std::vector<PackedRack> racks,
                                  std::vector<OldRun> old_runs, PackOrder order)
-    : workers_(std::move(workers)),
-      racks_(std::move(racks)),
-      old_runs_(std::move(old_runs)),
-      order_(order) {
+    : workers_(std::move(workers)), racks_(std::move(racks)), order_(order) {
   for (PackedWorker& worker : workers_) worker.unbound = worker.all;
-  std::stable_sort(old_runs_.begin(), old_runs_.end(),
+  std::stable_sort(old_runs.begin(), old_runs.end(),
                    [](const OldRun& a, const OldRun& b) { return a.in_use && !b.in_use; });
-  for (const OldRun& run : old_runs_) {
+  for (const OldRun& run : old_runs) {
     PackedWorker& worker = workers_[run.worker];
     worker.old_runs |= run.accelerators;
     if (run.in_use) worker.old_in_use |= run.accelerators;
-    std::vector<AcceleratorMask>& own = own_old_runs_[run.workspace];
-    own.resize(workers_.size());
-    own[run.worker] |= run.accelerators;
+    OwnOldRuns& own = old_runs_[run.workspace];
+    own.runs.push_back(run);
+    own.by_worker.resize(workers_.size());
+    own.by_worker[run.worker] |= run.accelerators;
   }
 }
 
@@ -104,7 +102,7 @@
 }
 
 bool GuaranteePacker::BindBestRack(const WorkspaceId& workspace, bool only_old) {
-  const std::vector<AcceleratorMask>* own = OwnOldRuns(workspace);
+  const std::vector<AcceleratorMask>* own = OldByWorker(workspace);
   if (only_old && own == nullptr) return false;
   const PackedRack* best = nullptr;
   Rank best_rank;
@@ -127,7 +125,7 @@
 }
 
 bool GuaranteePacker::BindBestWorker(const WorkspaceId& workspace, bool only_old) {
-  const std::vector<AcceleratorMask>* own = OwnOldRuns(workspace);
+  const std::vector<AcceleratorMask>* own = OldByWorker(workspace);
   if (only_old && own == nullptr) return false;
   std::optional<std::size_t> best;
   Rank best_rank;
@@ -143,8 +141,10 @@
 }
 
 bool GuaranteePacker::BindOldRun(const WorkspaceId& workspace, std::uint32_t size) {
-  for (const OldRun& run : old_runs_) {
-    if (run.workspace != workspace || CountBits(run.accelerators) != size) continue;
+  const auto own = old_runs_.find(workspace);
+  if (own == old_runs_.end()) return false;
+  for (const OldRun& run : own->second.runs) {
+    if (CountBits(run.accelerators) != size) continue;
     const AcceleratorMask unbound = workers_[run.worker].unbound;
     if ((unbound & run.accelerators) != run.accelerators) continue;
     const auto first = static_cast<std::uint32_t>(std::countr_zero(run.accelerators));
@@ -156,7 +156,7 @@
 }
 
 bool GuaranteePacker::BindBestRun(const WorkspaceId& workspace, std::uint32_t size) {
-  const std::vector<AcceleratorMask>* own = OwnOldRuns(workspace);
+  const std::vector<AcceleratorMask>* own = OldByWorker(workspace);
   std::optional<std::pair<std::size_t, AcceleratorMask>> best;
   Rank best_rank;
   for (std::size_t i = 0; i < workers_.size(); ++i) {
@@ -187,10 +187,10 @@
   return bits(old & ~mine) + 3 * bits(in_use & ~mine) - bits(old & mine) - 3 * bits(in_use & mine);
 }
 
-const std::vector<AcceleratorMask>* GuaranteePacker::OwnOldRuns(
+const std::vector<AcceleratorMask>* GuaranteePacker::OldByWorker(
     const WorkspaceId& workspace) const {
-  const auto it = own_old_runs_.find(workspace);
-  return it == own_old_runs_.end() ? nullptr : &it->second;
+  const auto it = old_runs_.find(workspace);
+  return it == old_runs_.end() ? nullptr : &it->second.by_worker;
 }
 
 bool GuaranteePacker::Untouched(std::size_t worker) const {
--- a/src/version/guarantee_packer.h
+++ b/src/version/guarantee_packer.h
@@ -61,14 +61,18 @@
   /// How much binding the mask displaces from old runs of others, less what it keeps of own ones.
   int Displacement(const std::vector<AcceleratorMask>* own, std::size_t worker,
                    AcceleratorMask mask) const;
-  const std::vector<AcceleratorMask>* OwnOldRuns(const WorkspaceId& workspace) const;
+  const std::vector<AcceleratorMask>* OldByWorker(const WorkspaceId& workspace) const;
   bool Untouched(std::size_t worker) const;
   void Bind(const WorkspaceId& workspace, std::size_t worker, AcceleratorMask mask);
 
   std::vector<PackedWorker> workers_;
   std::vector<PackedRack> racks_;
-  std::vector<OldRun> old_runs_;
-  std::map<WorkspaceId, std::vector<AcceleratorMask>> own_old_runs_;
+  /// Old runs of one workspace: those in use first, and their accelerators by worker.
+  struct OwnOldRuns {
+    std::vector<OldRun> runs;
+    std::vector<AcceleratorMask> by_worker;
+  };
+  std::map<WorkspaceId, OwnOldRuns> old_runs_;
   PackOrder order_;
   BindingResult result_;
 };
