Search free blocks instead of positions when a run is bound

Cause: BindBestRun rated each position of each worker for each run, although the parts of a free block without old runs are alike. Change: the packer keeps the free blocks of each worker and rates one part of a block where no old run lies.

--- a/src/request/accelerator_runs.cc
+++ b/src/request/accelerator_runs.cc
@@ -16,6 +16,17 @@
   return enclosing;
 }
 
+std::vector<FreeBlock> FreeBlocks(AcceleratorMask free) {
+  std::vector<FreeBlock> blocks;
+  while (free != 0) {
+    const auto first = static_cast<std::uint32_t>(std::countr_zero(free));
+    const std::uint32_t size = EnclosingFreeBlock(free, first, 1);
+    blocks.push_back({first, size});
+    free &= ~RunMask(first, size);
+  }
+  return blocks;
+}
+
 std::uint32_t LargestFreeBlock(AcceleratorMask free) {
   for (std::uint32_t size = std::bit_floor(CountBits(free)); size > 0; size /= 2) {
     if (BestAlignedBlock(free, size) != 0) return size;
--- a/src/request/accelerator_runs.h
+++ b/src/request/accelerator_runs.h
@@ -3,6 +3,7 @@
 
 #include <bit>
 #include <cstdint>
+#include <vector>
 
 #include "basilspring/units.h"
 
@@ -27,6 +28,15 @@
 /// `free`; 0 when the block itself doesn't.
 std::uint32_t EnclosingFreeBlock(AcceleratorMask free, std::uint32_t first, std::uint32_t size);
 
+/// An aligned block of a power of two of accelerators.
+struct FreeBlock {
+  std::uint32_t first = 0;
+  std::uint32_t size = 0;
+};
+
+/// The largest aligned blocks that `free` consists of, from the lowest accelerator up.
+std::vector<FreeBlock> FreeBlocks(AcceleratorMask free);
+
 /// Size of the largest aligned power-of-two block inside `free`; 0 when `free` is empty.
 std::uint32_t LargestFreeBlock(AcceleratorMask free);
 
--- a/src/version/guarantee_packer.cc
+++ b/src/version/guarantee_packer.cc
@@ -48,7 +48,11 @@
 GuaranteePacker::GuaranteePacker(std::vector<PackedWorker> workers, std::vector<PackedRack> racks,
                                  std::vector<OldRun> old_runs, PackOrder order)
     : workers_(std::move(workers)), racks_(std::move(racks)), order_(order) {
-  for (PackedWorker& worker : workers_) worker.unbound = worker.all;
+  free_blocks_.reserve(workers_.size());
+  for (PackedWorker& worker : workers_) {
+    worker.unbound = worker.all;
+    free_blocks_.push_back(FreeBlocks(worker.all));
+  }
   std::stable_sort(old_runs.begin(), old_runs.end(),
                    [](const OldRun& a, const OldRun& b) { return a.in_use && !b.in_use; });
   for (const OldRun& run : old_runs) {
@@ -160,16 +164,20 @@
   std::optional<std::pair<std::size_t, AcceleratorMask>> best;
   Rank best_rank;
   for (std::size_t i = 0; i < workers_.size(); ++i) {
-    const AcceleratorMask unbound = workers_[i].unbound;
-    for (std::uint32_t first = 0; first < kMaxAcceleratorsPerWorker; first += size) {
-      if ((unbound >> first) == 0) break;
-      const std::uint32_t enclosing = EnclosingFreeBlock(unbound, first, size);
-      if (enclosing == 0) continue;
-      const AcceleratorMask mask = RunMask(first, size);
-      const Rank rank = RankOf(order_, Displacement(own, i, mask), enclosing);
-      if (best && rank >= best_rank) continue;
-      best = std::pair(i, mask);
-      best_rank = rank;
+    if (workers_[i].unbound == 0) continue;
+    for (const FreeBlock& block : free_blocks_[i]) {
+      if (block.size < size) continue;
+      // Parts of one block differ only in the old runs that they displace.
+      const bool uniform = (workers_[i].old_runs & RunMask(block.first, block.size)) == 0;
+      for (std::uint32_t at = 0; at < block.size; at += size) {
+        const AcceleratorMask mask = RunMask(block.first + at, size);
+        const Rank rank = RankOf(order_, Displacement(own, i, mask), block.size);
+        if (!best || rank < best_rank) {
+          best = std::pair(i, mask);
+          best_rank = rank;
+        }
+        if (uniform) break;
+      }
     }
   }
   if (!best) return false;
@@ -179,8 +187,9 @@
 
 int GuaranteePacker::Displacement(const std::vector<AcceleratorMask>* own, std::size_t worker,
                                   AcceleratorMask mask) const {
-  const AcceleratorMask mine = own == nullptr ? 0 : (*own)[worker];
   const AcceleratorMask old = workers_[worker].old_runs & mask;
+  if (old == 0) return 0;
+  const AcceleratorMask mine = own == nullptr ? 0 : (*own)[worker];
   const AcceleratorMask in_use = workers_[worker].old_in_use & mask;
   const auto bits = [](AcceleratorMask m) { return static_cast<int>(CountBits(m)); };
   // An old run in use counts four times an idle one: its tasks would become borrowers.
@@ -200,6 +209,7 @@
 void GuaranteePacker::Bind(const WorkspaceId& workspace, std::size_t worker, AcceleratorMask mask) {
   if (mask == 0) return;
   workers_[worker].unbound &= ~mask;
+  free_blocks_[worker] = FreeBlocks(workers_[worker].unbound);
   result_.runs.push_back({workspace, workers_[worker].id, mask});
 }
 
--- a/src/version/guarantee_packer.h
+++ b/src/version/guarantee_packer.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "basilspring/version/guarantee.h"
+#include "request/accelerator_runs.h"
 
 namespace basilspring::internal {
 
@@ -67,6 +68,8 @@
 
   std::vector<PackedWorker> workers_;
   std::vector<PackedRack> racks_;
+  /// The largest aligned blocks that the unbound accelerators of each worker form.
+  std::vector<std::vector<FreeBlock>> free_blocks_;
   /// Old runs of one workspace: those in use first, and their accelerators by worker.
   struct OwnOldRuns {
     std::vector<OldRun> runs;
