Check whether evictions can make enough room before choosing victims

Cause: a gang that doesn't fit even without borrowers went through the whole search for victims, up to four times in one decision, and waiting gangs are tried again and again. Change: the planner first counts the tasks that fit when all borrowers leave. The count is exact, because all tasks of a gang have one shape.

--- a/src/request/placement.cc
+++ b/src/request/placement.cc
@@ -212,10 +212,8 @@
 using BlockCounts = std::array<std::uint32_t, kLevels>;
 
 void CountBlocks(AcceleratorMask mask, BlockCounts& blocks) {
-  while (mask != 0) {
-    const std::uint32_t size = internal::LargestFreeBlock(mask);
-    mask &= ~internal::BestAlignedBlock(mask, size);
-    ++blocks[static_cast<std::size_t>(std::countr_zero(size))];
+  for (const internal::FreeBlock& block : internal::FreeBlocks(mask)) {
+    ++blocks[static_cast<std::size_t>(std::countr_zero(block.size))];
   }
 }
 
--- a/src/request/placement_victims.cc
+++ b/src/request/placement_victims.cc
@@ -83,6 +83,7 @@
 
   std::optional<Plan> Run() {
     CollectGangs();
+    if (!FitsWithoutBorrowers()) return std::nullopt;
     for (std::size_t i = 0; i < workers_.size(); ++i) Update(i);
     Plan plan;
     while (plan.tasks.size() < shape_.tasks) {
@@ -98,6 +99,8 @@
   void AddPart(std::size_t index, std::size_t gang, const PlacedTask& task);
   void RatePart(const PlacedTask& task, Gang& gang) const;
   bool MayEvict(const Gang& gang) const;
+  bool FitsWithoutBorrowers() const;
+  std::optional<Room> ReachableRoom(std::size_t index) const;
   void Update(std::size_t index);
   void UpdateRun(std::size_t index, const Room& reachable);
   void UpdateScattered(std::size_t index, const Room& reachable);
@@ -250,12 +253,12 @@
   worker.best = Clear(worker, candidates_.list[index], mask);
 }
 
-void VictimPlanner::Update(std::size_t index) {
-  WorkerPlan& worker = workers_[index];
+// What the job could have on a worker if all borrowers left; nothing when no task fits there.
+std::optional<Room> VictimPlanner::ReachableRoom(std::size_t index) const {
+  const WorkerPlan& worker = workers_[index];
   const Candidate& candidate = candidates_.list[index];
-  worker.best = {};
-  if (!Usable(candidate, scope_) || (candidate.avoided && !use_avoided_)) return;
-  if (scope_ == Scope::kGuaranteed && !worker.share.HoldsTask(shape_)) return;
+  if (!Usable(candidate, scope_) || (candidate.avoided && !use_avoided_)) return std::nullopt;
+  if (scope_ == Scope::kGuaranteed && !worker.share.HoldsTask(shape_)) return std::nullopt;
   WorkerPlan emptied;
   emptied.cores = worker.cores;
   emptied.memory = worker.memory;
@@ -265,14 +268,45 @@
     if (!gangs_[part.gang].chosen) emptied.GiveBack(part);
   }
   Room reachable = RoomOf(emptied, candidate);
-  if (!reachable.HoldsTask(shape_)) return;
+  if (!reachable.HoldsTask(shape_)) return std::nullopt;
   if (scope_ == Scope::kGuaranteed) reachable.accelerators &= candidate.own;
+  return reachable;
+}
+
+// Spares the search for victims when even all of them would not make enough room.
+bool VictimPlanner::FitsWithoutBorrowers() const {
+  std::uint32_t fitting = 0;
+  for (std::size_t i = 0; i < workers_.size(); ++i) {
+    std::optional<Room> room = ReachableRoom(i);
+    if (!room) continue;
+    if (scope_ == Scope::kGuaranteed) {
+      const Room& share = workers_[i].share;
+      room->cores = std::min(room->cores, share.cores);
+      room->memory = std::min(room->memory, share.memory);
+      room->slots = std::min(room->slots, share.slots);
+    }
+    while (fitting < shape_.tasks) {
+      const auto mask = FirstFitMask(shape_, *room);
+      if (!mask) break;
+      room->Take(shape_, *mask);
+      ++fitting;
+    }
+    if (fitting == shape_.tasks) return true;
+  }
+  return false;
+}
+
+void VictimPlanner::Update(std::size_t index) {
+  WorkerPlan& worker = workers_[index];
+  worker.best = {};
+  const std::optional<Room> reachable = ReachableRoom(index);
+  if (!reachable) return;
   if (shape_.accelerators.value() == 0) {
-    worker.best = Clear(worker, candidate, 0);
+    worker.best = Clear(worker, candidates_.list[index], 0);
   } else if (shape_.adjacent) {
-    UpdateRun(index, reachable);
+    UpdateRun(index, *reachable);
   } else {
-    UpdateScattered(index, reachable);
+    UpdateScattered(index, *reachable);
   }
 }
 
