Collect the running gangs once for each placement decision

Cause: each attempt with victims built the table of running gangs again, up to four times in one decision.

--- a/src/request/placement.cc
+++ b/src/request/placement.cc
@@ -95,7 +95,7 @@
 // Free room comes before preemption: work that can start at once disturbs nobody, and its
 // workspace can still reclaim its guarantee later.
 std::optional<ScoredPlan> ScoreStages(const PlacementInput& input, const Candidates& candidates,
-                                      bool use_avoided) {
+                                      std::optional<internal::GangTable>& gangs, bool use_avoided) {
   const GangShape& shape = input.job->shape;
   const bool holds_guarantee =
       shape.accelerators.value() > 0 &&
@@ -109,12 +109,13 @@
   plan = internal::PlanInFreeRoom(shape, candidates, Scope::kAnywhere, use_avoided);
   if (plan) return ScoredPlan{*std::move(plan), false};
   if (!input.may_preempt) return std::nullopt;
+  if (!gangs) gangs = internal::CollectGangs(candidates, input.now);
   if (holds_guarantee) {
-    plan = internal::PlanWithVictims(input, candidates, Scope::kGuaranteed, use_avoided);
+    plan = internal::PlanWithVictims(input, candidates, *gangs, Scope::kGuaranteed, use_avoided);
     if (plan) return ScoredPlan{*std::move(plan), true};
   }
   if (input.job->job_class != JobClass::kUrgent) return std::nullopt;
-  plan = internal::PlanWithVictims(input, candidates, Scope::kAnywhere, use_avoided);
+  plan = internal::PlanWithVictims(input, candidates, *gangs, Scope::kAnywhere, use_avoided);
   if (plan) return ScoredPlan{*std::move(plan), false};
   return std::nullopt;
 }
@@ -137,8 +138,9 @@
 
 std::optional<ScoredPlan> ScoreWorkers(const PlacementInput& input, const Candidates& candidates) {
   if (input.policy == PlacementPolicy::kFirstFit) return PlanFirstFit(input, candidates);
-  std::optional<ScoredPlan> scored = ScoreStages(input, candidates, false);
-  if (!scored && !input.avoid.empty()) scored = ScoreStages(input, candidates, true);
+  std::optional<internal::GangTable> gangs;
+  std::optional<ScoredPlan> scored = ScoreStages(input, candidates, gangs, false);
+  if (!scored && !input.avoid.empty()) scored = ScoreStages(input, candidates, gangs, true);
   return scored;
 }
 
--- a/src/request/placement_plan.h
+++ b/src/request/placement_plan.h
@@ -95,11 +95,39 @@
 std::optional<Plan> PlanInFreeRoom(const GangShape& shape, const Candidates& candidates,
                                    Scope scope, bool use_avoided);
 
+/// The part of a gang that is on one worker.
+struct GangPart {
+  std::size_t gang = 0;
+  std::uint64_t cores = 0;
+  std::uint64_t memory = 0;
+  std::uint64_t slots = 0;
+  AcceleratorMask accelerators = 0;
+};
+
+/// An attempt with what its end would cost.
+struct Gang {
+  const PlacedTask* any_task = nullptr;
+  bool borrowed = false;
+  /// Accelerator milliseconds that it has run.
+  double work = 0;
+  /// Its rank among victims: work within a class, higher classes above all work of lower ones.
+  double cost = 0;
+  std::vector<std::size_t> workers;
+};
+
+/// The gangs that run in the cell, and their parts by candidate. It is the same for all attempts of
+/// one decision.
+struct GangTable {
+  std::vector<Gang> gangs;
+  std::vector<std::vector<GangPart>> parts;
+};
+GangTable CollectGangs(const Candidates& candidates, TimePoint now);
+
 /// Places the gang in free room and the room of borrowed gangs, those with the least work lost
 /// first; nothing when it doesn't fit. Borrowers of any class yield to a guarantee; outside it,
 /// only batch and background work yields.
 std::optional<Plan> PlanWithVictims(const PlacementInput& input, const Candidates& candidates,
-                                    Scope scope, bool use_avoided);
+                                    const GangTable& gangs, Scope scope, bool use_avoided);
 
 }  // namespace basilspring::internal
 
--- a/src/request/placement_victims.cc
+++ b/src/request/placement_victims.cc
@@ -1,8 +1,7 @@
 #include <algorithm>
 #include <bit>
 #include <limits>
-#include <string_view>
-#include <unordered_map>
+#include <utility>
 
 #include "request/accelerator_runs.h"
 #include "request/placement_plan.h"
@@ -10,29 +9,6 @@
 namespace basilspring::internal {
 namespace {
 
-// A victim of a higher class costs more than any number of victims of the class below it: no gang
-// of 64 tasks with 32 accelerators each loses 10^13 accelerator milliseconds within 50 days.
-constexpr double kClassStep = 1e13;
-
-// An attempt with the room it holds, over all workers.
-struct Gang {
-  const PlacedTask* any_task = nullptr;
-  bool borrowed = false;
-  bool chosen = false;
-  double work = 0;
-  double cost = 0;
-  std::vector<std::size_t> workers;
-};
-
-// The part of a gang that is on one worker.
-struct GangPart {
-  std::size_t gang = 0;
-  std::uint64_t cores = 0;
-  std::uint64_t memory = 0;
-  std::uint64_t slots = 0;
-  AcceleratorMask accelerators = 0;
-};
-
 // One way to make room for a task on a worker.
 struct Option {
   double victims_cost = std::numeric_limits<double>::infinity();
@@ -73,16 +49,18 @@
 
 class VictimPlanner {
  public:
-  VictimPlanner(const PlacementInput& input, const Candidates& candidates, Scope scope,
-                bool use_avoided)
+  VictimPlanner(const PlacementInput& input, const Candidates& candidates, const GangTable& table,
+                Scope scope, bool use_avoided)
       : input_(input),
         shape_(input.job->shape),
         candidates_(candidates),
+        gangs_(table.gangs),
+        chosen_(table.gangs.size()),
         scope_(scope),
         use_avoided_(use_avoided) {}
 
-  std::optional<Plan> Run() {
-    CollectGangs();
+  std::optional<Plan> Run(const GangTable& table) {
+    for (const std::vector<GangPart>& parts : table.parts) AddWorker(parts);
     if (!FitsWithoutBorrowers()) return std::nullopt;
     for (std::size_t i = 0; i < workers_.size(); ++i) Update(i);
     Plan plan;
@@ -95,9 +73,7 @@
   }
 
  private:
-  void CollectGangs();
-  void AddPart(std::size_t index, std::size_t gang, const PlacedTask& task);
-  void RatePart(const PlacedTask& task, Gang& gang) const;
+  void AddWorker(const std::vector<GangPart>& parts);
   bool MayEvict(const Gang& gang) const;
   bool FitsWithoutBorrowers() const;
   std::optional<Room> ReachableRoom(std::size_t index) const;
@@ -112,20 +88,13 @@
   const PlacementInput& input_;
   const GangShape& shape_;
   const Candidates& candidates_;
+  const std::vector<Gang>& gangs_;
+  std::vector<bool> chosen_;
   Scope scope_;
   bool use_avoided_;
-  std::vector<Gang> gangs_;
   std::vector<WorkerPlan> workers_;
 };
 
-void VictimPlanner::RatePart(const PlacedTask& task, Gang& gang) const {
-  const auto run_time = std::max<std::int64_t>((input_.now - task.started).milliseconds(), 0);
-  // A task without accelerators counts as an eighth of one, so that its run time still matters.
-  const double accelerators = task.accelerators == 0 ? 0.125 : CountBits(task.accelerators);
-  gang.work += accelerators * static_cast<double>(run_time);
-  gang.borrowed = gang.borrowed || task.borrowed;
-}
-
 bool VictimPlanner::MayEvict(const Gang& gang) const {
   if (!gang.borrowed) return false;
   const PlacedTask& task = *gang.any_task;
@@ -134,49 +103,15 @@
   return task.workspace != input_.job->workspace || task.job_class > input_.job->job_class;
 }
 
-void VictimPlanner::CollectGangs() {
-  std::unordered_map<std::string_view, std::size_t> by_attempt;
-  workers_.resize(candidates_.list.size());
-  for (std::size_t i = 0; i < workers_.size(); ++i) {
-    workers_[i].share = candidates_.list[i].share;
-    for (const PlacedTask& task : candidates_.list[i].worker->tasks) {
-      const std::size_t gang =
-          by_attempt.try_emplace(task.attempt.value(), gangs_.size()).first->second;
-      if (gang == gangs_.size()) gangs_.push_back({&task});
-      RatePart(task, gangs_[gang]);
-      AddPart(i, gang, task);
-    }
-  }
-  for (Gang& gang : gangs_) {
-    const auto lower_classes =
-        static_cast<double>(JobClass::kBackground) - static_cast<double>(gang.any_task->job_class);
-    gang.cost = gang.work + lower_classes * kClassStep + 1;
-  }
-  for (WorkerPlan& worker : workers_) {
-    std::erase_if(worker.parts, [&](const GangPart& p) { return !MayEvict(gangs_[p.gang]); });
-    std::sort(worker.parts.begin(), worker.parts.end(), [&](const GangPart& a, const GangPart& b) {
-      return gangs_[a.gang].cost < gangs_[b.gang].cost;
-    });
-  }
-}
-
-void VictimPlanner::AddPart(std::size_t index, std::size_t gang, const PlacedTask& task) {
-  WorkerPlan& worker = workers_[index];
-  const GangPart part{gang, task.shape.cores.value(), task.shape.memory.value(), 1,
-                      task.accelerators};
-  worker.Take(part);
-  std::vector<std::size_t>& workers = gangs_[gang].workers;
-  if (workers.empty() || workers.back() != index) {
-    workers.push_back(index);
-    worker.parts.push_back(part);
-    return;
+void VictimPlanner::AddWorker(const std::vector<GangPart>& parts) {
+  WorkerPlan worker;
+  worker.share = candidates_.list[workers_.size()].share;
+  worker.parts.reserve(parts.size());
+  for (const GangPart& part : parts) {
+    worker.Take(part);
+    if (MayEvict(gangs_[part.gang])) worker.parts.push_back(part);
   }
-  const auto same = std::find_if(worker.parts.begin(), worker.parts.end(),
-                                 [gang](const GangPart& p) { return p.gang == gang; });
-  same->cores += part.cores;
-  same->memory += part.memory;
-  same->slots += 1;
-  same->accelerators |= part.accelerators;
+  workers_.push_back(std::move(worker));
 }
 
 Room VictimPlanner::RoomOf(const WorkerPlan& worker, const Candidate& candidate) const {
@@ -207,12 +142,12 @@
     option.gangs.push_back(part.gang);
   };
   for (const GangPart& part : worker.parts) {
-    if (!gangs_[part.gang].chosen && (part.accelerators & mask) != 0) evict(part);
+    if (!chosen_[part.gang] && (part.accelerators & mask) != 0) evict(part);
   }
   if ((left.held & mask) != 0) return {};
   for (const GangPart& part : worker.parts) {
     if (RoomOf(left, candidate).HoldsTask(shape_)) break;
-    if (!gangs_[part.gang].chosen && (part.accelerators & mask) == 0) evict(part);
+    if (!chosen_[part.gang] && (part.accelerators & mask) == 0) evict(part);
   }
   if (!RoomOf(left, candidate).HoldsTask(shape_)) return {};
   option.victims_cost = cost;
@@ -245,7 +180,7 @@
   AcceleratorMask pool = reachable.accelerators & ~worker.held;
   for (const GangPart& part : worker.parts) {
     if (CountBits(pool) >= count) break;
-    if (!gangs_[part.gang].chosen) pool |= part.accelerators & reachable.accelerators;
+    if (!chosen_[part.gang]) pool |= part.accelerators & reachable.accelerators;
   }
   const AcceleratorMask free = pool & ~worker.held;
   AcceleratorMask mask = ScatteredAccelerators(free, std::min(count, CountBits(free)));
@@ -265,7 +200,7 @@
   emptied.slots = worker.slots;
   emptied.held = worker.held;
   for (const GangPart& part : worker.parts) {
-    if (!gangs_[part.gang].chosen) emptied.GiveBack(part);
+    if (!chosen_[part.gang]) emptied.GiveBack(part);
   }
   Room reachable = RoomOf(emptied, candidate);
   if (!reachable.HoldsTask(shape_)) return std::nullopt;
@@ -322,8 +257,8 @@
   const Option option = std::move(workers_[index].best);
   std::vector<std::size_t> changed = {index};
   for (const std::size_t number : option.gangs) {
-    Gang& gang = gangs_[number];
-    gang.chosen = true;
+    const Gang& gang = gangs_[number];
+    chosen_[number] = true;
     plan.work_lost += gang.work;
     for (const std::size_t i : gang.workers) {
       for (const GangPart& part : workers_[i].parts) {
@@ -344,9 +279,9 @@
 }  // namespace
 
 std::optional<Plan> PlanWithVictims(const PlacementInput& input, const Candidates& candidates,
-                                    Scope scope, bool use_avoided) {
+                                    const GangTable& gangs, Scope scope, bool use_avoided) {
   if (candidates.list.empty()) return std::nullopt;
-  return VictimPlanner(input, candidates, scope, use_avoided).Run();
+  return VictimPlanner(input, candidates, gangs, scope, use_avoided).Run(gangs);
 }
 
 }  // namespace basilspring::internal
