Keep an accepted guarantee bindable when racks differ in size; add probation

Cause: the generator of the property began with the lowest values, so that few of its 100 cases had many workers. With whole ranges it found a fault: after workers had come back, a rack guarantee stayed on an old rack that was larger than needed, and other guarantees found no room. Change: the tight packing takes old racks and workers only where it would take them anyway. The seed's case is an example test, which fails without the change. WorkerState and CellState have probation: such a worker takes one task at a time; guarantees and reservations leave it out. The property changes trust too.

--- a/include/basilspring/request/cell_state.h
+++ b/include/basilspring/request/cell_state.h
@@ -37,6 +37,8 @@
   /// Takes new work: a backend server is there, it isn't leaving, the heartbeat is recent.
   bool accepting = false;
   bool quarantined = false;
+  /// Takes one task at a time, after a quarantine.
+  bool probation = false;
   Cores free_cores;
   Megabytes free_memory;
   Slots free_slots;
@@ -44,6 +46,10 @@
   std::vector<PlacedTask> tasks;
 };
 
+/// Whether a worker is in full service: it takes new work and is neither in quarantine nor on
+/// probation.
+bool InFullService(const WorkerState& worker);
+
 /// Accelerators that a guarantee is bound to. Guaranteed tasks of the workspace run only inside its
 /// own runs, and nobody else's guaranteed task does, so evicting borrowers always frees the whole
 /// guarantee.
@@ -61,6 +67,7 @@
                     const WorkerCapacity& capacity, bool accepting);
   void SetAccepting(const WorkerId& id, bool accepting);
   void SetQuarantined(const WorkerId& id, bool quarantined);
+  void SetProbation(const WorkerId& id, bool probation);
   /// Removes a worker with its tasks and returns them.
   std::vector<PlacedTask> RemoveWorker(const WorkerId& id);
 
--- a/include/basilspring/request/room_reservation.h
+++ b/include/basilspring/request/room_reservation.h
@@ -25,7 +25,7 @@
 using ExpectedEnd = std::function<TimePoint(const PlacedTask&)>;
 
 /// Chooses the workers that have room for the gang first. Nothing when the cell's workers that are
-/// in service can't hold it. O(tasks of the cell × tasks that fit on a worker).
+/// in full service can't hold it. O(tasks of the cell × tasks that fit on a worker).
 std::optional<RoomReservation> ReserveRoom(const CellState& cell, const JobId& job,
                                            const GangShape& shape, TimePoint now,
                                            const ExpectedEnd& expected_end);
--- a/include/basilspring/version/guarantee.h
+++ b/include/basilspring/version/guarantee.h
@@ -55,8 +55,7 @@
 
 /// Binds the guarantees to the workers of a cell. Runs of `cell.bound_runs()` that still stand for
 /// a guarantee are kept where possible, above all those with guaranteed tasks on them; the rest
-/// move. Workers that take no new work or are in quarantine are left out, and their racks don't
-/// count as whole.
+/// move. Workers that are not in full service are left out, and their racks don't count as whole.
 BindingResult BindGuarantees(const CellState& cell, const std::vector<Guarantee>& guarantees);
 
 /// Makes `runs` the bound runs of the cell and sets for each task whether it is borrowed. A gang is
--- a/src/request/cell_state.cc
+++ b/src/request/cell_state.cc
@@ -41,6 +41,10 @@
 
 }  // namespace
 
+bool InFullService(const WorkerState& worker) {
+  return worker.accepting && !worker.quarantined && !worker.probation;
+}
+
 void CellState::UpsertWorker(const WorkerId& id, const RackId& rack, const Address& agent,
                              const WorkerCapacity& capacity, bool accepting) {
   WorkerState& worker = workers_[id];
@@ -62,6 +66,11 @@
   if (it != workers_.end()) it->second.quarantined = quarantined;
 }
 
+void CellState::SetProbation(const WorkerId& id, bool probation) {
+  const auto it = workers_.find(id);
+  if (it != workers_.end()) it->second.probation = probation;
+}
+
 std::vector<PlacedTask> CellState::RemoveWorker(const WorkerId& id) {
   const auto it = workers_.find(id);
   if (it == workers_.end()) return {};
--- a/src/request/placement.cc
+++ b/src/request/placement.cc
@@ -67,7 +67,7 @@
     candidate.exclusion = FindExclusion(input, worker);
     candidate.avoided = Contains(input.avoid, id);
     candidate.free = {worker.free_cores.value(), worker.free_memory.value(),
-                      worker.free_slots.value(), worker.free_accelerators};
+                      internal::FreeSlots(worker, worker.tasks.size()), worker.free_accelerators};
     candidate.rack = racks.try_emplace(worker.rack.value(), racks.size()).first->second;
     if (candidate.rack == candidates.racks.size()) candidates.racks.emplace_back();
     candidates.racks[candidate.rack].push_back(candidates.list.size());
@@ -274,7 +274,7 @@
   BlockCounts free_blocks{};
   BlockCounts all_blocks{};
   for (const auto& [id, worker] : cell.workers()) {
-    if (!worker.accepting || worker.quarantined) continue;
+    if (!InFullService(worker)) continue;
     result.free += CountBits(worker.free_accelerators);
     result.largest_run =
         std::max(result.largest_run, internal::LargestFreeBlock(worker.free_accelerators));
--- a/src/request/placement_plan.cc
+++ b/src/request/placement_plan.cc
@@ -167,6 +167,12 @@
   accelerators &= ~mask;
 }
 
+std::uint32_t FreeSlots(const WorkerState& worker, std::uint64_t used) {
+  std::uint32_t slots = worker.capacity.slots.value();
+  if (worker.probation) slots = std::min(slots, 1U);
+  return used >= slots ? 0 : slots - static_cast<std::uint32_t>(used);
+}
+
 Room ShareOf(const WorkerCapacity& capacity, AcceleratorMask accelerators) {
   const std::uint64_t all = capacity.accelerators.value();
   if (all == 0) return {};
--- a/src/request/placement_plan.h
+++ b/src/request/placement_plan.h
@@ -22,6 +22,9 @@
   void Take(const GangShape& shape, AcceleratorMask mask);
 };
 
+/// Slots that are free on a worker with `used` tasks; a worker on probation has only one.
+std::uint32_t FreeSlots(const WorkerState& worker, std::uint64_t used);
+
 /// The part of a worker's cores, memory and slots that belongs to these of its accelerators,
 /// rounded down.
 Room ShareOf(const WorkerCapacity& capacity, AcceleratorMask accelerators);
--- a/src/request/placement_victims.cc
+++ b/src/request/placement_victims.cc
@@ -120,7 +120,7 @@
     return used >= total ? 0U : total - static_cast<std::uint32_t>(used);
   };
   return {left(capacity.cores.value(), worker.cores), left(capacity.memory.value(), worker.memory),
-          left(capacity.slots.value(), worker.slots),
+          FreeSlots(*candidate.worker, worker.slots),
           AllAccelerators(capacity.accelerators.value()) & ~worker.held};
 }
 
--- a/src/request/room_reservation.cc
+++ b/src/request/room_reservation.cc
@@ -66,7 +66,7 @@
                                            const ExpectedEnd& expected_end) {
   std::vector<RoomAt> timeline;
   for (const auto& [id, worker] : cell.workers()) {
-    if (worker.accepting && !worker.quarantined) {
+    if (InFullService(worker)) {
       AppendTimeline(worker, shape, now, expected_end, timeline);
     }
   }
--- a/src/version/guarantee.cc
+++ b/src/version/guarantee.cc
@@ -58,7 +58,7 @@
   for (const auto& [id, worker] : cell.workers()) {
     const std::size_t rack = racks.try_emplace(worker.rack.value(), racks.size()).first->second;
     if (rack == inventory.racks.size()) inventory.racks.emplace_back();
-    if (!worker.accepting || worker.quarantined) {
+    if (!InFullService(worker)) {
       inventory.racks[rack].whole = false;
       continue;
     }
--- a/src/version/guarantee_packer.cc
+++ b/src/version/guarantee_packer.cc
@@ -80,6 +80,9 @@
   AddShortfalls(guarantees, "rack",
                 TakeShapes(guarantees, &Guarantee::rack,
                            [this](const WorkspaceId& workspace, bool only_old) {
+                             // An old rack may be larger than needed, so it goes first only where
+                             // room isn't tight.
+                             if (only_old && order_ == PackOrder::kTightest) return false;
                              return BindBestRack(workspace, only_old);
                            }),
                 result_);
@@ -89,6 +92,7 @@
   AddShortfalls(guarantees, "worker",
                 TakeShapes(guarantees, &Guarantee::worker,
                            [this](const WorkspaceId& workspace, bool only_old) {
+                             if (only_old && order_ == PackOrder::kTightest) return false;
                              return BindBestWorker(workspace, only_old);
                            }),
                 result_);
--- a/tests/request/placement_property_test.cc
+++ b/tests/request/placement_property_test.cc
@@ -13,22 +13,26 @@
 constexpr std::size_t kWorkspaces = 4;
 constexpr AcceleratorMask kAll = 0xff;
 
+// Whole range from the first case on; rapidcheck alone would begin with the lowest values.
+template <typename T>
+T AnyOf(T first, T end) {
+  return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(first, end));
+}
+
 WorkspaceId Workspace(std::size_t i) { return WorkspaceId("team" + std::to_string(i)); }
 
 // A cell of 3 to 9 workers, with guarantees that were accepted, through random jobs, ends of jobs,
-// losses and returns of workers, and the data centre out and in.
+// losses, quarantines and returns of workers, and the data centre out and in.
 class Model {
  public:
-  Model() : workers_(*rc::gen::inRange<std::size_t>(3, 10)) {
+  Model() : workers_(AnyOf<std::size_t>(3, 10)) {
     std::vector<RackInventory> racks((workers_ + 2) / 3);
     for (std::size_t i = 0; i < workers_; ++i) {
       racks[i / 3].rack = Rack(i);
       racks[i / 3].workers.push_back({Id(i), 8});
       Upsert(i, true);
     }
-    const auto count = [](int most) {
-      return static_cast<std::uint32_t>(*rc::gen::inRange(0, most + 1));
-    };
+    const auto count = [](int most) { return static_cast<std::uint32_t>(AnyOf(0, most + 1)); };
     for (std::size_t i = 0; i < kWorkspaces; ++i) {
       const Guarantee guarantee{Workspace(i), count(3), count(2),    count(2),
                                 count(1),     count(1), count(4) / 4};
@@ -42,18 +46,20 @@
 
   void Step() {
     now_ = now_ + Duration(1000);
-    switch (*rc::gen::weightedElement<int>({{12, 0}, {4, 1}, {1, 2}, {2, 3}, {1, 4}})) {
+    switch (*rc::gen::weightedElement<int>({{12, 0}, {4, 1}, {1, 2}, {2, 3}, {1, 4}, {1, 5}})) {
       case 0:
         return Submit(RandomJob());
       case 1:
         return EndRandomJob();
       case 2:
-        return LoseWorker(*rc::gen::inRange<std::size_t>(0, workers_));
+        return LoseWorker(AnyOf<std::size_t>(0, workers_));
       case 3:
-        Upsert(*rc::gen::inRange<std::size_t>(0, workers_), true);
+        Upsert(AnyOf<std::size_t>(0, workers_), true);
         return Rebind();
-      default:
+      case 4:
         return TakeDataCentreOutAndIn();
+      default:
+        return ChangeTrust(Id(AnyOf<std::size_t>(0, workers_)));
     }
   }
 
@@ -78,9 +84,10 @@
   void Rebind() {
     BindingResult binding = BindGuarantees(cell_, guarantees_);
     shortfalls_ = binding.shortfalls;
-    const bool complete = cell_.workers().size() == workers_ &&
-                          std::all_of(cell_.workers().begin(), cell_.workers().end(),
-                                      [](const auto& entry) { return entry.second.accepting; });
+    const bool complete =
+        cell_.workers().size() == workers_ &&
+        std::all_of(cell_.workers().begin(), cell_.workers().end(),
+                    [](const auto& entry) { return InFullService(entry.second); });
     if (complete) RC_ASSERT(shortfalls_.empty());
     ApplyBinding(cell_, std::move(binding.runs));
   }
@@ -88,12 +95,12 @@
   JobSpec RandomJob() {
     JobSpec job;
     job.id = JobId("j" + std::to_string(++jobs_));
-    job.workspace = Workspace(*rc::gen::inRange<std::size_t>(0, kWorkspaces));
+    job.workspace = Workspace(AnyOf<std::size_t>(0, kWorkspaces));
     job.job_class = *rc::gen::element(JobClass::kUrgent, JobClass::kBatch, JobClass::kBackground);
-    job.shape.tasks = *rc::gen::inRange(1U, 13U);
-    job.shape.cores = Cores(*rc::gen::inRange(1U, 7U));
-    job.shape.memory = Megabytes(*rc::gen::inRange(1U, 500U));
-    job.shape.accelerators = Accelerators(*rc::gen::inRange(0U, 9U));
+    job.shape.tasks = AnyOf(1U, 13U);
+    job.shape.cores = Cores(AnyOf(1U, 7U));
+    job.shape.memory = Megabytes(AnyOf(1U, 500U));
+    job.shape.accelerators = Accelerators(AnyOf(0U, 9U));
     job.shape.adjacent = *rc::gen::arbitrary<bool>();
     return job;
   }
@@ -165,6 +172,12 @@
     Rebind();
   }
 
+  void ChangeTrust(const WorkerId& id) {
+    cell_.SetQuarantined(id, *rc::gen::arbitrary<bool>());
+    cell_.SetProbation(id, *rc::gen::arbitrary<bool>());
+    Rebind();
+  }
+
   // Workers keep their tasks while the data centre is out.
   void TakeDataCentreOutAndIn() {
     for (std::size_t i = 0; i < workers_; ++i) cell_.SetAccepting(Id(i), false);
@@ -253,7 +266,7 @@
 TEST(PlacementProperty, GuaranteesCanAlwaysBeReclaimed) {
   const bool holds = rc::check([] {
     Model model;
-    const int steps = *rc::gen::inRange(1, 40);
+    const int steps = AnyOf(1, 40);
     for (int i = 0; i < steps; ++i) {
       model.Step();
       model.Check();
--- a/tests/request/placement_test.cc
+++ b/tests/request/placement_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <set>
 
 #include "basilspring/version/guarantee.h"
@@ -136,6 +137,18 @@
   EXPECT_EQ(std::get<Placed>(PlaceGang(input)).tasks[0].worker, Id(0));
 }
 
+// Guards against a gang that puts several tasks on a worker which has just left quarantine.
+TEST(PlaceGang, ProbationTakesOneTaskAtATime) {
+  CellState cell = MakeCell(2);
+  cell.SetProbation(Id(0), true);
+  const auto placed = std::get<Placed>(Place(cell, Job(kQuotes, 9, 1)));
+  EXPECT_EQ(std::count_if(placed.tasks.begin(), placed.tasks.end(),
+                          [](const TaskPlacement& task) { return task.worker == Id(0); }),
+            1);
+  cell.AddTask(Id(0), Task("a", kForecasts, 1));
+  EXPECT_TRUE(std::holds_alternative<NotPlaced>(Place(cell, Job(kQuotes, 9, 1))));
+}
+
 // The baseline must stay plain, or comparisons with it mean nothing.
 TEST(PlaceGang, FirstFitTakesTheFirstWorker) {
   CellState cell = MakeCell(6);
@@ -172,5 +185,15 @@
   EXPECT_EQ(DescribeShortfalls({{kQuotes, "run8", 2}}), "workspace quotes: 2 of run8 don't fit");
 }
 
+// Guards against a shortfall after workers come back, because a rack guarantee stays on a rack that
+// is larger than needed (found by the property, seed 1968903991243933947).
+TEST(BindGuarantees, MovesToTheSmallerRackWhenRoomIsTight) {
+  CellState cell = MakeCell(4);
+  const std::vector<Guarantee> guarantees = {{kQuotes, 0, 0, 0, 0, 0, 1},
+                                             {kForecasts, 0, 0, 0, 0, 3, 0}};
+  ApplyBinding(cell, {{kQuotes, Id(0), 0xff}, {kQuotes, Id(1), 0xff}, {kQuotes, Id(2), 0xff}});
+  EXPECT_TRUE(BindGuarantees(cell, guarantees).shortfalls.empty());
+}
+
 }  // namespace
 }  // namespace basilspring
