Keep the shape of a guarantee when its workspace starts small jobs first

Change: a guaranteed placement takes the smallest of the workspace's own runs that fits before it looks at the work lost. Where that run is lent and may not be reclaimed, the job starts elsewhere as a borrower, and a later large job of the workspace may evict it; so a workspace's own borrowed work of the same or a lower class can be a victim of its guarantee. Accepting and binding go through the workers in the same order, and binding falls back to a fresh packing, so that what was accepted can be bound. Ruled out: guaranteed placement in any free own run, which is what failed.

--- a/include/basilspring/request/placement.h
+++ b/include/basilspring/request/placement.h
@@ -73,10 +73,10 @@
 };
 
 /// Decides where the gang goes: all of it or nothing. Tried in this order: the workspace's own runs
-/// as far as free, any free room, the workspace's own runs with borrowers evicted, and, for urgent
-/// jobs, the room of borrowed batch and background work; then all again with the avoided workers. A
-/// gang that doesn't fit into the workspace's own runs whole is borrowed whole. Pure; the cost is
-/// O(workers × (tasks of the gang + tasks of a worker)).
+/// if they are free, any free room, the workspace's own runs with borrowers evicted, and, for
+/// urgent jobs, the room of borrowed batch and background work; then all again with the avoided
+/// workers. A gang that doesn't fit into the workspace's own runs whole is borrowed whole. Pure;
+/// the cost is O(workers × (tasks of the gang + tasks of a worker)).
 PlacementResult PlaceGang(const PlacementInput& input);
 
 /// Whether the shape could ever be placed on this cell's workers if they were all empty and in
--- a/src/request/placement.cc
+++ b/src/request/placement.cc
@@ -101,19 +101,19 @@
       shape.accelerators.value() > 0 &&
       std::any_of(candidates.list.begin(), candidates.list.end(),
                   [](const Candidate& candidate) { return candidate.own != 0; });
-  std::optional<Plan> plan;
+  if (!gangs && (holds_guarantee || input.may_preempt)) {
+    gangs = internal::CollectGangs(candidates, input.now);
+  }
+  std::optional<Plan> guaranteed;
   if (holds_guarantee) {
-    plan = internal::PlanInFreeRoom(shape, candidates, Scope::kGuaranteed, use_avoided);
-    if (plan) return ScoredPlan{*std::move(plan), true};
+    guaranteed =
+        internal::PlanWithVictims(input, candidates, *gangs, Scope::kGuaranteed, use_avoided);
+    if (guaranteed && guaranteed->victims.empty()) return ScoredPlan{*std::move(guaranteed), true};
   }
-  plan = internal::PlanInFreeRoom(shape, candidates, Scope::kAnywhere, use_avoided);
+  std::optional<Plan> plan = internal::PlanInFreeRoom(shape, candidates, use_avoided);
   if (plan) return ScoredPlan{*std::move(plan), false};
   if (!input.may_preempt) return std::nullopt;
-  if (!gangs) gangs = internal::CollectGangs(candidates, input.now);
-  if (holds_guarantee) {
-    plan = internal::PlanWithVictims(input, candidates, *gangs, Scope::kGuaranteed, use_avoided);
-    if (plan) return ScoredPlan{*std::move(plan), true};
-  }
+  if (guaranteed) return ScoredPlan{*std::move(guaranteed), true};
   if (input.job->job_class != JobClass::kUrgent) return std::nullopt;
   plan = internal::PlanWithVictims(input, candidates, *gangs, Scope::kAnywhere, use_avoided);
   if (plan) return ScoredPlan{*std::move(plan), false};
--- a/src/request/placement_plan.cc
+++ b/src/request/placement_plan.cc
@@ -26,13 +26,6 @@
   return (mask & candidate.own) != 0 ? kOwnRunCost : 0;
 }
 
-// Splits of free blocks that taking `count` accelerators at `first` needs. A block of which a part
-// is in use already is not split any further.
-std::uint32_t Splits(AcceleratorMask free, std::uint32_t first, std::uint32_t size) {
-  const std::uint32_t enclosing = EnclosingFreeBlock(free, first, size);
-  return enclosing == 0 ? 0 : static_cast<std::uint32_t>(std::countr_zero(enclosing / size));
-}
-
 std::optional<Fit> FitRun(std::uint32_t count, AcceleratorMask allowed, const Candidate& candidate,
                           Scope scope) {
   const std::uint32_t size = std::bit_ceil(count);
@@ -75,8 +68,8 @@
 
 class RackPlanner {
  public:
-  RackPlanner(const GangShape& shape, const Candidates& candidates, Scope scope, bool use_avoided)
-      : shape_(shape), candidates_(candidates), scope_(scope), use_avoided_(use_avoided) {}
+  RackPlanner(const GangShape& shape, const Candidates& candidates, bool use_avoided)
+      : shape_(shape), candidates_(candidates), use_avoided_(use_avoided) {}
 
   RackPlan PlanRack(const std::vector<std::size_t>& members) {
     workers_.clear();
@@ -84,8 +77,8 @@
     for (const std::size_t index : members) {
       const Candidate& candidate = candidates_.list[index];
       rack_empty = rack_empty && candidate.worker->tasks.empty();
-      if (!Usable(candidate, scope_) || (candidate.avoided && !use_avoided_)) continue;
-      Worker worker{index, candidate.free, candidate.share, {}, kNoFit};
+      if (!Usable(candidate, Scope::kAnywhere) || (candidate.avoided && !use_avoided_)) continue;
+      Worker worker{index, candidate.free, {}, kNoFit};
       Update(worker, candidate.worker->tasks.empty());
       workers_.push_back(worker);
     }
@@ -98,7 +91,6 @@
       plan.tasks.push_back({best->candidate, best->mask});
       plan.cost_up_to.push_back(total);
       best->room.Take(shape_, best->mask);
-      best->share.Take(shape_, best->mask);
       Update(*best, false);
     }
     return plan;
@@ -108,15 +100,14 @@
   struct Worker {
     std::size_t candidate;
     Room room;
-    Room share;
     AcceleratorMask mask;
     std::uint32_t cost;
   };
 
   void Update(Worker& worker, bool empty) {
     worker.cost = kNoFit;
-    if (scope_ == Scope::kGuaranteed && !worker.share.HoldsTask(shape_)) return;
-    const auto fit = FitTask(shape_, worker.room, candidates_.list[worker.candidate], scope_);
+    const auto fit =
+        FitTask(shape_, worker.room, candidates_.list[worker.candidate], Scope::kAnywhere);
     if (!fit) return;
     worker.mask = fit->mask;
     worker.cost = fit->cost + (empty ? kEmptyWorkerCost : 0);
@@ -132,7 +123,6 @@
 
   const GangShape& shape_;
   const Candidates& candidates_;
-  Scope scope_;
   bool use_avoided_;
   std::vector<Worker> workers_;
 };
@@ -218,6 +208,11 @@
   return "";
 }
 
+std::uint32_t Splits(AcceleratorMask free, std::uint32_t first, std::uint32_t size) {
+  const std::uint32_t enclosing = EnclosingFreeBlock(free, first, size);
+  return enclosing == 0 ? 0 : static_cast<std::uint32_t>(std::countr_zero(enclosing / size));
+}
+
 bool Usable(const Candidate& candidate, Scope scope) {
   if (candidate.exclusion == Exclusion::kReserved) {
     return scope == Scope::kGuaranteed && candidate.own != 0;
@@ -240,8 +235,8 @@
 }
 
 std::optional<Plan> PlanInFreeRoom(const GangShape& shape, const Candidates& candidates,
-                                   Scope scope, bool use_avoided) {
-  RackPlanner planner(shape, candidates, scope, use_avoided);
+                                   bool use_avoided) {
+  RackPlanner planner(shape, candidates, use_avoided);
   std::vector<RackPlan> racks;
   std::size_t capacity = 0;
   for (const std::vector<std::size_t>& members : candidates.racks) {
--- a/src/request/placement_plan.h
+++ b/src/request/placement_plan.h
@@ -90,13 +90,18 @@
 std::optional<Fit> FitTask(const GangShape& shape, const Room& room, const Candidate& candidate,
                            Scope scope);
 
+/// Splits of free blocks that taking the aligned block of `size` at `first` needs; none when a part
+/// of the block is in use already.
+std::uint32_t Splits(AcceleratorMask free, std::uint32_t first, std::uint32_t size);
+
 /// Whether the candidate may be used: workers kept for a larger job serve the guarantees that are
 /// bound to them, nothing else.
 bool Usable(const Candidate& candidate, Scope scope);
 
-/// Places the gang in free room, in few racks and at the least cost; nothing when it doesn't fit.
+/// Places the gang in any free room, in few racks and at the least cost; nothing when it doesn't
+/// fit.
 std::optional<Plan> PlanInFreeRoom(const GangShape& shape, const Candidates& candidates,
-                                   Scope scope, bool use_avoided);
+                                   bool use_avoided);
 
 /// The part of a gang that is on one worker.
 struct GangPart {
@@ -127,8 +132,10 @@
 GangTable CollectGangs(const Candidates& candidates, TimePoint now);
 
 /// Places the gang in free room and the room of borrowed gangs, those with the least work lost
-/// first; nothing when it doesn't fit. Borrowers of any class yield to a guarantee; outside it,
-/// only batch and background work yields.
+/// first; nothing when it doesn't fit. Inside a guarantee, each task first takes the smallest of
+/// the workspace's runs that fits, even where a larger one is free, so that the rest of the
+/// guarantee keeps its shape. Borrowers of any class yield to a guarantee; outside it, only batch
+/// and background work yields.
 std::optional<Plan> PlanWithVictims(const PlacementInput& input, const Candidates& candidates,
                                     const GangTable& gangs, Scope scope, bool use_avoided);
 
--- a/src/request/placement_victims.cc
+++ b/src/request/placement_victims.cc
@@ -11,13 +11,19 @@
 
 // One way to make room for a task on a worker.
 struct Option {
+  // Splits of the workspace's own runs, in a guaranteed placement.
+  std::uint32_t own_splits = 0;
   double victims_cost = std::numeric_limits<double>::infinity();
   std::uint32_t fit_cost = 0;
   AcceleratorMask mask = 0;
   std::vector<std::size_t> gangs;
 
   bool possible() const { return victims_cost < std::numeric_limits<double>::infinity(); }
+  // The own runs come first: a small task in a large run would take a shape of the guarantee away,
+  // even if that run is free and a small run is lent.
   bool BetterThan(const Option& other) const {
+    if (!possible() || !other.possible()) return possible() && !other.possible();
+    if (own_splits != other.own_splits) return own_splits < other.own_splits;
     if (victims_cost != other.victims_cost) return victims_cost < other.victims_cost;
     return fit_cost < other.fit_cost;
   }
@@ -56,6 +62,7 @@
         candidates_(candidates),
         gangs_(table.gangs),
         chosen_(table.gangs.size()),
+        racks_used_(candidates.racks.size()),
         scope_(scope),
         use_avoided_(use_avoided) {}
 
@@ -90,6 +97,7 @@
   const Candidates& candidates_;
   const std::vector<Gang>& gangs_;
   std::vector<bool> chosen_;
+  std::vector<bool> racks_used_;
   Scope scope_;
   bool use_avoided_;
   std::vector<WorkerPlan> workers_;
@@ -99,8 +107,9 @@
   if (!gang.borrowed) return false;
   const PlacedTask& task = *gang.any_task;
   if (scope_ == Scope::kAnywhere) return task.job_class != JobClass::kUrgent;
-  // A workspace that evicted its own work of the same class would gain nothing.
-  return task.workspace != input_.job->workspace || task.job_class > input_.job->job_class;
+  // Its own borrowed work may fill a large run while a small one is lent; it yields unless it is of
+  // a higher class.
+  return task.workspace != input_.job->workspace || task.job_class >= input_.job->job_class;
 }
 
 void VictimPlanner::AddWorker(const std::vector<GangPart>& parts) {
@@ -168,7 +177,10 @@
     at_mask.accelerators = mask | (reachable.accelerators & ~worker.held);
     const auto fit = FitTask(shape_, at_mask, candidate, scope_);
     option.fit_cost = fit ? fit->cost : 0;
-    if (!worker.best.possible() || option.BetterThan(worker.best)) worker.best = std::move(option);
+    if (scope_ == Scope::kGuaranteed) {
+      option.own_splits = Splits(worker.share.accelerators, first, size);
+    }
+    if (option.BetterThan(worker.best)) worker.best = std::move(option);
   }
 }
 
@@ -176,6 +188,14 @@
   WorkerPlan& worker = workers_[index];
   const std::uint32_t count = shape_.accelerators.value();
   if (CountBits(reachable.accelerators) < count) return;
+  if (scope_ == Scope::kGuaranteed) {
+    const AcceleratorMask own = reachable.accelerators;
+    const AcceleratorMask mask = ScatteredAccelerators(own, count);
+    worker.best = Clear(worker, candidates_.list[index], mask);
+    worker.best.own_splits = static_cast<std::uint32_t>(
+        std::bit_width(LargestFreeBlock(own)) - std::bit_width(LargestFreeBlock(own & ~mask)));
+    return;
+  }
   // Free accelerators first, then those of the cheapest gangs.
   AcceleratorMask pool = reachable.accelerators & ~worker.held;
   for (const GangPart& part : worker.parts) {
@@ -248,7 +268,13 @@
 std::size_t VictimPlanner::Cheapest() const {
   std::size_t best = 0;
   for (std::size_t i = 1; i < workers_.size(); ++i) {
-    if (workers_[i].best.BetterThan(workers_[best].best)) best = i;
+    const Option& option = workers_[i].best;
+    const bool worse = workers_[best].best.BetterThan(option);
+    if (worse || !option.possible()) continue;
+    // Among equals, racks that the gang is on already come first.
+    const bool nearer =
+        racks_used_[candidates_.list[i].rack] && !racks_used_[candidates_.list[best].rack];
+    if (nearer || option.BetterThan(workers_[best].best)) best = i;
   }
   return best;
 }
@@ -271,6 +297,7 @@
   }
   workers_[index].Take({0, shape_.cores.value(), shape_.memory.value(), 1, option.mask});
   workers_[index].share.Take(shape_, option.mask);
+  racks_used_[candidates_.list[index].rack] = true;
   plan.tasks.push_back({index, option.mask});
   plan.cost += option.fit_cost;
   for (const std::size_t i : changed) Update(i);
--- a/src/version/guarantee.cc
+++ b/src/version/guarantee.cc
@@ -41,6 +41,11 @@
     return accelerators;
   };
   const bool better = tightest.shortfalls.empty() || bound(tightest) > bound(kept);
+  if (!tightest.shortfalls.empty() && !inventory.old_runs.empty()) {
+    // Without old runs the choice is the one by which the guarantees were accepted.
+    BindingResult fresh = PackBest({inventory.workers, inventory.racks, {}}, guarantees);
+    if (fresh.shortfalls.empty()) return fresh;
+  }
   return better ? tightest : kept;
 }
 
@@ -51,6 +56,19 @@
   });
 }
 
+// The order in which a cell lists its workers, so that accepting and binding decide ties alike.
+std::vector<RackInventory> InOrderOfIds(std::vector<RackInventory> racks) {
+  std::erase_if(racks, [](const RackInventory& rack) { return rack.workers.empty(); });
+  for (RackInventory& rack : racks) {
+    std::sort(rack.workers.begin(), rack.workers.end(),
+              [](const auto& a, const auto& b) { return a.id < b.id; });
+  }
+  std::sort(racks.begin(), racks.end(), [](const RackInventory& a, const RackInventory& b) {
+    return a.workers.front().id < b.workers.front().id;
+  });
+  return racks;
+}
+
 Inventory InventoryOf(const CellState& cell) {
   Inventory inventory;
   std::unordered_map<std::string_view, std::size_t> racks;
@@ -82,7 +100,7 @@
 BindingResult PackGuarantees(const std::vector<RackInventory>& racks,
                              const std::vector<Guarantee>& guarantees) {
   Inventory inventory;
-  for (const RackInventory& rack : racks) {
+  for (const RackInventory& rack : InOrderOfIds(racks)) {
     PackedRack packed;
     for (const RackInventory::Worker& worker : rack.workers) {
       packed.workers.push_back(inventory.workers.size());
--- a/tests/request/placement_test.cc
+++ b/tests/request/placement_test.cc
@@ -108,6 +108,23 @@
   EXPECT_TRUE(std::holds_alternative<NotPlaced>(Place(cell, Job(kQuotes, 1, 8), false)));
 }
 
+// Guards against a small job that takes a large run for good while the small run is lent.
+TEST(PlaceGang, SmallJobDoesNotTakeALargeRunOfTheGuarantee) {
+  CellState cell = MakeCell(2);
+  ApplyBinding(cell, {{kQuotes, Id(0), 0xff}, {kQuotes, Id(1), 0x0f}, {kForecasts, Id(1), 0xf0}});
+  cell.AddTask(Id(1), Task("lent", kForecasts, 0x0f));
+  cell.AddTask(Id(1), Task("other", kForecasts, 0xf0, JobClass::kBatch, false));
+  const auto small = std::get<Placed>(Place(cell, Job(kQuotes, 1, 4), true));
+  EXPECT_EQ(small.tasks[0].worker, Id(0));
+  EXPECT_TRUE(small.tasks[0].borrowed);
+  cell.AddTask(Id(0), Task("small", kQuotes, small.tasks[0].accelerators));
+  const PlacementResult large = Place(cell, Job(kQuotes, 1, 8), true);
+  EXPECT_EQ(Victims(large), std::set<std::string>{"small"});
+  EXPECT_FALSE(std::get<Placed>(large).tasks[0].borrowed);
+  cell.AddTask(Id(0), Task("more", kForecasts, 0xf0));
+  EXPECT_EQ(Victims(Place(cell, Job(kQuotes, 1, 4), true)), std::set<std::string>{"lent"});
+}
+
 // Guards against urgent work that preempts guaranteed or other urgent work.
 TEST(PlaceGang, UrgentWorkPreemptsOnlyBorrowedLowerClasses) {
   CellState cell = MakeCell(1);
