--- a/src/request/placement_victims.cc
+++ b/src/request/placement_victims.cc
@@ -1,8 +1,7 @@
 #include <algorithm>
 #include <bit>
 #include <limits>
-#include <string_view>
-#include <unordered_map>
+#include <utility>
 
 #include "request/accelerator_runs.h"
 #include "request/placement_plan.h"
@@ -10,38 +9,21 @@
 namespace basilspring::internal {
 namespace {
 
-// A victim of a higher class costs more than any number of victims of the class below it: no gang
-// of 64 tasks with 32 accelerators each loses 10^13 accelerator milliseconds within 50 days.
-constexpr double kClassStep = 1e13;
-
-// An attempt with the room it holds, over all workers.
-struct Gang {
-  const PlacedTask* any_task = nullptr;
-  bool borrowed = false;
-  bool chosen = false;
-  double work = 0;
-  double cost = 0;
-  std::vector<std::size_t> workers;
-};
-
-// The part of a gang that is on one worker.
-struct GangPart {
-  std::size_t gang = 0;
-  std::uint64_t cores = 0;
-  std::uint64_t memory = 0;
-  std::uint64_t slots = 0;
-  AcceleratorMask accelerators = 0;
-};
-
 // One way to make room for a task on a worker.
 struct Option {
+  // Splits of the workspace's own runs, in a guaranteed placement.
+  std::uint32_t own_splits = 0;
   double victims_cost = std::numeric_limits<double>::infinity();
   std::uint32_t fit_cost = 0;
   AcceleratorMask mask = 0;
   std::vector<std::size_t> gangs;
 
   bool possible() const { return victims_cost < std::numeric_limits<double>::infinity(); }
+  // The own runs come first: a small task in a large run would take a shape of the guarantee away,
+  // even if that run is free and a small run is lent.
   bool BetterThan(const Option& other) const {
+    if (!possible() || !other.possible()) return possible() && !other.possible();
+    if (own_splits != other.own_splits) return own_splits < other.own_splits;
     if (victims_cost != other.victims_cost) return victims_cost < other.victims_cost;
     return fit_cost < other.fit_cost;
   }
@@ -73,16 +55,20 @@
 
 class VictimPlanner {
  public:
-  VictimPlanner(const PlacementInput& input, const Candidates& candidates, Scope scope,
-                bool use_avoided)
+  VictimPlanner(const PlacementInput& input, const Candidates& candidates, const GangTable& table,
+                Scope scope, bool use_avoided)
       : input_(input),
         shape_(input.job->shape),
         candidates_(candidates),
+        gangs_(table.gangs),
+        chosen_(table.gangs.size()),
+        racks_used_(candidates.racks.size()),
         scope_(scope),
         use_avoided_(use_avoided) {}
 
-  std::optional<Plan> Run() {
-    CollectGangs();
+  std::optional<Plan> Run(const GangTable& table) {
+    for (const std::vector<GangPart>& parts : table.parts) AddWorker(parts);
+    if (!FitsWithoutBorrowers()) return std::nullopt;
     for (std::size_t i = 0; i < workers_.size(); ++i) Update(i);
     Plan plan;
     while (plan.tasks.size() < shape_.tasks) {
@@ -94,10 +80,10 @@
   }
 
  private:
-  void CollectGangs();
-  void AddPart(std::size_t index, std::size_t gang, const PlacedTask& task);
-  void RatePart(const PlacedTask& task, Gang& gang) const;
+  void AddWorker(const std::vector<GangPart>& parts);
   bool MayEvict(const Gang& gang) const;
+  bool FitsWithoutBorrowers() const;
+  std::optional<Room> ReachableRoom(std::size_t index) const;
   void Update(std::size_t index);
   void UpdateRun(std::size_t index, const Room& reachable);
   void UpdateScattered(std::size_t index, const Room& reachable);
@@ -109,71 +95,32 @@
   const PlacementInput& input_;
   const GangShape& shape_;
   const Candidates& candidates_;
+  const std::vector<Gang>& gangs_;
+  std::vector<bool> chosen_;
+  std::vector<bool> racks_used_;
   Scope scope_;
   bool use_avoided_;
-  std::vector<Gang> gangs_;
   std::vector<WorkerPlan> workers_;
 };
 
-void VictimPlanner::RatePart(const PlacedTask& task, Gang& gang) const {
-  const auto run_time = std::max<std::int64_t>((input_.now - task.started).milliseconds(), 0);
-  // A task without accelerators counts as an eighth of one, so that its run time still matters.
-  const double accelerators = task.accelerators == 0 ? 0.125 : CountBits(task.accelerators);
-  gang.work += accelerators * static_cast<double>(run_time);
-  gang.borrowed = gang.borrowed || task.borrowed;
-}
-
 bool VictimPlanner::MayEvict(const Gang& gang) const {
   if (!gang.borrowed) return false;
   const PlacedTask& task = *gang.any_task;
   if (scope_ == Scope::kAnywhere) return task.job_class != JobClass::kUrgent;
-  // A workspace that evicted its own work of the same class would gain nothing.
-  return task.workspace != input_.job->workspace || task.job_class > input_.job->job_class;
+  // Its own borrowed work may fill a large run while a small one is lent; it yields unless it is of
+  // a higher class.
+  return task.workspace != input_.job->workspace || task.job_class >= input_.job->job_class;
 }
 
-void VictimPlanner::CollectGangs() {
-  std::unordered_map<std::string_view, std::size_t> by_attempt;
-  workers_.resize(candidates_.list.size());
-  for (std::size_t i = 0; i < workers_.size(); ++i) {
-    workers_[i].share = candidates_.list[i].share;
-    for (const PlacedTask& task : candidates_.list[i].worker->tasks) {
-      const std::size_t gang =
-          by_attempt.try_emplace(task.attempt.value(), gangs_.size()).first->second;
-      if (gang == gangs_.size()) gangs_.push_back({&task});
-      RatePart(task, gangs_[gang]);
-      AddPart(i, gang, task);
-    }
-  }
-  for (Gang& gang : gangs_) {
-    const auto lower_classes =
-        static_cast<double>(JobClass::kBackground) - static_cast<double>(gang.any_task->job_class);
-    gang.cost = gang.work + lower_classes * kClassStep + 1;
-  }
-  for (WorkerPlan& worker : workers_) {
-    std::erase_if(worker.parts, [&](const GangPart& p) { return !MayEvict(gangs_[p.gang]); });
-    std::sort(worker.parts.begin(), worker.parts.end(), [&](const GangPart& a, const GangPart& b) {
-      return gangs_[a.gang].cost < gangs_[b.gang].cost;
-    });
+void VictimPlanner::AddWorker(const std::vector<GangPart>& parts) {
+  WorkerPlan worker;
+  worker.share = candidates_.list[workers_.size()].share;
+  worker.parts.reserve(parts.size());
+  for (const GangPart& part : parts) {
+    worker.Take(part);
+    if (MayEvict(gangs_[part.gang])) worker.parts.push_back(part);
   }
-}
-
-void VictimPlanner::AddPart(std::size_t index, std::size_t gang, const PlacedTask& task) {
-  WorkerPlan& worker = workers_[index];
-  const GangPart part{gang, task.shape.cores.value(), task.shape.memory.value(), 1,
-                      task.accelerators};
-  worker.Take(part);
-  std::vector<std::size_t>& workers = gangs_[gang].workers;
-  if (workers.empty() || workers.back() != index) {
-    workers.push_back(index);
-    worker.parts.push_back(part);
-    return;
-  }
-  const auto same = std::find_if(worker.parts.begin(), worker.parts.end(),
-                                 [gang](const GangPart& p) { return p.gang == gang; });
-  same->cores += part.cores;
-  same->memory += part.memory;
-  same->slots += 1;
-  same->accelerators |= part.accelerators;
+  workers_.push_back(std::move(worker));
 }
 
 Room VictimPlanner::RoomOf(const WorkerPlan& worker, const Candidate& candidate) const {
@@ -182,7 +129,7 @@
     return used >= total ? 0U : total - static_cast<std::uint32_t>(used);
   };
   return {left(capacity.cores.value(), worker.cores), left(capacity.memory.value(), worker.memory),
-          left(capacity.slots.value(), worker.slots),
+          FreeSlots(*candidate.worker, worker.slots),
           AllAccelerators(capacity.accelerators.value()) & ~worker.held};
 }
 
@@ -204,12 +151,12 @@
     option.gangs.push_back(part.gang);
   };
   for (const GangPart& part : worker.parts) {
-    if (!gangs_[part.gang].chosen && (part.accelerators & mask) != 0) evict(part);
+    if (!chosen_[part.gang] && (part.accelerators & mask) != 0) evict(part);
   }
   if ((left.held & mask) != 0) return {};
   for (const GangPart& part : worker.parts) {
     if (RoomOf(left, candidate).HoldsTask(shape_)) break;
-    if (!gangs_[part.gang].chosen && (part.accelerators & mask) == 0) evict(part);
+    if (!chosen_[part.gang] && (part.accelerators & mask) == 0) evict(part);
   }
   if (!RoomOf(left, candidate).HoldsTask(shape_)) return {};
   option.victims_cost = cost;
@@ -230,7 +177,10 @@
     at_mask.accelerators = mask | (reachable.accelerators & ~worker.held);
     const auto fit = FitTask(shape_, at_mask, candidate, scope_);
     option.fit_cost = fit ? fit->cost : 0;
-    if (!worker.best.possible() || option.BetterThan(worker.best)) worker.best = std::move(option);
+    if (scope_ == Scope::kGuaranteed) {
+      option.own_splits = Splits(worker.share.accelerators, first, size);
+    }
+    if (option.BetterThan(worker.best)) worker.best = std::move(option);
   }
 }
 
@@ -238,11 +188,19 @@
   WorkerPlan& worker = workers_[index];
   const std::uint32_t count = shape_.accelerators.value();
   if (CountBits(reachable.accelerators) < count) return;
+  if (scope_ == Scope::kGuaranteed) {
+    const AcceleratorMask own = reachable.accelerators;
+    const AcceleratorMask mask = ScatteredAccelerators(own, count);
+    worker.best = Clear(worker, candidates_.list[index], mask);
+    worker.best.own_splits = static_cast<std::uint32_t>(
+        std::bit_width(LargestFreeBlock(own)) - std::bit_width(LargestFreeBlock(own & ~mask)));
+    return;
+  }
   // Free accelerators first, then those of the cheapest gangs.
   AcceleratorMask pool = reachable.accelerators & ~worker.held;
   for (const GangPart& part : worker.parts) {
     if (CountBits(pool) >= count) break;
-    if (!gangs_[part.gang].chosen) pool |= part.accelerators & reachable.accelerators;
+    if (!chosen_[part.gang]) pool |= part.accelerators & reachable.accelerators;
   }
   const AcceleratorMask free = pool & ~worker.held;
   AcceleratorMask mask = ScatteredAccelerators(free, std::min(count, CountBits(free)));
@@ -250,36 +208,73 @@
   worker.best = Clear(worker, candidates_.list[index], mask);
 }
 
-void VictimPlanner::Update(std::size_t index) {
-  WorkerPlan& worker = workers_[index];
+// What the job could have on a worker if all borrowers left; nothing when no task fits there.
+std::optional<Room> VictimPlanner::ReachableRoom(std::size_t index) const {
+  const WorkerPlan& worker = workers_[index];
   const Candidate& candidate = candidates_.list[index];
-  worker.best = {};
-  if (!Usable(candidate, scope_) || (candidate.avoided && !use_avoided_)) return;
-  if (scope_ == Scope::kGuaranteed && !worker.share.HoldsTask(shape_)) return;
+  if (!Usable(candidate, scope_) || (candidate.avoided && !use_avoided_)) return std::nullopt;
+  if (scope_ == Scope::kGuaranteed && !worker.share.HoldsTask(shape_)) return std::nullopt;
   WorkerPlan emptied;
   emptied.cores = worker.cores;
   emptied.memory = worker.memory;
   emptied.slots = worker.slots;
   emptied.held = worker.held;
   for (const GangPart& part : worker.parts) {
-    if (!gangs_[part.gang].chosen) emptied.GiveBack(part);
+    if (!chosen_[part.gang]) emptied.GiveBack(part);
   }
   Room reachable = RoomOf(emptied, candidate);
-  if (!reachable.HoldsTask(shape_)) return;
+  if (!reachable.HoldsTask(shape_)) return std::nullopt;
   if (scope_ == Scope::kGuaranteed) reachable.accelerators &= candidate.own;
+  return reachable;
+}
+
+// Spares the search for victims when even all of them would not make enough room.
+bool VictimPlanner::FitsWithoutBorrowers() const {
+  std::uint32_t fitting = 0;
+  for (std::size_t i = 0; i < workers_.size(); ++i) {
+    std::optional<Room> room = ReachableRoom(i);
+    if (!room) continue;
+    if (scope_ == Scope::kGuaranteed) {
+      const Room& share = workers_[i].share;
+      room->cores = std::min(room->cores, share.cores);
+      room->memory = std::min(room->memory, share.memory);
+      room->slots = std::min(room->slots, share.slots);
+    }
+    while (fitting < shape_.tasks) {
+      const auto mask = FirstFitMask(shape_, *room);
+      if (!mask) break;
+      room->Take(shape_, *mask);
+      ++fitting;
+    }
+    if (fitting == shape_.tasks) return true;
+  }
+  return false;
+}
+
+void VictimPlanner::Update(std::size_t index) {
+  WorkerPlan& worker = workers_[index];
+  worker.best = {};
+  const std::optional<Room> reachable = ReachableRoom(index);
+  if (!reachable) return;
   if (shape_.accelerators.value() == 0) {
-    worker.best = Clear(worker, candidate, 0);
+    worker.best = Clear(worker, candidates_.list[index], 0);
   } else if (shape_.adjacent) {
-    UpdateRun(index, reachable);
+    UpdateRun(index, *reachable);
   } else {
-    UpdateScattered(index, reachable);
+    UpdateScattered(index, *reachable);
   }
 }
 
 std::size_t VictimPlanner::Cheapest() const {
   std::size_t best = 0;
   for (std::size_t i = 1; i < workers_.size(); ++i) {
-    if (workers_[i].best.BetterThan(workers_[best].best)) best = i;
+    const Option& option = workers_[i].best;
+    const bool worse = workers_[best].best.BetterThan(option);
+    if (worse || !option.possible()) continue;
+    // Among equals, racks that the gang is on already come first.
+    const bool nearer =
+        racks_used_[candidates_.list[i].rack] && !racks_used_[candidates_.list[best].rack];
+    if (nearer || option.BetterThan(workers_[best].best)) best = i;
   }
   return best;
 }
@@ -288,8 +283,8 @@
   const Option option = std::move(workers_[index].best);
   std::vector<std::size_t> changed = {index};
   for (const std::size_t number : option.gangs) {
-    Gang& gang = gangs_[number];
-    gang.chosen = true;
+    const Gang& gang = gangs_[number];
+    chosen_[number] = true;
     plan.work_lost += gang.work;
     for (const std::size_t i : gang.workers) {
       for (const GangPart& part : workers_[i].parts) {
@@ -302,6 +297,7 @@
   }
   workers_[index].Take({0, shape_.cores.value(), shape_.memory.value(), 1, option.mask});
   workers_[index].share.Take(shape_, option.mask);
+  racks_used_[candidates_.list[index].rack] = true;
   plan.tasks.push_back({index, option.mask});
   plan.cost += option.fit_cost;
   for (const std::size_t i : changed) Update(i);
@@ -310,9 +306,9 @@
 }  // namespace
 
 std::optional<Plan> PlanWithVictims(const PlacementInput& input, const Candidates& candidates,
-                                    Scope scope, bool use_avoided) {
+                                    const GangTable& gangs, Scope scope, bool use_avoided) {
   if (candidates.list.empty()) return std::nullopt;
-  return VictimPlanner(input, candidates, scope, use_avoided).Run();
+  return VictimPlanner(input, candidates, gangs, scope, use_avoided).Run(gangs);
 }
 
 }  // namespace basilspring::internal
