Use the job queue, run time estimates, room reservation and worker health in the cell

Cause: the core had a minimal queue of its own, and its store operations guessed the form of the request record.

Change: the queue gives fair shares, ageing, bounds and waits; a job that is passed over for long gets reserved workers; failed tasks quarantine workers or blame the job. Claims compare the whole request record, so a claim takes one store call, and the answer, the deletion of the job record and the state "done" are one transaction.

Ruled out: trying every waiting job on each event, because under overload each submission then costs a pass.

--- a/include/basilspring/process/cell_core.h
+++ b/include/basilspring/process/cell_core.h
@@ -72,6 +72,8 @@
   bool idempotent = true;
   WorkspaceId workspace;
   RequestKey key;
+  /// The attempt that holds the claim of a non-idempotent request; its record becomes `done`.
+  AttemptId claimed;
 };
 
 using StoreOperation = std::variant<ClaimRequest, FenceRequest, ResultWrite>;
--- a/src/process/cell_configuration.cc
+++ b/src/process/cell_configuration.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <bit>
 
 #include "basilspring/version/guarantee.h"
 #include "process/cell_core_internal.h"
@@ -40,19 +41,22 @@
 
 void CellCore::Impl::ApplyNumbers() {
   const auto number = [this](std::string_view key) { return WorkspaceNumber(key, WorkspaceId()); };
+  QueueSettings queue;
   for (std::size_t i = 0; i < kJobClassCount; ++i) {
-    const std::string key = fmt::format("queue.limit.{}", JobClassName(static_cast<JobClass>(i)));
-    settings_.queue_limit[i] = static_cast<std::uint64_t>(number(key));
+    queue.limits[i] = static_cast<std::uint32_t>(
+        number(fmt::format("queue.limit.{}", JobClassName(static_cast<JobClass>(i)))));
   }
+  queue_.SetSettings(queue);
+  run_times_.SetDefault(Duration(number("run_time.default_ms")));
   settings_.preemption_grace = Duration(number("preemption.grace_ms"));
   settings_.max_attempts = static_cast<std::uint32_t>(number("attempts.max"));
-  settings_.default_run_time = Duration(number("run_time.default_ms"));
 }
 
 void CellCore::Impl::ApplySettings() {
   ApplyNumbers();
   settings_.out = tree_->ResolveText("state", Scope(WorkspaceId())) == "out";
   guarantees_.clear();
+  shares_.clear();
   for (const WorkspaceId& workspace : tree_->Workspaces()) {
     const auto count = [&](std::string_view key) {
       return static_cast<std::uint32_t>(WorkspaceNumber(key, workspace));
@@ -65,6 +69,10 @@
                               count("guarantee.worker"),
                               count("guarantee.rack")};
     if (guarantee != Guarantee{workspace}) guarantees_.push_back(guarantee);
+    WorkspaceShare share;
+    share.weight = count("weight");
+    share.quota_accelerators = count("quota.accelerators");
+    shares_[workspace] = share;
   }
   rebind_due_ = true;
   dirty_ = true;
@@ -78,9 +86,18 @@
   BindingResult result = BindGuarantees(cell_, guarantees_);
   ApplyBinding(cell_, std::move(result.runs));
   guaranteed_.clear();
-  for (const BoundRun& run : cell_.bound_runs()) guaranteed_.insert(run.workspace);
+  std::map<WorkspaceId, std::uint32_t> bound;
+  for (const BoundRun& run : cell_.bound_runs()) {
+    guaranteed_.insert(run.workspace);
+    bound[run.workspace] += static_cast<std::uint32_t>(std::popcount(run.accelerators));
+  }
+  for (auto& [workspace, share] : shares_) {
+    share.guaranteed_accelerators = bound[workspace];
+    queue_.SetWorkspace(workspace, share);
+  }
+  UpdateCapacity();
   CopyBorrowed();
-  dirty_ = true;
+  NoteRoomChange();
   const std::string shortfalls = DescribeShortfalls(result.shortfalls);
   if (shortfalls == last_shortfalls_) return;
   last_shortfalls_ = shortfalls;
@@ -89,6 +106,18 @@
       shortfalls);
 }
 
+void CellCore::Impl::UpdateCapacity() {
+  ResourceTotals capacity;
+  for (const auto& [id, worker] : cell_.workers()) {
+    if (!worker.accepting || worker.quarantined) continue;
+    capacity.cores += worker.capacity.cores.value();
+    capacity.memory += worker.capacity.memory.value();
+    capacity.slots += worker.capacity.slots.value();
+    capacity.accelerators += worker.capacity.accelerators.value();
+  }
+  queue_.SetCapacity(capacity);
+}
+
 void CellCore::Impl::CopyBorrowed() {
   for (const auto& [worker_id, worker] : cell_.workers()) {
     for (const PlacedTask& task : worker.tasks) {
--- a/src/process/cell_core.cc
+++ b/src/process/cell_core.cc
@@ -26,7 +26,12 @@
 const CellCounters& CellCore::counters() const { return impl_->counters_; }
 
 CellCore::Impl::Impl(CellIdentity identity, const Timings& timings, TimePoint acquired)
-    : identity_(std::move(identity)), timings_(timings), acquired_(acquired), now_(acquired) {
+    : identity_(std::move(identity)),
+      timings_(timings),
+      acquired_(acquired),
+      now_(acquired),
+      run_times_(Duration()),
+      health_(HealthSettings()) {
   predecessor_ = identity_.last_epoch.value() > 0;
   ApplyNumbers();
 }
@@ -72,6 +77,10 @@
 }
 
 void CellCore::Impl::OnTick() {
+  if (queue_.size() > 0 && now_ - no_room_since_ >= internal::kForgetNoRoom) {
+    no_room_since_ = now_;
+    NoteRoomChange();
+  }
   TickWorkers();
   TickRecovery();
   TickDataCentreOut();
@@ -79,6 +88,10 @@
   TickJobs();
   if (WantsPermit() && now_ >= next_permit_request_) RequestPermit();
   TickSummary();
+  for (std::size_t i = 0; i < kJobClassCount; ++i) {
+    counters_.queued[i] = queue_.Count(static_cast<JobClass>(i));
+  }
+  counters_.running_attempts = attempts_.size();
 }
 
 void CellCore::Impl::OnHandOver() {
--- a/src/process/cell_core_internal.h
+++ b/src/process/cell_core_internal.h
@@ -15,193 +15,16 @@
 
 #include "basilspring/process/cell_core.h"
 #include "basilspring/request/cell_state.h"
+#include "basilspring/request/job_queue.h"
+#include "basilspring/request/room_reservation.h"
+#include "basilspring/request/run_time_estimate.h"
+#include "basilspring/request/worker_health.h"
 #include "basilspring/version/guarantee.h"
 #include "basilspring/version/settings_tree.h"
-#include "process/cell_queue.h"
+#include "process/cell_model.h"
 
 namespace basilspring {
 
-namespace internal {
-
-/// Workers that were lost this long ago no longer count for "can ever fit".
-inline constexpr Duration kForgetWorkerAfter = Duration::Seconds(600);
-/// How long results are kept for entries that ask again.
-inline constexpr Duration kKeepResult = Duration::Seconds(60);
-/// Bounds of the kept results, so that a burst of large answers can't exhaust the process's memory.
-inline constexpr std::size_t kKeptResults = 2048;
-inline constexpr std::size_t kKeptResultBytes = 16 * 1024 * 1024;
-/// A job without payload, known only from an agent's report, waits this long for its entry.
-inline constexpr Duration kKeepOrphan = Duration::Seconds(60);
-/// Jobs that are tried in one pass over the queue; bounds the time of one event.
-inline constexpr std::size_t kJobsPerPass = 64;
-/// First and longest pause before a requeued job is placed again.
-inline constexpr Duration kFirstBackoff = Duration(100);
-inline constexpr Duration kLongestBackoff = Duration(5000);
-inline constexpr Duration kStoreRetry = Duration(1000);
-/// Cancellations of unknown jobs that are kept until the state has been rebuilt.
-inline constexpr std::size_t kEarlyCancels = 4096;
-/// Workers that a job failed on, remembered for its next placement.
-inline constexpr std::size_t kAvoidedWorkers = 16;
-/// Permits are kept up for this long after the last placement.
-inline constexpr Duration kKeepPermit = Duration(5000);
-inline constexpr std::size_t kPermitRequests = 16;
-/// An entry that hasn't said hello for this long gets no more summaries.
-inline constexpr Duration kForgetEntryAfter = Duration::Seconds(60);
-
-enum class MemberState : std::uint8_t {
-  kPlanned,
-  kPreparing,
-  kPrepared,
-  kStarting,
-  kRunning,
-  kStopping,
-  kDone,
-  kStopped,
-  kLost,
-};
-
-/// One task of an attempt.
-struct Member {
-  std::uint32_t rank = 0;
-  WorkerId worker;
-  Address agent;
-  AcceleratorMask accelerators = 0;
-  bool borrowed = false;
-  MemberState state = MemberState::kPlanned;
-  /// Whether the task holds resources in the cell's state.
-  bool holds = false;
-  TimePoint agent_now;
-  TimePoint prepared_at;
-  TimePoint last_command;
-  /// Whether the agent has shown that the backend server accepted the task.
-  bool started = false;
-  ErrorKind error = ErrorKind::kNone;
-  std::string output;
-  std::string message;
-  /// Whether TaskDone still has to be acknowledged.
-  bool ack_due = false;
-
-  bool over() const {
-    return state == MemberState::kDone || state == MemberState::kStopped ||
-           state == MemberState::kLost;
-  }
-};
-
-enum class Phase : std::uint8_t {
-  kMakingRoom,
-  kPreparing,
-  kClaiming,
-  kAwaitingPermit,
-  kStarting,
-  kRunning,
-  kStopping,
-};
-
-/// Why an attempt is given up.
-struct Failure {
-  ErrorKind error = ErrorKind::kNone;
-  std::string message;
-  StopReason reason = StopReason::kGangMemberLost;
-  /// Whether it counts against attempts.max: faults of the job or of a worker do, preemption and
-  /// refusals before the start don't.
-  bool counts = false;
-};
-
-struct Attempt {
-  AttemptId id;
-  JobId job;
-  Phase phase = Phase::kPreparing;
-  std::vector<Member> members;
-  TimePoint created;
-  TimePoint started_at;
-  Duration grace;
-  std::set<AttemptId> victims;
-  bool claim_in_flight = false;
-  /// Set from the moment at which the claim may have taken effect.
-  bool maybe_claimed = false;
-  bool claimed = false;
-  bool start_sent = false;
-  std::optional<Failure> failure;
-};
-
-struct Job {
-  JobSpec spec;
-  /// False for a job that is known only from an agent's report: its payload is missing.
-  bool spec_known = true;
-  Address entry;
-  JobState state = JobState::kQueued;
-  TimePoint submitted;
-  TimePoint queued_at;
-  std::optional<TimePoint> deadline;
-  std::uint32_t attempts = 0;
-  std::uint32_t failures = 0;
-  std::uint32_t refusals = 0;
-  AttemptId attempt;
-  TimePoint not_before;
-  /// Whether a task of an earlier attempt has or may have run, so that "not run" would be untrue.
-  bool ran = false;
-  /// Submitted or listed while a former scheduler may have run it.
-  bool from_takeover = false;
-  bool cancel = false;
-  /// The store said that another attempt holds the claim, or that the request is fenced.
-  bool claimed_elsewhere = false;
-  bool fenced = false;
-  /// Whether a fence is in flight.
-  bool fencing = false;
-  /// The refusal that is sent once the request record is fenced.
-  std::optional<JobResult> refusal;
-  std::optional<JobResult> result;
-  bool write_in_flight = false;
-  bool write_due = false;
-  TimePoint write_after;
-  bool delivered = false;
-  TimePoint finished_at;
-  std::vector<WorkerId> avoid;
-  std::string last_reason;
-  std::vector<std::string> reasons;
-  /// Members' TaskDone that are acknowledged once the result is safe.
-  std::vector<std::pair<Address, TaskDoneAck>> acks;
-};
-
-struct Worker {
-  RackId rack;
-  Address agent;
-  WorkerCapacity capacity;
-  bool reported = false;
-  bool accepting = false;
-  TimePoint last_heard;
-  std::optional<TimePoint> hello_sent;
-  std::uint64_t last_sequence = 0;
-};
-
-/// An attempt that was found in agents' reports and is not decided yet.
-struct FoundAttempt {
-  struct Rank {
-    WorkerId worker;
-    Address agent;
-    TaskReport task;
-  };
-  TaskReport first;
-  std::map<std::uint32_t, Rank> ranks;
-  TimePoint decide_at;
-
-  /// Whether all tasks were found and have been started.
-  bool whole() const;
-  /// Whether a task is being stopped.
-  bool stopping() const;
-};
-
-/// Values of the operators' settings that the scheduler uses.
-struct CellSettings {
-  bool out = false;
-  std::array<std::uint64_t, kJobClassCount> queue_limit{};
-  Duration preemption_grace;
-  std::uint32_t max_attempts = 3;
-  Duration default_run_time;
-};
-
-}  // namespace internal
-
 class CellCore::Impl {
  public:
   Impl(CellIdentity identity, const Timings& timings, TimePoint acquired);
@@ -242,8 +65,11 @@
   void OnCancel(const Address& from, const CancelJob& cancel);
   void OnQuery(const Address& from, const QueryJob& query);
   void AttachEntry(Job& job, const Address& from, const JobSpec& spec);
-  std::optional<JobResult> AdmissionFault(const JobSpec& spec) const;
+  /// Why the job is refused, or nothing when it has been queued.
+  std::optional<JobResult> Admit(const Job& job);
+  QueueItem ItemOf(const Job& job) const;
   void Enqueue(Job& job);
+  void LogQueued(const Job& job);
   void Requeue(Job& job, const std::string& reason, Duration pause);
   void CancelNow(Job& job);
   bool MayHaveRun(const Job& job) const;
@@ -275,11 +101,14 @@
   std::uint64_t AcceleratorsInUse(const WorkspaceId& workspace) const;
   PlacementInput InputFor(const Job& job) const;
   bool TryPlace(Job& job);
+  void UpdateReservation();
+  void NoteRoomChange();
   void BeginAttempt(Job& job, Placed placed);
   void Preempt(const AttemptId& victim, const Job& for_job);
   /// Reserves the room of gangs whose victims have ended.
   void BindFreedRoom();
   void Reserve(Attempt& attempt, Job& job);
+  void SendPrepare(const Attempt& attempt, Member& member, const JobSpec& spec);
   PlacedTask TaskOf(const Member& member, const Attempt& attempt, const JobSpec& spec) const;
 
   // cell_gang.cc: from Prepared to the end of an attempt.
@@ -321,8 +150,9 @@
   void LoseWorker(const WorkerId& id);
 
   // cell_health.cc: workers that fail what they start.
-  void NoteHealth(const Attempt& attempt, const Member& member, Duration ran_for);
+  void NoteHealth(const Attempt& attempt, const Member& member);
   void TickHealth();
+  void UpdateTrust();
 
   // cell_recovery.cc: rebuilding after acquisition, and late reports.
   void OnRecords(const RecordsListed& listed);
@@ -362,14 +192,13 @@
   void Rebind();
   /// Copies from the cell's state to the attempts which tasks are borrowed.
   void CopyBorrowed();
+  void UpdateCapacity();
 
   // cell_summary.cc
   void OnEntryHello(const EntryHello& hello);
   void TickSummary();
   CellSummary Summary() const;
   std::vector<Address> Entries() const;
-  void NoteWait(const Job& job);
-  void NoteRunTime(const Job& job, Duration run_time);
   std::vector<Duration> EstimatedWaits() const;
   Duration RetryAfter(JobClass job_class) const;
 
@@ -386,7 +215,14 @@
 
   std::map<JobId, Job> jobs_;
   std::map<AttemptId, Attempt> attempts_;
-  internal::CellQueue queue_;
+  JobQueue queue_;
+  RunTimeEstimate run_times_;
+  WorkerHealth health_;
+  std::set<WorkerId> quarantined_;
+  std::optional<RoomReservation> reservation_;
+  /// Kinds of jobs for which no room was found since the room last changed.
+  std::set<internal::Likeness> no_room_;
+  TimePoint no_room_since_;
   std::deque<JobId> finished_;
   std::size_t finished_bytes_ = 0;
   std::set<JobId> unwritten_;
@@ -420,6 +256,7 @@
   std::optional<SettingsTree> tree_;
   internal::CellSettings settings_;
   std::vector<Guarantee> guarantees_;
+  std::map<WorkspaceId, WorkspaceShare> shares_;
   /// Workspaces with bound runs.
   std::set<WorkspaceId> guaranteed_;
   bool rebind_due_ = false;
@@ -428,8 +265,6 @@
   std::vector<Address> known_entries_;
   std::map<Address, TimePoint> hello_entries_;
   TimePoint next_summary_;
-  std::array<std::int64_t, kJobClassCount> wait_average_ms_{};
-  std::array<std::int64_t, kJobClassCount> run_average_ms_{};
 };
 
 }  // namespace basilspring
--- a/src/process/cell_gang.cc
+++ b/src/process/cell_gang.cc
@@ -83,6 +83,7 @@
   if (attempt == nullptr || !attempt->claim_in_flight) return;
   attempt->claim_in_flight = false;
   attempt->claimed = reply.outcome == StoreOutcome::kDone;
+  if (attempt->claimed) jobs_.at(attempt->job).claimed_attempt = attempt->id;
   attempt->maybe_claimed = attempt->claimed || reply.outcome == StoreOutcome::kUnknown;
   if (reply.outcome == StoreOutcome::kRefused) {
     jobs_.at(attempt->job).claimed_elsewhere = !reply.fenced;
@@ -122,7 +123,6 @@
   attempt.phase = Phase::kStarting;
   attempt.started_at = now_;
   ++job.attempts;
-  NoteWait(job);
 }
 
 void CellCore::Impl::OnTaskStarted(const TaskStarted& started) {
@@ -162,7 +162,7 @@
   member->message = done.message;
   member->ack_due = true;
   ReleaseMember(*attempt, *member);
-  NoteHealth(*attempt, *member, done.ran_for);
+  NoteHealth(*attempt, *member);
   if (done.error != ErrorKind::kNone) {
     const bool counts = done.error == ErrorKind::kTaskFailed || done.started;
     if (!counts) Avoid(jobs_.at(attempt->job), member->worker);
@@ -238,7 +238,7 @@
   if (!member.holds) return;
   member.holds = false;
   cell_.RemoveTask(member.worker, attempt.id, member.rank);
-  dirty_ = true;
+  NoteRoomChange();
 }
 
 void CellCore::Impl::Avoid(Job& job, const WorkerId& worker) {
--- a/src/process/cell_health.cc
+++ b/src/process/cell_health.cc
@@ -2,9 +2,43 @@
 
 namespace basilspring {
 
-void CellCore::Impl::NoteHealth(const Attempt& /*attempt*/, const Member& /*member*/,
-                                Duration /*ran_for*/) {}
+void CellCore::Impl::NoteHealth(const Attempt& attempt, const Member& member) {
+  if (member.error == ErrorKind::kNone) {
+    health_.OnTaskSucceeded(member.worker, now_);
+    return;
+  }
+  // Only the first failure of an attempt is the worker's own; the others follow from it.
+  const bool own =
+      member.error == ErrorKind::kTaskFailed || member.error == ErrorKind::kBackendUnavailable;
+  if (!own || attempt.failure) return;
+  const FailureVerdict verdict = health_.OnTaskFailed(member.worker, attempt.job, now_);
+  if (verdict.job_at_fault) jobs_.at(attempt.job).at_fault = true;
+  UpdateTrust();
+}
 
-void CellCore::Impl::TickHealth() {}
+void CellCore::Impl::UpdateTrust() {
+  std::uint64_t quarantined = 0;
+  for (const auto& [id, worker] : cell_.workers()) {
+    const WorkerTrust trust = health_.Trust(id, now_);
+    const bool closed = trust == WorkerTrust::kQuarantined;
+    quarantined += closed ? 1 : 0;
+    cell_.SetQuarantined(id, !health_.MayTakeTask(id, worker.tasks.size(), now_));
+    if (closed == quarantined_.contains(id)) continue;
+    if (closed) {
+      quarantined_.insert(id);
+      Log(EventId::kWorkerQuarantined, "worker={}", id.value());
+    } else {
+      quarantined_.erase(id);
+      Log(EventId::kWorkerReleased, "worker={} trust=probation", id.value());
+    }
+    rebind_due_ = true;
+  }
+  counters_.quarantined_workers = quarantined;
+}
+
+void CellCore::Impl::TickHealth() {
+  const std::optional<TimePoint> change = health_.NextChange(now_);
+  if (!quarantined_.empty() && (!change || *change <= now_ + timings_.heartbeat)) UpdateTrust();
+}
 
 }  // namespace basilspring
--- a/src/process/cell_jobs.cc
+++ b/src/process/cell_jobs.cc
@@ -28,14 +28,16 @@
   // rebuild a former scheduler may have run the job.
   job.from_takeover = !ready_ || now_ < acquired_ + timings_.rebuild_wait + timings_.summary * 2;
   ++counters_.submitted[static_cast<std::size_t>(spec.job_class)];
-  if (const std::optional<JobResult> fault = AdmissionFault(spec)) {
+  if (const std::optional<JobResult> fault = Admit(job)) {
     Log(EventId::kJobRefused, "job={} workspace={} class={} error={} reason=\"{}\"",
         spec.id.value(), spec.workspace.value(), JobClassName(spec.job_class),
         ErrorInfo(fault->error).name, fault->message);
     RefuseJob(job, fault->error, fault->message);
     return;
   }
-  Enqueue(job);
+  job.queued_at = now_;
+  dirty_ = true;
+  LogQueued(job);
   Send(from, JobAccepted{spec.id, JobState::kQueued});
   if (early_cancels_.erase(spec.id) > 0) CancelNow(job);
 }
@@ -59,28 +61,43 @@
   }
 }
 
-std::optional<JobResult> CellCore::Impl::AdmissionFault(const JobSpec& spec) const {
-  const std::uint64_t needed =
-      std::uint64_t{spec.shape.tasks} * std::uint64_t{spec.shape.accelerators.value()};
+std::optional<JobResult> CellCore::Impl::Admit(const Job& job) {
+  const JobSpec& spec = job.spec;
+  const std::uint64_t needed = TotalsOf(spec.shape).accelerators;
   const std::int64_t quota = WorkspaceNumber("quota.accelerators", spec.workspace);
   if (needed > static_cast<std::uint64_t>(quota)) {
     return JobResult{ErrorKind::kQuotaExceeded,
                      fmt::format("the job needs {} accelerators; the quota of workspace {} is {}",
                                  needed, spec.workspace.value(), quota)};
   }
-  const std::size_t length = queue_.Length(spec.job_class);
-  const std::uint64_t limit = settings_.queue_limit[static_cast<std::size_t>(spec.job_class)];
-  if (length >= limit) {
-    return JobResult{ErrorKind::kOverloaded, fmt::format("{} {} jobs wait; the limit is {}", length,
-                                                         JobClassName(spec.job_class), limit)};
-  }
   std::string reason;
   if (InventoryKnown() && !CanEverFit(capacity_, spec.shape, &reason)) {
     return JobResult{ErrorKind::kNeverFits, reason};
   }
+  if (!ready_ && job.from_takeover && predecessor_) {
+    // Most likely it was accepted by the former scheduler, and an accepted job must not get lost.
+    queue_.Restore(ItemOf(job));
+    return std::nullopt;
+  }
+  if (const std::optional<QueueRefusal> refusal = queue_.Add(ItemOf(job), now_)) {
+    return JobResult{refusal->kind, refusal->reason, {}, refusal->retry_after};
+  }
   return std::nullopt;
 }
 
+QueueItem CellCore::Impl::ItemOf(const Job& job) const {
+  const JobSpec& spec = job.spec;
+  QueueItem item;
+  item.id = spec.id;
+  item.workspace = spec.workspace;
+  item.job_class = spec.job_class;
+  item.shape = spec.shape;
+  item.run_time = run_times_.Correct(spec.workspace, spec.job_class, spec.declared_run_time);
+  item.submitted = job.submitted;
+  item.deadline = job.deadline;
+  return item;
+}
+
 bool CellCore::Impl::InventoryKnown() const {
   // Agents look for a new scheduler after scheduler_silence, so all live ones have reported by
   // then. Before that, a job that seems too large may fit on a worker that isn't known yet.
@@ -91,11 +108,15 @@
   job.state = JobState::kQueued;
   job.queued_at = now_;
   job.attempt = AttemptId();
-  queue_.Add(job.spec.id, job.spec.job_class, job.submitted);
+  queue_.Restore(ItemOf(job));
   dirty_ = true;
+  LogQueued(job);
+}
+
+void CellCore::Impl::LogQueued(const Job& job) {
   Log(EventId::kJobQueued, "job={} workspace={} class={} tasks={} accelerators={} queued={}",
       job.spec.id.value(), job.spec.workspace.value(), JobClassName(job.spec.job_class),
-      job.spec.shape.tasks, job.spec.shape.accelerators.value(), queue_.Length(job.spec.job_class));
+      job.spec.shape.tasks, job.spec.shape.accelerators.value(), queue_.Count(job.spec.job_class));
 }
 
 void CellCore::Impl::Requeue(Job& job, const std::string& reason, Duration pause) {
@@ -187,9 +208,8 @@
     if (waits && now_ - job.queued_at > internal::kKeepOrphan) dropped.push_back(id);
   }
   for (const JobId& id : dropped) {
-    const Job& job = jobs_.at(id);
     Log(EventId::kJobRefused, "job={} reason=\"its entry did not submit it again\"", id.value());
-    queue_.Remove(id, job.spec.job_class, job.submitted);
+    queue_.Cancel(id);
     ForgetJob(id);
   }
 }
@@ -209,7 +229,11 @@
 }
 
 void CellCore::Impl::RefuseImpossibleJobs() {
-  for (const JobId& id : queue_.Order(queue_.size())) {
+  std::vector<JobId> waiting;
+  for (const auto& [id, job] : jobs_) {
+    if (queue_.Find(id) != nullptr) waiting.push_back(id);
+  }
+  for (const JobId& id : waiting) {
     Job& job = jobs_.at(id);
     std::string reason;
     if (!job.spec_known || CanEverFit(capacity_, job.spec.shape, &reason)) continue;
--- a/src/process/cell_outcome.cc
+++ b/src/process/cell_outcome.cc
@@ -38,8 +38,12 @@
   }
   Attempt ended = std::move(*attempt);
   attempts_.erase(id);
+  if (ended.holds_share) {
+    const JobSpec& spec = jobs_.at(ended.job).spec;
+    queue_.Release(spec.workspace, spec.shape);
+  }
   // Gangs that wait for this attempt's room are bound in the next pass.
-  dirty_ = true;
+  NoteRoomChange();
   EndAttempt(ended);
 }
 
@@ -77,7 +81,8 @@
     bytes += member.output.size();
     outputs.push_back(std::move(member.output));
   }
-  NoteRunTime(job, now_ - attempt.started_at);
+  run_times_.Observe(job.spec.workspace, job.spec.job_class, job.spec.declared_run_time,
+                     now_ - attempt.started_at);
   JobResult result;
   if (bytes > kMaxAnswerBytes) {
     result.error = ErrorKind::kTaskFailed;
@@ -132,7 +137,7 @@
   } else if (failure.reason == StopReason::kGangNotStarted || failure.error != ErrorKind::kNone) {
     ++job.refusals;
   }
-  if (job.failures >= settings_.max_attempts && job.spec.idempotent) {
+  if ((job.failures >= settings_.max_attempts || job.at_fault) && job.spec.idempotent) {
     FinishJob(job,
               {ErrorKind::kAttemptsExhausted,
                fmt::format("{} attempts failed; the last one: {}", job.failures, failure.message)});
--- a/src/process/cell_permits.cc
+++ b/src/process/cell_permits.cc
@@ -8,7 +8,7 @@
 
 bool CellCore::Impl::WantsPermit() const {
   if (handing_over_ || !ready_) return false;
-  if (!queue_.empty() || DataCentreOut()) return true;
+  if (queue_.size() > 0 || DataCentreOut()) return true;
   // Kept up a little longer, so that the next urgent job finds a valid permit.
   return now_ - last_demand_ < internal::kKeepPermit;
 }
--- a/src/process/cell_placement.cc
+++ b/src/process/cell_placement.cc
@@ -1,31 +1,56 @@
 #include <algorithm>
-#include <tuple>
 
 #include "process/cell_core_internal.h"
 
 namespace basilspring {
-namespace {
 
-// Jobs that are alike for placement: when one finds no room, the others don't either.
-using Likeness = std::tuple<WorkspaceId, JobClass, GangShape>;
-
-}  // namespace
+void CellCore::Impl::NoteRoomChange() {
+  no_room_.clear();
+  dirty_ = true;
+}
 
 void CellCore::Impl::PlacePass() {
   dirty_ = false;
   if (!ready_ || handing_over_ || DataCentreOut()) return;
+  UpdateTrust();
   BindFreedRoom();
-  std::set<Likeness> without_room;
-  for (const JobId& id : queue_.Order(internal::kJobsPerPass)) {
+  UpdateReservation();
+  std::size_t failures = 0;
+  for (const JobId& id : queue_.Order(now_, internal::kJobsPerPass)) {
     Job& job = jobs_.at(id);
     if (!MayPlace(job)) continue;
-    const Likeness likeness{job.spec.workspace, job.spec.job_class, job.spec.shape};
-    if (without_room.contains(likeness)) continue;
-    if (!TryPlace(job)) without_room.insert(likeness);
+    const internal::Likeness likeness{job.spec.workspace, job.spec.job_class, job.spec.shape};
+    if (no_room_.contains(likeness) || TryPlace(job)) continue;
+    queue_.MarkPassedOver(id, now_);
+    no_room_.insert(likeness);
+    if (++failures == internal::kFailuresPerPass) break;
   }
   if (WantsPermit() && now_ >= next_permit_request_) RequestPermit();
 }
 
+void CellCore::Impl::UpdateReservation() {
+  const QueueItem* const due =
+      identity_.policy == PlacementPolicy::kGuarantees ? queue_.DueForReservation(now_) : nullptr;
+  if (due == nullptr) {
+    reservation_.reset();
+    return;
+  }
+  const auto expected_end = [this](const PlacedTask& task) {
+    const auto job = jobs_.find(task.job);
+    const Duration declared = job == jobs_.end() ? Duration() : job->second.spec.declared_run_time;
+    return task.started + run_times_.Correct(task.workspace, task.job_class, declared);
+  };
+  const bool same = reservation_ && reservation_->job == due->id;
+  reservation_ = ReserveRoom(cell_, due->id, due->shape, now_, expected_end);
+  if (!reservation_ || same) return;
+  std::string workers;
+  for (const WorkerId& worker : reservation_->workers) {
+    workers += (workers.empty() ? "" : ",") + worker.value();
+  }
+  Log(EventId::kRoomReserved, "job={} workers={} start_in_ms={} waited_ms={}", due->id.value(),
+      workers, (reservation_->start - now_).milliseconds(), (now_ - due->submitted).milliseconds());
+}
+
 bool CellCore::Impl::MayPlace(const Job& job) const {
   return job.spec_known && !job.cancel && !job.refusal && now_ >= job.not_before &&
          !HasFoundAttempt(job.spec.id);
@@ -61,6 +86,14 @@
     if (attempt.phase != Phase::kMakingRoom) continue;
     for (const Member& member : attempt.members) input.reserved.push_back(member.worker);
   }
+  const JobSpec& spec = job.spec;
+  if (reservation_ && reservation_->job != spec.id &&
+      !MayBackfill(*reservation_, now_,
+                   run_times_.Correct(spec.workspace, spec.job_class, spec.declared_run_time,
+                                      internal::kBackfillQuantile))) {
+    input.reserved.insert(input.reserved.end(), reservation_->workers.begin(),
+                          reservation_->workers.end());
+  }
   input.may_preempt =
       identity_.policy == PlacementPolicy::kGuarantees &&
       (job.spec.job_class == JobClass::kUrgent || guaranteed_.contains(job.spec.workspace));
@@ -122,7 +155,7 @@
       (now_ - job.queued_at).milliseconds(), placed.reason);
   job.last_reason = placed.reason;
   job.reasons.clear();
-  queue_.Remove(job.spec.id, job.spec.job_class, job.submitted);
+  queue_.Take(job.spec.id, now_);
   job.state = JobState::kPreparing;
   job.attempt = attempt.id;
   for (const Victim& victim : placed.victims) attempt.victims.insert(victim.attempt);
@@ -169,27 +202,31 @@
     FailAttempt(attempt, {error.kind(), error.what(), StopReason::kGangNotStarted}, Duration(0));
     return;
   }
+  queue_.Hold(job.spec.workspace, job.spec.shape);
+  attempt.holds_share = true;
   attempt.phase = Phase::kPreparing;
   attempt.created = now_;
   last_demand_ = now_;
-  for (Member& member : attempt.members) {
-    member.state = MemberState::kPreparing;
-    member.last_command = now_;
-    Prepare prepare;
-    prepare.epoch = identity_.epoch;
-    prepare.attempt = attempt.id;
-    prepare.job = attempt.job;
-    prepare.rank = member.rank;
-    prepare.tasks = job.spec.shape.tasks;
-    prepare.workspace = job.spec.workspace;
-    prepare.job_class = job.spec.job_class;
-    prepare.shape = job.spec.shape;
-    prepare.accelerators = member.accelerators;
-    prepare.borrowed = member.borrowed;
-    prepare.idempotent = job.spec.idempotent;
-    prepare.reserve_for = timings_.reservation;
-    Send(member.agent, std::move(prepare));
-  }
+  for (Member& member : attempt.members) SendPrepare(attempt, member, job.spec);
+}
+
+void CellCore::Impl::SendPrepare(const Attempt& attempt, Member& member, const JobSpec& spec) {
+  member.state = MemberState::kPreparing;
+  member.last_command = now_;
+  Prepare prepare;
+  prepare.epoch = identity_.epoch;
+  prepare.attempt = attempt.id;
+  prepare.job = attempt.job;
+  prepare.rank = member.rank;
+  prepare.tasks = spec.shape.tasks;
+  prepare.workspace = spec.workspace;
+  prepare.job_class = spec.job_class;
+  prepare.shape = spec.shape;
+  prepare.accelerators = member.accelerators;
+  prepare.borrowed = member.borrowed;
+  prepare.idempotent = spec.idempotent;
+  prepare.reserve_for = timings_.reservation;
+  Send(member.agent, std::move(prepare));
 }
 
 PlacedTask CellCore::Impl::TaskOf(const Member& member, const Attempt& attempt,
--- a/src/process/cell_recovery.cc
+++ b/src/process/cell_recovery.cc
@@ -239,6 +239,8 @@
   Job& job = JobOfFound(found);
   Attempt& attempt = attempts_[id] = BuildAttempt(id, found);
   HoldResources(attempt, job.spec, found);
+  queue_.Hold(job.spec.workspace, job.spec.shape);
+  attempt.holds_share = true;
   Attempt* const current = FindAttempt(job.attempt);
   const bool replaceable = current == nullptr || (!current->start_sent && !current->failure &&
                                                   !current->maybe_claimed && found.whole());
@@ -249,8 +251,9 @@
                 Duration(0));
     return;
   }
-  queue_.Remove(job.spec.id, job.spec.job_class, job.submitted);
+  queue_.Cancel(job.spec.id);
   job.attempt = id;
+  if (!job.spec.idempotent && attempt.claimed) job.claimed_attempt = id;
   job.attempts = std::max(job.attempts, 1U);
   job.state = JobState::kRunning;
   if (current != nullptr) {
--- a/src/process/cell_results.cc
+++ b/src/process/cell_results.cc
@@ -35,7 +35,7 @@
 }  // namespace
 
 void CellCore::Impl::RefuseJob(Job& job, ErrorKind error, const std::string& message) {
-  queue_.Remove(job.spec.id, job.spec.job_class, job.submitted);
+  queue_.Cancel(job.spec.id);
   JobResult result{error, message};
   if (ErrorInfo(error).retryable) result.retry_after = RetryAfter(job.spec.job_class);
   if (job.spec.idempotent) {
@@ -71,13 +71,14 @@
 }
 
 void CellCore::Impl::FinishJob(Job& job, JobResult result) {
-  queue_.Remove(job.spec.id, job.spec.job_class, job.submitted);
+  queue_.Cancel(job.spec.id);
   job.refusal.reset();
   job.state = FinalState(result.error);
   job.attempt = AttemptId();
   job.finished_at = now_;
   job.result = std::move(result);
   job.spec.payload.clear();
+  health_.ForgetJob(job.spec.id);
   finished_.push_back(job.spec.id);
   finished_bytes_ += ResultBytes(*job.result);
   ++counters_.finished[{job.spec.job_class, job.result->error}];
@@ -99,7 +100,8 @@
   job.write_in_flight = true;
   unwritten_.insert(job.spec.id);
   out_->operations.emplace_back(ResultWrite{job.spec.id, *job.result, job.spec.idempotent,
-                                            job.spec.workspace, job.spec.request_key});
+                                            job.spec.workspace, job.spec.request_key,
+                                            job.claimed_attempt});
 }
 
 void CellCore::Impl::OnResultReply(const ResultReply& reply) {
--- a/src/process/cell_store.cc
+++ b/src/process/cell_store.cc
@@ -1,60 +1,39 @@
 #include "process/cell_store.h"
 
-#include <fmt/format.h>
-
-#include <string_view>
+#include <optional>
 #include <utility>
+#include <vector>
 
 #include "basilspring/connection/frame.h"
 #include "basilspring/error.h"
 #include "basilspring/process/log.h"
+#include "basilspring/request/request_record.h"
 
 namespace basilspring::internal {
 namespace {
 
 // A record holds up to 256 KiB, so a page stays under 25 MiB.
 constexpr std::size_t kRecordsPerRead = 100;
-constexpr std::string_view kOpen = "open";
-constexpr std::string_view kClaimed = "claimed";
-constexpr std::string_view kFenced = "fenced";
-
-std::string RequestKeyOf(const WorkspaceId& workspace, const RequestKey& key) {
-  return fmt::format("/basilspring/requests/{}/{}", workspace.value(), key.value());
-}
-
-// A request record is "<state>", followed by the token of the claim and by what the entry keeps
-// there.
-std::string_view StateOf(std::string_view record) { return record.substr(0, record.find(' ')); }
-
-std::string WithState(std::string_view record, std::string_view state) {
-  return std::string(state) + std::string(record.substr(StateOf(record).size()));
-}
-
 StoreOutcome OutcomeOf(const Error& error) {
   return error.kind() == ErrorKind::kStoreOutcomeUnknown ? StoreOutcome::kUnknown
                                                          : StoreOutcome::kUnavailable;
 }
 
-// Moves a record from `open` to a new state. The record as it stands afterwards, or before when it
-// wasn't open, is left in `found`.
-bool MoveFromOpen(StoreClient& store, const std::string& key, const std::string& state,
-                  std::string* found) {
-  std::string expected(kOpen);
-  // The first try needs no read when the record holds nothing but its state.
-  for (int tries = 0; tries < 2; ++tries) {
-    const std::string wanted = WithState(expected, state);
-    const TxnResult result = store.Txn({ValueIs{key, expected}}, {PutKey{key, wanted}}, {key});
-    if (result.succeeded) {
-      *found = wanted;
-      return true;
-    }
-    *found = result.found.empty() ? "" : result.found[0].value;
-    // An earlier attempt of the same call took effect.
-    if (*found == wanted) return true;
-    if (StateOf(*found) != kOpen) return false;
-    expected = *found;
+// Moves a record from `open` to another state. Returns the record as it stands afterwards; nothing
+// when it is absent or can't be read.
+std::optional<RequestRecord> MoveFromOpen(StoreClient& store, const std::string& key,
+                                          const RequestRecord& wanted) {
+  const RequestRecord open{RequestRecordState::kOpen, wanted.job, wanted.cell};
+  const TxnResult result = store.Txn({ValueIs{key, EncodeRequestRecord(open)}},
+                                     {PutKey{key, EncodeRequestRecord(wanted)}}, {key});
+  if (result.succeeded) return wanted;
+  if (result.found.empty()) return std::nullopt;
+  try {
+    return DecodeRequestRecord(result.found[0].value);
+  } catch (const Error& error) {
+    Log(EventId::kInternalError, "key={} cause=\"{}\"", key, error.what());
+    return std::nullopt;
   }
-  return false;
 }
 
 }  // namespace
@@ -64,7 +43,7 @@
 
 RecordsListed CellStore::List() {
   RecordsListed listed;
-  const std::string prefix = fmt::format("/basilspring/jobs/{}/", cell_.value());
+  const std::string prefix = JobRecordPrefix(cell_);
   std::string from;
   while (true) {
     const RangeResult page = store_.List(prefix, kRecordsPerRead, from);
@@ -83,12 +62,13 @@
 ClaimReply CellStore::Claim(const ClaimRequest& request) {
   ClaimReply reply{request.job, request.attempt};
   try {
-    std::string record;
-    const bool claimed =
-        MoveFromOpen(store_, RequestKeyOf(request.workspace, request.key),
-                     fmt::format("{} {}", kClaimed, request.attempt.value()), &record);
-    reply.outcome = claimed ? StoreOutcome::kDone : StoreOutcome::kRefused;
-    reply.fenced = StateOf(record) == kFenced;
+    const RequestRecord wanted{RequestRecordState::kClaimed, request.job, cell_,
+                               request.attempt.value()};
+    const std::optional<RequestRecord> record =
+        MoveFromOpen(store_, RequestRecordKey(request.workspace, request.key), wanted);
+    // The same claim may have been made by an earlier call whose answer was lost.
+    reply.outcome = record == wanted ? StoreOutcome::kDone : StoreOutcome::kRefused;
+    reply.fenced = record && record->state == RequestRecordState::kFenced;
   } catch (const Error& error) {
     reply.outcome = OutcomeOf(error);
   }
@@ -98,11 +78,10 @@
 FenceReply CellStore::Fence(const FenceRequest& request) {
   FenceReply reply{request.job};
   try {
-    std::string record;
-    const bool moved = MoveFromOpen(store_, RequestKeyOf(request.workspace, request.key),
-                                    std::string(kFenced), &record);
-    const bool fenced = moved || StateOf(record) == kFenced;
-    reply.outcome = fenced ? StoreOutcome::kDone : StoreOutcome::kRefused;
+    const RequestRecord wanted{RequestRecordState::kFenced, request.job, cell_};
+    const std::optional<RequestRecord> record =
+        MoveFromOpen(store_, RequestRecordKey(request.workspace, request.key), wanted);
+    reply.outcome = record == wanted ? StoreOutcome::kDone : StoreOutcome::kRefused;
   } catch (const Error& error) {
     reply.outcome = OutcomeOf(error);
   }
@@ -123,14 +102,18 @@
 ResultReply CellStore::Write(const ResultWrite& write) {
   ResultReply reply;
   reply.job = write.job;
-  const std::string answer = fmt::format("/basilspring/answers/{}", write.job.value());
-  const std::string record =
-      fmt::format("/basilspring/jobs/{}/{}", cell_.value(), write.job.value());
+  const std::string answer = AnswerKey(write.job);
+  const std::string record = JobRecordKey(cell_, write.job);
   try {
-    const TxnResult result = store_.Txn(
-        {KeyAbsent{answer}},
-        {PutKey{answer, EncodeJobResult(write.result), AnswerLease()}, DeleteKey{record}},
-        {answer});
+    std::vector<StoreWrite> writes = {PutKey{answer, EncodeJobResult(write.result), AnswerLease()},
+                                      DeleteKey{record}};
+    if (!write.claimed.empty()) {
+      // Only the holder of a claim writes its record.
+      const RequestRecord done{RequestRecordState::kDone, write.job, cell_, write.claimed.value()};
+      writes.emplace_back(
+          PutKey{RequestRecordKey(write.workspace, write.key), EncodeRequestRecord(done)});
+    }
+    const TxnResult result = store_.Txn({KeyAbsent{answer}}, writes, {answer});
     if (result.succeeded) return reply;
     reply.outcome = StoreOutcome::kRefused;
     if (!result.found.empty()) reply.stored = DecodeJobResult(result.found[0].value);
--- a/src/process/cell_summary.cc
+++ b/src/process/cell_summary.cc
@@ -77,34 +77,16 @@
   }
   for (auto& [id, rack] : racks) summary.racks.push_back(rack);
   for (std::size_t i = 0; i < kJobClassCount; ++i) {
-    summary.queued.push_back(static_cast<std::uint32_t>(queue_.Length(static_cast<JobClass>(i))));
+    summary.queued.push_back(static_cast<std::uint32_t>(queue_.Count(static_cast<JobClass>(i))));
   }
   summary.estimated_wait = EstimatedWaits();
   return summary;
 }
 
-void CellCore::Impl::NoteWait(const Job& job) {
-  std::int64_t& average = wait_average_ms_[static_cast<std::size_t>(job.spec.job_class)];
-  average += ((now_ - job.queued_at).milliseconds() - average) / 8;
-}
-
-void CellCore::Impl::NoteRunTime(const Job& job, Duration run_time) {
-  std::int64_t& average = run_average_ms_[static_cast<std::size_t>(job.spec.job_class)];
-  average += (run_time.milliseconds() - average) / 8;
-}
-
 std::vector<Duration> CellCore::Impl::EstimatedWaits() const {
   std::vector<Duration> waits;
-  const auto running = static_cast<std::int64_t>(std::max<std::size_t>(attempts_.size(), 1));
-  std::int64_t ahead_ms = 0;
   for (std::size_t i = 0; i < kJobClassCount; ++i) {
-    const auto job_class = static_cast<JobClass>(i);
-    const auto queued = static_cast<std::int64_t>(queue_.Length(job_class));
-    // Jobs ahead of a new one, of this class and those before it, share the running places.
-    ahead_ms += queued * run_average_ms_[i] / running;
-    std::int64_t wait = queued == 0 ? 0 : wait_average_ms_[i];
-    if (queued > 0) wait = std::max(wait, (now_ - queue_.Oldest(job_class)).milliseconds());
-    waits.emplace_back(std::max(wait, ahead_ms));
+    waits.push_back(queue_.EstimateWait(static_cast<JobClass>(i)));
   }
   return waits;
 }
--- a/src/process/cell_workers.cc
+++ b/src/process/cell_workers.cc
@@ -54,7 +54,7 @@
   lost_.erase(report.worker);
   if (joined || worker.capacity != report.capacity || worker.accepting != report.accepting) {
     rebind_due_ = true;
-    dirty_ = true;
+    NoteRoomChange();
   }
   worker.capacity = report.capacity;
   worker.accepting = report.accepting;
@@ -106,7 +106,7 @@
   worker.accepting = accepting;
   cell_.SetAccepting(id, accepting);
   rebind_due_ = true;
-  dirty_ = true;
+  NoteRoomChange();
   // A backend server that came back may announce another capacity.
   if (accepting) RequestReport(id);
 }
