--- /dev/null
+++ b/tests/process/cell_operations_test.cc
@@ -0,0 +1,151 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <string>
+
+#include "tests/process/cell_harness.h"
+
+namespace basilspring {
+namespace {
+
+using testing::CellHarness;
+
+class CellOperations : public ::testing::Test {
+ protected:
+  CellOperations() {
+    cell.AddWorker("a");
+    cell.AddWorker("b");
+    cell.Run(6000);
+  }
+  std::size_t Logged(EventId event) const {
+    return static_cast<std::size_t>(
+        std::count_if(cell.log.begin(), cell.log.end(),
+                      [event](const CellLogLine& line) { return line.event == event; }));
+  }
+  CellHarness cell;
+};
+
+// Guards against a wave of cancellations that leaves jobs, reservations or tasks behind.
+TEST_F(CellOperations, CancelWaveLeavesNothingBehind) {
+  for (int i = 0; i < 200; ++i) cell.Submit("j" + std::to_string(i), 1, 8);
+  for (int i = 0; i < 200; ++i) cell.Cancel("j" + std::to_string(i));
+  for (int i = 0; i < 200; ++i) cell.Cancel("j" + std::to_string(i));
+  cell.Run(500);
+  std::size_t not_run = 0;
+  for (int i = 0; i < 200; ++i) {
+    const ErrorKind outcome = cell.Outcome("j" + std::to_string(i));
+    not_run += outcome == ErrorKind::kCancelled ? 1 : 0;
+    EXPECT_TRUE(outcome == ErrorKind::kCancelled || outcome == ErrorKind::kCancelledRunning);
+  }
+  EXPECT_EQ(cell.Sent<Start>().size(), 200 - not_run) << "\"not run\" of a job that was started";
+  EXPECT_TRUE(cell.agent("a").tasks.empty());
+  cell.Submit("next", 2, 8);
+  EXPECT_EQ(cell.Running("next"), 2U);
+}
+
+// Guards against a worker that fails everything and so draws all work to itself.
+TEST_F(CellOperations, WorkerThatFailsEverythingIsQuarantined) {
+  cell.agent("a").start_error = ErrorKind::kBackendUnavailable;
+  for (int i = 0; i < 6; ++i) {
+    const std::string job = "j" + std::to_string(i);
+    cell.Submit(job, 1, 8);
+    cell.Run(1000);
+    cell.FinishTasks(job);
+    EXPECT_EQ(cell.Outcome(job), ErrorKind::kNone) << job;
+  }
+  EXPECT_EQ(Logged(EventId::kWorkerQuarantined), 1U);
+}
+
+// Guards against a configuration that goes back: operators' changes never revert.
+TEST_F(CellOperations, IgnoresALowerConfigurationRevision) {
+  const std::vector<ConfigNode> none_queued = {{"/", R"({"queue.limit.urgent":0})"}};
+  cell.Configure(7, none_queued);
+  cell.Configure(5, {});
+  EXPECT_EQ(Logged(EventId::kConfigurationIgnored), 1U);
+  EXPECT_EQ(cell.Sent<ConfigurationInForce>().back().revision, ConfigRevision(7));
+  cell.Submit("j");
+  EXPECT_EQ(cell.Outcome("j"), ErrorKind::kOverloaded);
+  cell.Configure(8, {});
+  cell.Submit("j");
+  EXPECT_EQ(cell.Running("j"), 1U) << "a refusal that may be retried isn't kept";
+}
+
+// Guards against starts in a data centre that operators have taken out, and against losing the work
+// that ran there: it is stopped, queued again and runs when the data centre is back.
+TEST_F(CellOperations, DataCentreOutStopsAndRequeues) {
+  cell.Submit("batch", 1, 8, true, JobClass::kBatch);
+  cell.Submit("once", 1, 8, false);
+  cell.Configure(7, {{"/r/dc", R"({"state":"out"})"}});
+  cell.out = true;
+  cell.Run(3000);
+  EXPECT_EQ(cell.Running("batch"), 0U);
+  EXPECT_EQ(cell.Running("once"), 1U) << "stopping it would lose its outcome";
+  const std::size_t starts = cell.Sent<Start>().size();
+  cell.Submit("late", 1, 8);
+  cell.Run(3000);
+  EXPECT_EQ(cell.Sent<Start>().size(), starts);
+  cell.out = false;
+  cell.Configure(8, {});
+  cell.Run(1000);
+  cell.FinishTasks("once");
+  cell.Run(1000);
+  EXPECT_EQ(cell.Running("batch") + cell.Running("late"), 2U);
+}
+
+// Guards against a guarantee that borrowers keep: the workspace gets its room back whole.
+TEST_F(CellOperations, GuaranteeIsReclaimedFromBorrowers) {
+  cell.Configure(7, {{"/*/*/w", R"({"workspace":true,"guarantee.run8":2})"},
+                     {"/*/*/other", R"({"workspace":true})"}});
+  JobSpec borrower = cell.Submit("x", 1, 8);
+  cell.FinishTasks("x");
+  for (const char* id : {"b0", "b1"}) {
+    borrower.id = JobId(id);
+    borrower.workspace = WorkspaceId("other");
+    borrower.payload = "p";
+    cell.FromEntry(SubmitJob{borrower});
+  }
+  ASSERT_EQ(cell.Running("b0") + cell.Running("b1"), 2U);
+  cell.Submit("owner", 2, 8);
+  cell.Run(200);
+  EXPECT_EQ(cell.Running("owner"), 2U);
+  cell.FinishTasks("owner");
+  cell.Run(1000);
+  EXPECT_EQ(cell.Running("b0") + cell.Running("b1"), 2U) << "the borrowers run again";
+}
+
+// Guards against "not run" after the deadline of a job that runs, and against waiting for ever.
+TEST_F(CellOperations, DeadlineEndsQueuedAndRunningJobs) {
+  JobSpec spec = cell.Submit("blocker", 2, 8);
+  spec.id = JobId("short");
+  spec.shape.tasks = 1;
+  spec.deadline = Duration(1000);
+  spec.payload = "p";
+  cell.FinishTasks("blocker");
+  cell.FromEntry(SubmitJob{spec});
+  spec.id = JobId("other");
+  cell.FromEntry(SubmitJob{spec});
+  cell.Submit("third", 1, 8);
+  spec.id = JobId("queued");
+  cell.FromEntry(SubmitJob{spec});
+  cell.Run(1500);
+  EXPECT_EQ(ErrorInfo(cell.Outcome("short")).outcome, RunOutcome::kRan);
+  EXPECT_EQ(ErrorInfo(cell.Outcome("queued")).outcome, RunOutcome::kNotRun);
+}
+
+// Guards against a hand-over that starts work or cuts off running work.
+TEST_F(CellOperations, HandOverKeepsRunningWorkAndStartsNothing) {
+  cell.Submit("runs", 1, 8);
+  cell.agent("a").ignore_prepare = cell.agent("b").ignore_prepare = true;
+  cell.Submit("prepares", 1, 8);
+  cell.Deliver(HandOver{});
+  cell.agent("a").ignore_prepare = cell.agent("b").ignore_prepare = false;
+  cell.Run(200);
+  EXPECT_TRUE(cell.core->handed_over());
+  EXPECT_EQ(cell.Running("runs"), 1U);
+  EXPECT_EQ(cell.Running("prepares"), 0U);
+  cell.Deliver(LeaseReleased{});
+  EXPECT_EQ(cell.Sent<SchedulerGoodbye>().size(), 2U);
+}
+
+}  // namespace
+}  // namespace basilspring
