Rename entry types that clash with those of the cell scheduler

Cause: StoreOperation and ResultReply stood in the namespace basilspring with two definitions, one of the cell core and one of the entry core, which the linker would have merged silently. Change: EntryStoreOperation and JobEndReply; the internal types of the entry core carry the entry in their names.

--- a/include/basilspring/process/entry_core.h
+++ b/include/basilspring/process/entry_core.h
@@ -92,7 +92,7 @@
   Message message;
 };
 
-/// End of a StoreOperation.
+/// End of a EntryStoreOperation.
 struct StoreCompleted {
   std::uint64_t operation = 0;
   /// kNone, kStoreUnavailable or kStoreOutcomeUnknown.
@@ -115,7 +115,7 @@
   std::set<DataCentreId> out_of_service;
   /// This entry's share of the link between regions.
   std::uint32_t link_kbps = 0;
-  int retry_percent = 20;
+  std::uint32_t retry_percent = 20;
 };
 
 struct TickEvent {};
@@ -137,7 +137,7 @@
 
 /// A transaction when there are writes, otherwise a read of the keys in `reads`. Ends with a
 /// StoreCompleted event.
-struct StoreOperation {
+struct EntryStoreOperation {
   std::uint64_t id = 0;
   std::vector<StoreCondition> conditions;
   std::vector<StoreWrite> writes;
@@ -157,7 +157,7 @@
 };
 
 /// The end of a job, or a refusal; `job.job` is empty when no job was made.
-struct ResultReply {
+struct JobEndReply {
   StateReply job;
   JobResult result;
 };
@@ -177,7 +177,7 @@
 
 struct CallerReply {
   CallerId caller;
-  std::variant<ResultReply, StateReply, ExplainReply, ListReply> body;
+  std::variant<JobEndReply, StateReply, ExplainReply, ListReply> body;
   /// False for progress, after which more follows.
   bool last = true;
 };
@@ -189,7 +189,7 @@
 
 struct EntryEffects {
   std::vector<SendMessage> messages;
-  std::vector<StoreOperation> operations;
+  std::vector<EntryStoreOperation> operations;
   std::vector<CallerReply> replies;
   std::vector<EntryLogLine> logs;
 };
--- a/src/process/caller_api.cc
+++ b/src/process/caller_api.cc
@@ -139,7 +139,7 @@
 }
 
 // State and end of a job together.
-boost::json::object EndJson(const ResultReply& reply) {
+boost::json::object EndJson(const JobEndReply& reply) {
   boost::json::object body = StateJson(reply.job);
   for (const auto& member : ErrorJson(reply.result.error, reply.result.message, reply.job.job,
                                       reply.result.retry_after)) {
@@ -175,7 +175,7 @@
   return response;
 }
 
-HttpResponse FormatResult(ReplyStyle style, const ResultReply& reply) {
+HttpResponse FormatResult(ReplyStyle style, const JobEndReply& reply) {
   const JobResult& result = reply.result;
   const bool as_state = style == ReplyStyle::kCancellation || style == ReplyStyle::kState;
   if (as_state && result.error != ErrorKind::kNotFound) return Json(200, EndJson(reply));
@@ -233,7 +233,7 @@
 }
 
 HttpResponse FormatReply(ReplyStyle style, const CallerReply& reply) {
-  if (const auto* const result = std::get_if<ResultReply>(&reply.body)) {
+  if (const auto* const result = std::get_if<JobEndReply>(&reply.body)) {
     return FormatResult(style, *result);
   }
   if (const auto* const explain = std::get_if<ExplainReply>(&reply.body)) {
@@ -247,7 +247,7 @@
   if (const auto* const state = std::get_if<StateReply>(&reply.body)) {
     return fmt::format("event: progress\ndata: {}\n\n", boost::json::serialize(StateJson(*state)));
   }
-  const auto* const end = std::get_if<ResultReply>(&reply.body);
+  const auto* const end = std::get_if<JobEndReply>(&reply.body);
   if (end == nullptr) return "";
   return fmt::format("event: end\ndata: {}\n\n", boost::json::serialize(EndJson(*end)));
 }
--- a/src/process/entry_core.cc
+++ b/src/process/entry_core.cc
@@ -8,7 +8,7 @@
 
 namespace basilspring {
 
-using internal::Request;
+using internal::EntryRequest;
 
 EntryCore::EntryCore(EntryOptions options) : impl_(std::make_unique<Impl>(std::move(options))) {}
 
@@ -41,7 +41,7 @@
   return summaries;
 }
 
-Request* EntryCore::Impl::Find(const JobId& job) {
+EntryRequest* EntryCore::Impl::Find(const JobId& job) {
   const auto found = requests.find(job);
   return found == requests.end() ? nullptr : &found->second;
 }
@@ -55,7 +55,7 @@
 }
 
 void EntryCore::Impl::Reply(CallerId caller,
-                            std::variant<ResultReply, StateReply, ExplainReply, ListReply> body,
+                            std::variant<JobEndReply, StateReply, ExplainReply, ListReply> body,
                             bool last) {
   if (last) callers.erase(caller);
   out->replies.push_back({caller, std::move(body), last});
@@ -73,10 +73,10 @@
   StateReply state;
   state.job = job;
   state.state = JobState::kFailed;
-  Reply(caller, ResultReply{std::move(state), std::move(result)});
+  Reply(caller, JobEndReply{std::move(state), std::move(result)});
 }
 
-StateReply EntryCore::Impl::StateOf(const Request& request) const {
+StateReply EntryCore::Impl::StateOf(const EntryRequest& request) const {
   return {request.spec.id, request.state,          request.attempts,
           request.cell,    request.spec.workspace, request.spec.job_class};
 }
--- a/src/process/entry_core_finish.cc
+++ b/src/process/entry_core_finish.cc
@@ -7,7 +7,7 @@
 
 namespace basilspring {
 
-using internal::Request;
+using internal::EntryRequest;
 using internal::RequestPhase;
 
 namespace {
@@ -49,7 +49,7 @@
 
 }  // namespace
 
-void EntryCore::Impl::Refused(Request& request, JobResult result) {
+void EntryCore::Impl::Refused(EntryRequest& request, JobResult result) {
   if (ErrorInfo(result.error).outcome == RunOutcome::kNotRun) {
     if (TryElsewhere(request, result.error)) {
       // Kept for the case that the records can't be moved.
@@ -67,7 +67,7 @@
   Finish(request, std::move(result));
 }
 
-bool EntryCore::Impl::TryElsewhere(Request& request, ErrorKind kind) {
+bool EntryCore::Impl::TryElsewhere(EntryRequest& request, ErrorKind kind) {
   if (!CanGoElsewhere(kind) || request.cancel_requested) return false;
   if (request.deadline.has_value() && now >= *request.deadline) return false;
   request.tried.insert(request.cell);
@@ -78,7 +78,7 @@
   return true;
 }
 
-void EntryCore::Impl::Settle(Request& request, JobResult result) {
+void EntryCore::Impl::Settle(EntryRequest& request, JobResult result) {
   if (!request.spec.durable || !request.records_created) {
     return Finish(request, std::move(result));
   }
@@ -91,7 +91,7 @@
   }
 }
 
-void EntryCore::Impl::Finish(Request& request, JobResult result) {
+void EntryCore::Impl::Finish(EntryRequest& request, JobResult result) {
   const ErrorRow& row = ErrorInfo(result.error);
   const std::string facts =
       fmt::format("job={} cell={} attempts={} duration_ms={} waiters={}", request.spec.id.value(),
@@ -113,22 +113,22 @@
   payload_bytes -= request.spec.payload.size();
   request.spec.payload = std::string();
   --unfinished;
-  std::vector<internal::Waiter> waiters = std::move(request.waiters);
+  std::vector<internal::RequestWaiter> waiters = std::move(request.waiters);
   request.waiters.clear();
-  for (const internal::Waiter& waiter : waiters) {
-    Reply(waiter.caller, ResultReply{StateOf(request), request.result});
+  for (const internal::RequestWaiter& waiter : waiters) {
+    Reply(waiter.caller, JobEndReply{StateOf(request), request.result});
   }
   Retain(request);
 }
 
-void EntryCore::Impl::Retain(Request& request) {
+void EntryCore::Impl::Retain(EntryRequest& request) {
   retained_bytes += AnswerBytes(request.result);
   retained.push_back(request.spec.id);
 }
 
 void EntryCore::Impl::Evict() {
   while (!retained.empty()) {
-    const Request* const oldest = Find(retained.front());
+    const EntryRequest* const oldest = Find(retained.front());
     if (oldest != nullptr) {
       const bool expired = now - oldest->finished > options.answer_retention;
       const bool crowded =
@@ -144,7 +144,7 @@
 void EntryCore::Impl::Erase(const JobId& job) {
   const auto found = requests.find(job);
   if (found == requests.end()) return;
-  Request& request = found->second;
+  EntryRequest& request = found->second;
   if (request.phase != RequestPhase::kFinished) {
     payload_bytes -= request.spec.payload.size();
     --unfinished;
--- a/src/process/entry_core_internal.h
+++ b/src/process/entry_core_internal.h
@@ -35,14 +35,14 @@
   kFinished,
 };
 
-struct Waiter {
+struct RequestWaiter {
   CallerId caller;
   /// When the caller gets the state instead of the answer.
   TimePoint until;
   bool streams_progress = false;
 };
 
-struct Request {
+struct EntryRequest {
   JobSpec spec;
   RequestPhase phase = RequestPhase::kParked;
   TimePoint received;
@@ -67,7 +67,7 @@
   /// A caller was told "accepted" and can come back, so a disconnect no longer cancels the job.
   bool acknowledged = false;
   std::set<CellId> tried;
-  std::vector<Waiter> waiters;
+  std::vector<RequestWaiter> waiters;
   std::vector<std::string> routing;
   /// Result, or the refusal that waits for its records to be settled.
   JobResult result;
@@ -106,7 +106,7 @@
   kReadAnswer,
 };
 
-struct Operation {
+struct PendingOperation {
   OperationKind kind = OperationKind::kCreate;
   JobId job;
 };
@@ -124,10 +124,10 @@
   LinkBudget link;
   RetryBudget retries;
   std::map<CellId, internal::KnownCell> cells;
-  std::unordered_map<JobId, internal::Request> requests;
+  std::unordered_map<JobId, internal::EntryRequest> requests;
   std::map<internal::KeyedRequest, JobId> keys;
   std::unordered_map<CallerId, JobId> callers;
-  std::map<std::uint64_t, internal::Operation> operations;
+  std::map<std::uint64_t, internal::PendingOperation> operations;
   std::map<std::uint64_t, internal::PendingExplain> explains;
   /// Finished jobs, oldest first, for eviction.
   std::deque<JobId> retained;
@@ -143,46 +143,47 @@
   EntryEffects* out = nullptr;
 
   // entry_core.cc
-  internal::Request* Find(const JobId& job);
+  internal::EntryRequest* Find(const JobId& job);
   void Send(const Address& to, Message message);
   void LogLine(EventId event, std::string text);
-  void Reply(CallerId caller, std::variant<ResultReply, StateReply, ExplainReply, ListReply> body,
+  void Reply(CallerId caller, std::variant<JobEndReply, StateReply, ExplainReply, ListReply> body,
              bool last = true);
   void ReplyError(CallerId caller, const JobId& job, ErrorKind kind, const std::string& message);
-  StateReply StateOf(const internal::Request& request) const;
+  StateReply StateOf(const internal::EntryRequest& request) const;
 
   // entry_core_submit.cc
   void On(const SubmitRequest& event);
   bool AttachToFirst(const SubmitRequest& event);
   bool RefuseEarly(const SubmitRequest& event);
-  void Start(internal::Request& request);
-  void StartIn(internal::Request& request, const Routed& routed);
-  RoutingResult Route(const internal::Request& request);
-  void Submit(internal::Request& request);
-  void AddWaiter(internal::Request& request, CallerId caller, Duration wait,
+  void Start(internal::EntryRequest& request);
+  void StartIn(internal::EntryRequest& request, const Routed& routed);
+  RoutingResult Route(const internal::EntryRequest& request);
+  void Submit(internal::EntryRequest& request);
+  void AddWaiter(internal::EntryRequest& request, CallerId caller, Duration wait,
                  bool streams_progress = false);
-  Duration Remaining(const internal::Request& request) const;
+  Duration Remaining(const internal::EntryRequest& request) const;
 
   // entry_core_records.cc
   void On(const StoreCompleted& event);
-  void BeginOperation(internal::Request& request, internal::OperationKind kind,
-                      StoreOperation operation);
+  void BeginOperation(internal::EntryRequest& request, internal::OperationKind kind,
+                      EntryStoreOperation operation);
   /// `replaced` is the value of a fenced record that the new one replaces, or empty.
-  void CreateRecords(internal::Request& request, const std::string& replaced);
-  void MoveRecords(internal::Request& request, const CellId& to);
-  void Fence(internal::Request& request);
-  void BlockRecord(internal::Request& request);
-  void ReadJob(internal::Request& request);
-  void JobRead(internal::Request& request, const StoreCompleted& event);
-  void ReadAnswer(internal::Request& request);
-  void Created(internal::Request& request, const StoreCompleted& event);
-  void FoundRecord(internal::Request& request, const StoreKeyValue& pair);
-  void Adopt(internal::Request& request, const RequestRecord& record, const std::string& value);
-  void Moved(internal::Request& request, const StoreCompleted& event);
-  void Fenced(internal::Request& request, internal::OperationKind kind,
+  void CreateRecords(internal::EntryRequest& request, const std::string& replaced);
+  void MoveRecords(internal::EntryRequest& request, const CellId& to);
+  void Fence(internal::EntryRequest& request);
+  void BlockRecord(internal::EntryRequest& request);
+  void ReadJob(internal::EntryRequest& request);
+  void JobRead(internal::EntryRequest& request, const StoreCompleted& event);
+  void ReadAnswer(internal::EntryRequest& request);
+  void Created(internal::EntryRequest& request, const StoreCompleted& event);
+  void FoundRecord(internal::EntryRequest& request, const StoreKeyValue& pair);
+  void Adopt(internal::EntryRequest& request, const RequestRecord& record,
+             const std::string& value);
+  void Moved(internal::EntryRequest& request, const StoreCompleted& event);
+  void Fenced(internal::EntryRequest& request, internal::OperationKind kind,
               const StoreCompleted& event);
-  void Retracted(internal::Request& request, const StoreCompleted& event);
-  void AnswerRead(internal::Request& request, const StoreCompleted& event);
+  void Retracted(internal::EntryRequest& request, const StoreCompleted& event);
+  void AnswerRead(internal::EntryRequest& request, const StoreCompleted& event);
 
   // entry_core_messages.cc
   void On(const ProcessMessage& event);
@@ -193,15 +194,15 @@
   void OnMessage(const Address& from, const CellSummary& message);
   void On(const CellChanged& event);
   void SchedulerChanged(internal::KnownCell& cell);
-  void UpdateState(internal::Request& request, JobState state, std::uint32_t attempts);
-  void DamagedAnswer(internal::Request& request, const JobResult& result);
+  void UpdateState(internal::EntryRequest& request, JobState state, std::uint32_t attempts);
+  void DamagedAnswer(internal::EntryRequest& request, const JobResult& result);
 
   // entry_core_finish.cc
-  void Refused(internal::Request& request, JobResult result);
-  bool TryElsewhere(internal::Request& request, ErrorKind kind);
-  void Settle(internal::Request& request, JobResult result);
-  void Finish(internal::Request& request, JobResult result);
-  void Retain(internal::Request& request);
+  void Refused(internal::EntryRequest& request, JobResult result);
+  bool TryElsewhere(internal::EntryRequest& request, ErrorKind kind);
+  void Settle(internal::EntryRequest& request, JobResult result);
+  void Finish(internal::EntryRequest& request, JobResult result);
+  void Retain(internal::EntryRequest& request);
   void Evict();
   void Erase(const JobId& job);
 
@@ -212,20 +213,20 @@
   void On(const ListRequest& event);
   void On(const CancelRequest& event);
   void On(const CallerGone& event);
-  internal::Request& Observe(const JobId& job);
+  internal::EntryRequest& Observe(const JobId& job);
   void QueryEverywhere(const JobId& job, std::uint64_t query);
-  void RequestCancel(internal::Request& request);
+  void RequestCancel(internal::EntryRequest& request);
   void ExplainWith(const internal::PendingExplain& pending, const JobReport* report);
 
   // entry_core_tick.cc
   void On(const RoutingConfiguration& event);
   void On(const TickEvent& event);
   void On(const StopEvent& event);
-  void TickRequest(internal::Request& request);
-  bool PassDeadline(internal::Request& request);
-  void Poll(internal::Request& request);
-  void LeaveSilentCell(internal::Request& request);
-  void ExpireWaiters(internal::Request& request);
+  void TickRequest(internal::EntryRequest& request);
+  bool PassDeadline(internal::EntryRequest& request);
+  void Poll(internal::EntryRequest& request);
+  void LeaveSilentCell(internal::EntryRequest& request);
+  void ExpireWaiters(internal::EntryRequest& request);
   void ExpireExplains();
 };
 
--- a/src/process/entry_core_messages.cc
+++ b/src/process/entry_core_messages.cc
@@ -7,8 +7,8 @@
 
 namespace basilspring {
 
+using internal::EntryRequest;
 using internal::KnownCell;
-using internal::Request;
 using internal::RequestPhase;
 
 namespace {
@@ -40,7 +40,7 @@
 }
 
 void EntryCore::Impl::OnMessage(const Address& from, const JobAccepted& message) {
-  Request* const request = Find(message.job);
+  EntryRequest* const request = Find(message.job);
   if (request == nullptr || request->phase != RequestPhase::kSubmitted) return;
   if (from != request->scheduler) return;
   request->accepted = true;
@@ -49,24 +49,24 @@
 }
 
 void EntryCore::Impl::OnMessage(const Address& from, const JobProgress& message) {
-  Request* const request = Find(message.job);
+  EntryRequest* const request = Find(message.job);
   if (request == nullptr || request->phase == RequestPhase::kFinished) return;
   if (!request->scheduler.empty() && from != request->scheduler) return;
   UpdateState(*request, message.state, message.attempts);
 }
 
-void EntryCore::Impl::UpdateState(Request& request, JobState state, std::uint32_t attempts) {
+void EntryCore::Impl::UpdateState(EntryRequest& request, JobState state, std::uint32_t attempts) {
   const bool changed = request.state != state || request.attempts != attempts;
   request.state = state;
   request.attempts = attempts;
   if (!changed || Ended(state)) return;
-  for (const internal::Waiter& waiter : request.waiters) {
+  for (const internal::RequestWaiter& waiter : request.waiters) {
     if (waiter.streams_progress) Reply(waiter.caller, StateOf(request), false);
   }
 }
 
 void EntryCore::Impl::OnMessage(const Address& from, const JobFinished& message) {
-  Request* const request = Find(message.job);
+  EntryRequest* const request = Find(message.job);
   if (request == nullptr || request->phase == RequestPhase::kFinished) return;
   request->attempts = std::max(request->attempts, message.attempts);
   if (message.result.error == ErrorKind::kNone) {
@@ -84,7 +84,7 @@
   Refused(*request, message.result);
 }
 
-void EntryCore::Impl::DamagedAnswer(Request& request, const JobResult& result) {
+void EntryCore::Impl::DamagedAnswer(EntryRequest& request, const JobResult& result) {
   LogLine(
       EventId::kRequestRefused,
       fmt::format("job={} reason=\"damaged answer dropped\" outputs={} tasks={}",
@@ -112,7 +112,7 @@
     explains.erase(found);
     return ExplainWith(pending, &message);
   }
-  Request* const request = Find(message.job);
+  EntryRequest* const request = Find(message.job);
   if (request == nullptr) return;
   if (request->phase == RequestPhase::kSubmitted && from == request->scheduler) {
     if (message.known && !Ended(message.state)) {
--- a/src/process/entry_core_queries.cc
+++ b/src/process/entry_core_queries.cc
@@ -7,8 +7,8 @@
 
 namespace basilspring {
 
+using internal::EntryRequest;
 using internal::PendingExplain;
-using internal::Request;
 using internal::RequestPhase;
 
 namespace {
@@ -21,21 +21,21 @@
 }  // namespace
 
 void EntryCore::Impl::On(const ResultRequest& event) {
-  Request* const request = Find(event.job);
+  EntryRequest* const request = Find(event.job);
   AddWaiter(request == nullptr ? Observe(event.job) : *request, event.caller, event.wait);
 }
 
 void EntryCore::Impl::On(const ProgressRequest& event) {
-  Request* const found = Find(event.job);
-  Request& request = found == nullptr ? Observe(event.job) : *found;
+  EntryRequest* const found = Find(event.job);
+  EntryRequest& request = found == nullptr ? Observe(event.job) : *found;
   AddWaiter(request, event.caller, kProgressWait, true);
   const bool has_state = request.phase != RequestPhase::kFinished &&
                          (request.phase != RequestPhase::kObserved || request.known);
   if (has_state) Reply(event.caller, StateOf(request), false);
 }
 
-Request& EntryCore::Impl::Observe(const JobId& job) {
-  Request& request = requests[job];
+EntryRequest& EntryCore::Impl::Observe(const JobId& job) {
+  EntryRequest& request = requests[job];
   request.spec.id = job;
   request.phase = RequestPhase::kObserved;
   request.received = now;
@@ -53,7 +53,7 @@
 
 void EntryCore::Impl::On(const ExplainRequest& event) {
   const PendingExplain pending{event.caller, event.job, now + kLookupWait};
-  const Request* const request = Find(event.job);
+  const EntryRequest* const request = Find(event.job);
   const std::uint64_t query = next_explain++;
   if (request == nullptr || request->phase == RequestPhase::kObserved) {
     QueryEverywhere(event.job, query);
@@ -66,7 +66,7 @@
 }
 
 void EntryCore::Impl::ExplainWith(const PendingExplain& pending, const JobReport* report) {
-  const Request* const request = Find(pending.job);
+  const EntryRequest* const request = Find(pending.job);
   ExplainReply reply;
   reply.job.job = pending.job;
   if (request != nullptr) {
@@ -102,13 +102,13 @@
 }
 
 void EntryCore::Impl::On(const CancelRequest& event) {
-  Request* const found = Find(event.job);
-  Request& request = found == nullptr ? Observe(event.job) : *found;
+  EntryRequest* const found = Find(event.job);
+  EntryRequest& request = found == nullptr ? Observe(event.job) : *found;
   AddWaiter(request, event.caller, event.wait);
   if (request.phase != RequestPhase::kFinished) RequestCancel(request);
 }
 
-void EntryCore::Impl::RequestCancel(Request& request) {
+void EntryCore::Impl::RequestCancel(EntryRequest& request) {
   LogLine(EventId::kRequestCancelled,
           fmt::format("job={} cell={} state={}", request.spec.id.value(), request.cell.value(),
                       JobStateName(request.state)));
@@ -132,12 +132,12 @@
   }
   const auto found = callers.find(event.caller);
   if (found == callers.end()) return;
-  Request* const request = Find(found->second);
+  EntryRequest* const request = Find(found->second);
   callers.erase(found);
   if (request == nullptr || request->phase == RequestPhase::kFinished) return;
   auto& waiters = request->waiters;
   waiters.erase(std::remove_if(waiters.begin(), waiters.end(),
-                               [&event](const internal::Waiter& waiter) {
+                               [&event](const internal::RequestWaiter& waiter) {
                                  return waiter.caller == event.caller;
                                }),
                 waiters.end());
--- a/src/process/entry_core_records.cc
+++ b/src/process/entry_core_records.cc
@@ -7,18 +7,18 @@
 
 namespace basilspring {
 
-using internal::Operation;
+using internal::EntryRequest;
 using internal::OperationKind;
-using internal::Request;
+using internal::PendingOperation;
 using internal::RequestPhase;
 
 namespace {
 
-std::string OpenRecord(const Request& request, const CellId& cell) {
+std::string OpenRecord(const EntryRequest& request, const CellId& cell) {
   return EncodeRequestRecord({RequestRecordState::kOpen, request.spec.id, cell, ""});
 }
 
-std::string KeyOf(const Request& request) {
+std::string KeyOf(const EntryRequest& request) {
   return RequestRecordKey(request.spec.workspace, request.spec.request_key);
 }
 
@@ -32,20 +32,20 @@
 
 }  // namespace
 
-void EntryCore::Impl::BeginOperation(Request& request, OperationKind kind,
-                                     StoreOperation operation) {
+void EntryCore::Impl::BeginOperation(EntryRequest& request, OperationKind kind,
+                                     EntryStoreOperation operation) {
   operation.id = next_operation++;
   request.operation = operation.id;
-  operations[operation.id] = Operation{kind, request.spec.id};
+  operations[operation.id] = PendingOperation{kind, request.spec.id};
   out->operations.push_back(std::move(operation));
 }
 
 void EntryCore::Impl::On(const StoreCompleted& event) {
   const auto found = operations.find(event.operation);
   if (found == operations.end()) return;
-  const Operation operation = found->second;
+  const PendingOperation operation = found->second;
   operations.erase(found);
-  Request* const request = Find(operation.job);
+  EntryRequest* const request = Find(operation.job);
   // An operation that the request no longer waits for has nothing left to decide.
   if (request == nullptr || request->operation != event.operation) return;
   request->operation = 0;
@@ -67,9 +67,9 @@
   }
 }
 
-void EntryCore::Impl::CreateRecords(Request& request, const std::string& replaced) {
+void EntryCore::Impl::CreateRecords(EntryRequest& request, const std::string& replaced) {
   request.phase = RequestPhase::kCreating;
-  StoreOperation operation;
+  EntryStoreOperation operation;
   const std::string job_key = JobRecordKey(request.cell, request.spec.id);
   operation.conditions.push_back(KeyAbsent{job_key});
   operation.writes.push_back(PutKey{job_key, EncodeJobSpec(request.spec)});
@@ -87,7 +87,7 @@
   BeginOperation(request, OperationKind::kCreate, std::move(operation));
 }
 
-void EntryCore::Impl::Created(Request& request, const StoreCompleted& event) {
+void EntryCore::Impl::Created(EntryRequest& request, const StoreCompleted& event) {
   if (event.error == ErrorKind::kStoreUnavailable) {
     return Finish(request, Failure(event.error, "the store does not answer, nothing was written"));
   }
@@ -116,7 +116,7 @@
   Finish(request, Failure(ErrorKind::kConflict, "a job with this id has a record already"));
 }
 
-void EntryCore::Impl::FoundRecord(Request& request, const StoreKeyValue& pair) {
+void EntryCore::Impl::FoundRecord(EntryRequest& request, const StoreKeyValue& pair) {
   RequestRecord record;
   try {
     record = DecodeRequestRecord(pair.value);
@@ -133,14 +133,14 @@
   Adopt(request, record, pair.value);
 }
 
-void EntryCore::Impl::Adopt(Request& request, const RequestRecord& record,
+void EntryCore::Impl::Adopt(EntryRequest& request, const RequestRecord& record,
                             const std::string& value) {
   const JobId own = request.spec.id;
   LogLine(EventId::kRequestRouted,
           fmt::format("job={} cell={} reason=\"request {} was accepted before as this job\"",
                       record.job.value(), record.cell.value(), request.spec.request_key.value()));
-  if (Request* const first = Find(record.job)) {
-    for (const internal::Waiter& waiter : request.waiters) {
+  if (EntryRequest* const first = Find(record.job)) {
+    for (const internal::RequestWaiter& waiter : request.waiters) {
       AddWaiter(*first, waiter.caller, waiter.until - now, waiter.streams_progress);
     }
     request.waiters.clear();
@@ -149,10 +149,10 @@
   }
   auto node = requests.extract(own);
   node.key() = record.job;
-  Request& adopted = requests.insert(std::move(node)).position->second;
+  EntryRequest& adopted = requests.insert(std::move(node)).position->second;
   adopted.spec.id = record.job;
   keys[{adopted.spec.workspace, adopted.spec.request_key}] = record.job;
-  for (const internal::Waiter& waiter : adopted.waiters) callers[waiter.caller] = record.job;
+  for (const internal::RequestWaiter& waiter : adopted.waiters) callers[waiter.caller] = record.job;
   adopted.cell = record.cell;
   adopted.record = value;
   adopted.records_created = true;
@@ -164,10 +164,10 @@
   ReadAnswer(adopted);
 }
 
-void EntryCore::Impl::MoveRecords(Request& request, const CellId& to) {
+void EntryCore::Impl::MoveRecords(EntryRequest& request, const CellId& to) {
   request.phase = RequestPhase::kMoving;
   request.target = to;
-  StoreOperation operation;
+  EntryStoreOperation operation;
   const std::string job_key = JobRecordKey(to, request.spec.id);
   operation.conditions.push_back(KeyAbsent{job_key});
   operation.writes.push_back(PutKey{job_key, EncodeJobSpec(request.spec)});
@@ -181,7 +181,7 @@
   BeginOperation(request, OperationKind::kMove, std::move(operation));
 }
 
-void EntryCore::Impl::Moved(Request& request, const StoreCompleted& event) {
+void EntryCore::Impl::Moved(EntryRequest& request, const StoreCompleted& event) {
   if (event.error == ErrorKind::kNone && event.succeeded) {
     request.cell = request.target;
     if (!request.spec.idempotent) request.record = OpenRecord(request, request.cell);
@@ -193,8 +193,8 @@
   Settle(request, std::move(request.result));
 }
 
-void EntryCore::Impl::Fence(Request& request) {
-  StoreOperation operation;
+void EntryCore::Impl::Fence(EntryRequest& request) {
+  EntryStoreOperation operation;
   const std::string key = KeyOf(request);
   operation.conditions.push_back(ValueIs{key, request.record});
   operation.writes.push_back(PutKey{
@@ -204,8 +204,8 @@
   BeginOperation(request, OperationKind::kFence, std::move(operation));
 }
 
-void EntryCore::Impl::BlockRecord(Request& request) {
-  StoreOperation operation;
+void EntryCore::Impl::BlockRecord(EntryRequest& request) {
+  EntryStoreOperation operation;
   const std::string key = KeyOf(request);
   operation.conditions.push_back(KeyAbsent{key});
   operation.writes.push_back(PutKey{
@@ -214,7 +214,8 @@
   BeginOperation(request, OperationKind::kBlock, std::move(operation));
 }
 
-void EntryCore::Impl::Fenced(Request& request, OperationKind kind, const StoreCompleted& event) {
+void EntryCore::Impl::Fenced(EntryRequest& request, OperationKind kind,
+                             const StoreCompleted& event) {
   JobResult refusal = request.result;
   const JobResult unknown =
       Failure(ErrorKind::kOutcomeUnknown,
@@ -251,16 +252,16 @@
   ReadAnswer(request);
 }
 
-void EntryCore::Impl::ReadJob(Request& request) {
-  StoreOperation operation;
+void EntryCore::Impl::ReadJob(EntryRequest& request) {
+  EntryStoreOperation operation;
   operation.reads.push_back(JobRecordKey(request.cell, request.spec.id));
   BeginOperation(request, OperationKind::kReadJob, std::move(operation));
 }
 
-void EntryCore::Impl::JobRead(Request& request, const StoreCompleted& event) {
+void EntryCore::Impl::JobRead(EntryRequest& request, const StoreCompleted& event) {
   if (event.error != ErrorKind::kNone) return Retracted(request, event);
   if (event.found.empty()) return Finish(request, std::move(request.result));
-  StoreOperation operation;
+  EntryStoreOperation operation;
   const StoreKeyValue& pair = event.found.front();
   operation.conditions.push_back(ModRevisionIs{pair.key, pair.mod_revision});
   operation.writes.push_back(DeleteKey{pair.key});
@@ -268,7 +269,7 @@
   BeginOperation(request, OperationKind::kRetract, std::move(operation));
 }
 
-void EntryCore::Impl::Retracted(Request& request, const StoreCompleted& event) {
+void EntryCore::Impl::Retracted(EntryRequest& request, const StoreCompleted& event) {
   const bool gone = event.succeeded || event.found.empty();
   if (event.error == ErrorKind::kNone && gone) return Finish(request, std::move(request.result));
   // A record that stays would be taken up by the next scheduler of the cell.
@@ -277,13 +278,13 @@
                                       request.result.message)));
 }
 
-void EntryCore::Impl::ReadAnswer(Request& request) {
-  StoreOperation operation;
+void EntryCore::Impl::ReadAnswer(EntryRequest& request) {
+  EntryStoreOperation operation;
   operation.reads.push_back(AnswerKey(request.spec.id));
   BeginOperation(request, OperationKind::kReadAnswer, std::move(operation));
 }
 
-void EntryCore::Impl::AnswerRead(Request& request, const StoreCompleted& event) {
+void EntryCore::Impl::AnswerRead(EntryRequest& request, const StoreCompleted& event) {
   if (event.error == ErrorKind::kNone && !event.found.empty()) {
     JobResult result;
     try {
--- a/src/process/entry_core_submit.cc
+++ b/src/process/entry_core_submit.cc
@@ -8,8 +8,8 @@
 
 namespace basilspring {
 
+using internal::EntryRequest;
 using internal::KnownCell;
-using internal::Request;
 using internal::RequestPhase;
 
 namespace {
@@ -21,13 +21,13 @@
   return XXH64(payload.data(), payload.size(), 0);
 }
 
-bool SameRequest(const Request& first, const JobSpec& spec) {
+bool SameRequest(const EntryRequest& first, const JobSpec& spec) {
   return first.payload_hash == HashOf(spec.payload) && first.spec.shape == spec.shape &&
          first.spec.job_class == spec.job_class && first.spec.idempotent == spec.idempotent;
 }
 
 // Whether a repeated request starts a new job instead of getting the result of the first one.
-bool CanStartAgain(const Request& first) {
+bool CanStartAgain(const EntryRequest& first) {
   const ErrorRow& row = ErrorInfo(first.result.error);
   return first.phase == RequestPhase::kFinished && row.outcome == RunOutcome::kNotRun &&
          row.retryable;
@@ -53,7 +53,7 @@
 void EntryCore::Impl::On(const SubmitRequest& event) {
   LogLine(EventId::kRequestReceived, DescribeJob(event.spec));
   if (AttachToFirst(event) || RefuseEarly(event)) return;
-  Request& request = requests[event.spec.id];
+  EntryRequest& request = requests[event.spec.id];
   request.spec = event.spec;
   request.received = now;
   request.payload_hash = HashOf(event.spec.payload);
@@ -68,7 +68,7 @@
 bool EntryCore::Impl::AttachToFirst(const SubmitRequest& event) {
   const auto key = keys.find({event.spec.workspace, event.spec.request_key});
   if (key == keys.end()) return false;
-  Request* const first = Find(key->second);
+  EntryRequest* const first = Find(key->second);
   if (first == nullptr || CanStartAgain(*first)) {
     keys.erase(key);
     return false;
@@ -103,17 +103,17 @@
   return true;
 }
 
-void EntryCore::Impl::AddWaiter(Request& request, CallerId caller, Duration wait,
+void EntryCore::Impl::AddWaiter(EntryRequest& request, CallerId caller, Duration wait,
                                 bool streams_progress) {
   if (request.phase == RequestPhase::kFinished) {
-    Reply(caller, ResultReply{StateOf(request), request.result});
+    Reply(caller, JobEndReply{StateOf(request), request.result});
     return;
   }
   callers[caller] = request.spec.id;
   request.waiters.push_back({caller, now + wait, streams_progress});
 }
 
-RoutingResult EntryCore::Impl::Route(const Request& request) {
+RoutingResult EntryCore::Impl::Route(const EntryRequest& request) {
   std::vector<CellCandidate> candidates;
   for (const auto& [id, cell] : cells) {
     if (!cell.summary.has_value()) continue;
@@ -136,7 +136,7 @@
   return RouteJob(input);
 }
 
-void EntryCore::Impl::Start(Request& request) {
+void EntryCore::Impl::Start(EntryRequest& request) {
   RoutingResult result = Route(request);
   if (const auto* const routed = std::get_if<Routed>(&result)) {
     StartIn(request, *routed);
@@ -159,7 +159,7 @@
   Finish(request, std::move(end));
 }
 
-void EntryCore::Impl::StartIn(Request& request, const Routed& routed) {
+void EntryCore::Impl::StartIn(EntryRequest& request, const Routed& routed) {
   request.routing = routed.candidates;
   LogLine(EventId::kRequestRouted,
           fmt::format("{} cell={} reason=\"{}\" link_bytes={} candidates=[{}]",
@@ -178,13 +178,13 @@
   }
 }
 
-Duration EntryCore::Impl::Remaining(const Request& request) const {
+Duration EntryCore::Impl::Remaining(const EntryRequest& request) const {
   if (!request.deadline.has_value()) return Duration(0);
   // Zero would mean "no deadline".
   return std::max(Duration(1), *request.deadline - now);
 }
 
-void EntryCore::Impl::Submit(Request& request) {
+void EntryCore::Impl::Submit(EntryRequest& request) {
   KnownCell& cell = cells[request.cell];
   cell.id = request.cell;
   request.phase = RequestPhase::kSubmitted;
--- a/src/process/entry_core_tick.cc
+++ b/src/process/entry_core_tick.cc
@@ -7,8 +7,8 @@
 
 namespace basilspring {
 
+using internal::EntryRequest;
 using internal::KnownCell;
-using internal::Request;
 using internal::RequestPhase;
 
 namespace {
@@ -33,7 +33,7 @@
   // A durable job goes on without this entry: who waits long for it is told "accepted" in time.
   for (auto& [id, request] : requests) {
     if (!request.spec.durable && request.phase != RequestPhase::kObserved) continue;
-    for (internal::Waiter& waiter : request.waiters) {
+    for (internal::RequestWaiter& waiter : request.waiters) {
       waiter.until = std::min(waiter.until, now + kStopWait);
     }
   }
@@ -46,13 +46,13 @@
     if (request.phase != RequestPhase::kFinished) active.push_back(id);
   }
   for (const JobId& id : active) {
-    if (Request* const request = Find(id)) TickRequest(*request);
+    if (EntryRequest* const request = Find(id)) TickRequest(*request);
   }
   ExpireExplains();
   Evict();
 }
 
-void EntryCore::Impl::TickRequest(Request& request) {
+void EntryCore::Impl::TickRequest(EntryRequest& request) {
   if (PassDeadline(request)) return;
   if (request.phase == RequestPhase::kParked) return Start(request);
   if (request.phase == RequestPhase::kSubmitted) LeaveSilentCell(request);
@@ -70,7 +70,7 @@
   ExpireWaiters(request);
 }
 
-bool EntryCore::Impl::PassDeadline(Request& request) {
+bool EntryCore::Impl::PassDeadline(EntryRequest& request) {
   if (!request.deadline.has_value() || now < *request.deadline) return false;
   JobResult result;
   result.error = ErrorKind::kDeadlineExceeded;
@@ -94,7 +94,7 @@
   return true;
 }
 
-void EntryCore::Impl::LeaveSilentCell(Request& request) {
+void EntryCore::Impl::LeaveSilentCell(EntryRequest& request) {
   const KnownCell& cell = cells[request.cell];
   const bool silent = now - std::max(cell.heard, request.received) > options.cell_silence;
   if (!silent || request.cancel_requested) return;
@@ -110,7 +110,7 @@
   StartIn(request, *routed);
 }
 
-void EntryCore::Impl::Poll(Request& request) {
+void EntryCore::Impl::Poll(EntryRequest& request) {
   if (now < request.next_poll) return;
   if (request.phase == RequestPhase::kSubmitted && request.sent) {
     request.next_poll = now + kPollInterval;
@@ -125,7 +125,7 @@
   }
 }
 
-void EntryCore::Impl::ExpireWaiters(Request& request) {
+void EntryCore::Impl::ExpireWaiters(EntryRequest& request) {
   // Before its records stand or its cell has it, a job is not accepted.
   if (request.phase == RequestPhase::kParked || request.phase == RequestPhase::kCreating) return;
   if (request.phase == RequestPhase::kObserved && !request.known) return;
--- a/src/process/entry_driver.h
+++ b/src/process/entry_driver.h
@@ -93,7 +93,7 @@
   JobId NewJobId();
 
   // entry_store.cc
-  void RunOperation(const StoreOperation& operation);
+  void RunOperation(const EntryStoreOperation& operation);
   void Synchronize();
   std::int64_t ListAll();
   void RefreshRegistry();
--- a/src/process/entry_http.cc
+++ b/src/process/entry_http.cc
@@ -99,7 +99,7 @@
   if (found == calls_.end()) return;
   PendingCall& call = found->second;
   if (call.style == ReplyStyle::kEvents) {
-    const auto* const result = std::get_if<ResultReply>(&reply.body);
+    const auto* const result = std::get_if<JobEndReply>(&reply.body);
     const bool unknown_job = result != nullptr && result->result.error == ErrorKind::kNotFound;
     if (call.streaming || !unknown_job) {
       if (!call.streaming) {
--- a/src/process/entry_messages.cc
+++ b/src/process/entry_messages.cc
@@ -102,7 +102,7 @@
           MessageName(message.message));
     }
   }
-  for (StoreOperation& operation : effects.operations) {
+  for (EntryStoreOperation& operation : effects.operations) {
     Spawn([this, operation = std::move(operation)] { RunOperation(operation); });
   }
   for (const CallerReply& reply : effects.replies) ReplyTo(reply);
--- a/src/process/entry_store.cc
+++ b/src/process/entry_store.cc
@@ -37,7 +37,7 @@
 
 }  // namespace
 
-void EntryDriver::RunOperation(const StoreOperation& operation) {
+void EntryDriver::RunOperation(const EntryStoreOperation& operation) {
   StoreCompleted completed;
   completed.operation = operation.id;
   try {
@@ -209,7 +209,8 @@
   const auto sharers = static_cast<std::int64_t>(directory_.EntriesOfRegion(Clock::Now()).size());
   routing.link_kbps =
       static_cast<std::uint32_t>(tree.ResolveNumber("link.budget_kbps", region) / sharers);
-  routing.retry_percent = static_cast<int>(tree.ResolveNumber("retry.budget_percent", region));
+  routing.retry_percent =
+      static_cast<std::uint32_t>(tree.ResolveNumber("retry.budget_percent", region));
   Handle(routing);
 }
 
--- a/tests/process/entry_core_harness.h
+++ b/tests/process/entry_core_harness.h
@@ -128,7 +128,7 @@
     const std::vector<CallerReply>& replies = replies_[caller];
     EXPECT_EQ(replies.size(), 1U) << "caller " << caller;
     if (replies.size() != 1) return nullptr;
-    const auto* const reply = std::get_if<ResultReply>(&replies[0].body);
+    const auto* const reply = std::get_if<JobEndReply>(&replies[0].body);
     return reply == nullptr ? nullptr : &reply->result;
   }
   ErrorKind ErrorOf(std::uint64_t caller) {
--- a/tests/process/entry_records_test.cc
+++ b/tests/process/entry_records_test.cc
@@ -20,7 +20,7 @@
   const EntryEffects effects = Submit(1, Spec("j1", JobClass::kUrgent, false, "k"));
   EXPECT_TRUE(effects.messages.empty());
   ASSERT_EQ(effects.operations.size(), 1U);
-  const StoreOperation& operation = effects.operations[0];
+  const EntryStoreOperation& operation = effects.operations[0];
   ASSERT_EQ(operation.writes.size(), 2U);
   EXPECT_EQ(std::get<PutKey>(operation.writes[0]).key, "/basilspring/jobs/a/1/j1");
   EXPECT_EQ(DecodeJobSpec(std::get<PutKey>(operation.writes[0]).value).id, JobId("j1"));
