--- a/include/basilspring/request/request_record.h
+++ b/include/basilspring/request/request_record.h
@@ -40,8 +40,8 @@
   auto operator<=>(const RequestRecord&) const = default;
 };
 
-/// "open <job> <cell>", "claimed <job> <cell> <token>", "fenced <job> <cell>" or "done <job> <cell>
-/// <token>".
+/// "open <job> <cell>", "claimed <token> <job> <cell>", "fenced <job> <cell>" or "done <token>
+/// <job> <cell>".
 std::string EncodeRequestRecord(const RequestRecord& record);
 /// Throws Error(kBadFrame) when the value is no request record.
 RequestRecord DecodeRequestRecord(std::string_view value);
--- a/src/request/request_record.cc
+++ b/src/request/request_record.cc
@@ -41,10 +41,9 @@
 }
 
 std::string EncodeRequestRecord(const RequestRecord& record) {
-  std::string text = fmt::format("{} {} {}", kStateNames.at(static_cast<std::size_t>(record.state)),
-                                 record.job.value(), record.cell.value());
+  std::string text(kStateNames.at(static_cast<std::size_t>(record.state)));
   if (!record.token.empty()) text += " " + record.token;
-  return text;
+  return text + fmt::format(" {} {}", record.job.value(), record.cell.value());
 }
 
 RequestRecord DecodeRequestRecord(std::string_view value) {
@@ -52,8 +51,9 @@
   if (words.size() == 3 || words.size() == 4) {
     for (std::size_t i = 0; i < kStateNames.size(); ++i) {
       if (kStateNames[i] != words[0]) continue;
-      return RequestRecord{static_cast<RequestRecordState>(i), JobId(words[1]), CellId(words[2]),
-                           words.size() == 4 ? words[3] : ""};
+      const std::size_t job = words.size() - 2;
+      return RequestRecord{static_cast<RequestRecordState>(i), JobId(words[job]),
+                           CellId(words[job + 1]), job == 2 ? words[1] : ""};
     }
   }
   throw Error(ErrorKind::kBadFrame,
