Compare job and cell in claims, and move refused jobs as the cell leaves them

Cause: a cell scheduler that refuses a durable job has fenced its request record and stored the refusal as its answer, so the move to another cell by the entry failed on the record, or would have met the stored refusal. And a claim took any open record of the key, so a job refused as "not run" could run after its key was used again.

Change: the move reopens the fenced record, deletes the stored refusal, and is made only while no caller knows the job's id. Claims and fences compare the whole record. Non-idempotent jobs stay in a silent cell. As the first comparison now matches, a claim is one call to the store instead of two.

Ruled out: a new job id for each move, because callers that were told the old one would lose the job.

--- a/src/process/cell_store.cc
+++ b/src/process/cell_store.cc
@@ -8,53 +8,43 @@
 #include "basilspring/connection/frame.h"
 #include "basilspring/error.h"
 #include "basilspring/process/log.h"
+#include "basilspring/request/request_record.h"
 
 namespace basilspring::internal {
 namespace {
 
 // A record holds up to 256 KiB, so a page stays under 25 MiB.
 constexpr std::size_t kRecordsPerRead = 100;
-constexpr std::string_view kOpen = "open";
-constexpr std::string_view kClaimed = "claimed";
-constexpr std::string_view kFenced = "fenced";
-
-std::string RequestKeyOf(const WorkspaceId& workspace, const RequestKey& key) {
-  return fmt::format("/basilspring/requests/{}/{}", workspace.value(), key.value());
-}
-
-// A request record is "<state>", followed by the token of the claim and by what the entry keeps
-// there.
-std::string_view StateOf(std::string_view record) { return record.substr(0, record.find(' ')); }
-
-std::string WithState(std::string_view record, std::string_view state) {
-  return std::string(state) + std::string(record.substr(StateOf(record).size()));
-}
 
 StoreOutcome OutcomeOf(const Error& error) {
   return error.kind() == ErrorKind::kStoreOutcomeUnknown ? StoreOutcome::kUnknown
                                                          : StoreOutcome::kUnavailable;
 }
 
-// Moves a record from `open` to a new state. The record as it stands afterwards, or before when it
-// wasn't open, is left in `found`.
-bool MoveFromOpen(StoreClient& store, const std::string& key, const std::string& state,
-                  std::string* found) {
-  std::string expected(kOpen);
-  // The first try needs no read when the record holds nothing but its state.
-  for (int tries = 0; tries < 2; ++tries) {
-    const std::string wanted = WithState(expected, state);
-    const TxnResult result = store.Txn({ValueIs{key, expected}}, {PutKey{key, wanted}}, {key});
-    if (result.succeeded) {
-      *found = wanted;
-      return true;
-    }
-    *found = result.found.empty() ? "" : result.found[0].value;
-    // An earlier attempt of the same call took effect.
-    if (*found == wanted) return true;
-    if (StateOf(*found) != kOpen) return false;
-    expected = *found;
+// Whether the record as it stands excludes that this job runs in this cell: it is fenced, or it
+// belongs to another job or cell, which is possible only after it was fenced.
+bool IsFenced(const std::string& value, const RequestRecord& wanted) {
+  try {
+    const RequestRecord found = DecodeRequestRecord(value);
+    const bool same = found.job == wanted.job && found.cell == wanted.cell;
+    return found.state == RequestRecordState::kFenced || !same;
+  } catch (const Error&) {
+    return false;
   }
-  return false;
+}
+
+// Moves the record of this job in this cell from `open` to a new state. Otherwise the record as it
+// stands is left in `found`.
+bool MoveFromOpen(StoreClient& store, const std::string& key, const RequestRecord& wanted,
+                  std::string* found) {
+  const std::string open =
+      EncodeRequestRecord({RequestRecordState::kOpen, wanted.job, wanted.cell, ""});
+  const std::string value = EncodeRequestRecord(wanted);
+  const TxnResult result = store.Txn({ValueIs{key, open}}, {PutKey{key, value}}, {key});
+  if (result.succeeded) return true;
+  *found = result.found.empty() ? "" : result.found[0].value;
+  // An earlier attempt of the same call took effect.
+  return *found == value;
 }
 
 }  // namespace
@@ -82,13 +72,15 @@
 
 ClaimReply CellStore::Claim(const ClaimRequest& request) {
   ClaimReply reply{request.job, request.attempt};
+  const RequestRecord wanted{RequestRecordState::kClaimed, request.job, cell_,
+                             request.attempt.value()};
   try {
-    std::string record;
-    const bool claimed =
-        MoveFromOpen(store_, RequestKeyOf(request.workspace, request.key),
-                     fmt::format("{} {}", kClaimed, request.attempt.value()), &record);
-    reply.outcome = claimed ? StoreOutcome::kDone : StoreOutcome::kRefused;
-    reply.fenced = StateOf(record) == kFenced;
+    std::string found;
+    if (MoveFromOpen(store_, RequestRecordKey(request.workspace, request.key), wanted, &found)) {
+      return reply;
+    }
+    reply.outcome = StoreOutcome::kRefused;
+    reply.fenced = IsFenced(found, wanted);
   } catch (const Error& error) {
     reply.outcome = OutcomeOf(error);
   }
@@ -97,12 +89,13 @@
 
 FenceReply CellStore::Fence(const FenceRequest& request) {
   FenceReply reply{request.job};
+  const RequestRecord wanted{RequestRecordState::kFenced, request.job, cell_, ""};
   try {
-    std::string record;
-    const bool moved = MoveFromOpen(store_, RequestKeyOf(request.workspace, request.key),
-                                    std::string(kFenced), &record);
-    const bool fenced = moved || StateOf(record) == kFenced;
-    reply.outcome = fenced ? StoreOutcome::kDone : StoreOutcome::kRefused;
+    std::string found;
+    if (MoveFromOpen(store_, RequestRecordKey(request.workspace, request.key), wanted, &found)) {
+      return reply;
+    }
+    reply.outcome = IsFenced(found, wanted) ? StoreOutcome::kDone : StoreOutcome::kRefused;
   } catch (const Error& error) {
     reply.outcome = OutcomeOf(error);
   }
--- a/src/process/entry_core_finish.cc
+++ b/src/process/entry_core_finish.cc
@@ -69,12 +69,15 @@
 
 bool EntryCore::Impl::TryElsewhere(EntryRequest& request, ErrorKind kind) {
   if (!CanGoElsewhere(kind) || request.cancel_requested) return false;
+  // Who knows the id of a durable job can have read its refusal in the store at another entry, and
+  // what was called "not run" must not run.
+  if (request.spec.durable && request.acknowledged) return false;
   if (request.deadline.has_value() && now >= *request.deadline) return false;
   request.tried.insert(request.cell);
   RoutingResult route = Route(request);
   const auto* const routed = std::get_if<Routed>(&route);
   if (routed == nullptr || !retries.TryRetry()) return false;
-  StartIn(request, *routed);
+  StartIn(request, *routed, true);
   return true;
 }
 
--- a/src/process/entry_core_internal.h
+++ b/src/process/entry_core_internal.h
@@ -156,7 +156,7 @@
   bool AttachToFirst(const SubmitRequest& event);
   bool RefuseEarly(const SubmitRequest& event);
   void Start(internal::EntryRequest& request);
-  void StartIn(internal::EntryRequest& request, const Routed& routed);
+  void StartIn(internal::EntryRequest& request, const Routed& routed, bool refused = false);
   RoutingResult Route(const internal::EntryRequest& request);
   void Submit(internal::EntryRequest& request);
   void AddWaiter(internal::EntryRequest& request, CallerId caller, Duration wait,
@@ -169,7 +169,8 @@
                       EntryStoreOperation operation);
   /// `replaced` is the value of a fenced record that the new one replaces, or empty.
   void CreateRecords(internal::EntryRequest& request, const std::string& replaced);
-  void MoveRecords(internal::EntryRequest& request, const CellId& to);
+  /// `refused`: the job was refused by its cell; otherwise the cell is silent.
+  void MoveRecords(internal::EntryRequest& request, const CellId& to, bool refused);
   void Fence(internal::EntryRequest& request);
   void BlockRecord(internal::EntryRequest& request);
   void ReadJob(internal::EntryRequest& request);
--- a/src/process/entry_core_records.cc
+++ b/src/process/entry_core_records.cc
@@ -123,7 +123,8 @@
   } catch (const Error& error) {
     return Finish(request, Failure(ErrorKind::kOutcomeUnknown, error.what()));
   }
-  if (record.job == request.spec.id) {
+  const bool ours = record.job == request.spec.id;
+  if (ours && record.state == RequestRecordState::kOpen) {
     request.records_created = true;
     request.record = pair.value;
     return Submit(request);
@@ -164,20 +165,30 @@
   ReadAnswer(adopted);
 }
 
-void EntryCore::Impl::MoveRecords(EntryRequest& request, const CellId& to) {
+void EntryCore::Impl::MoveRecords(EntryRequest& request, const CellId& to, bool refused) {
   request.phase = RequestPhase::kMoving;
   request.target = to;
   EntryStoreOperation operation;
   const std::string job_key = JobRecordKey(to, request.spec.id);
+  const std::string answer_key = AnswerKey(request.spec.id);
   operation.conditions.push_back(KeyAbsent{job_key});
   operation.writes.push_back(PutKey{job_key, EncodeJobSpec(request.spec)});
   if (!request.spec.idempotent) {
+    // Before it refuses, a cell scheduler fences the record, so nothing in its cell can claim it.
     const std::string key = KeyOf(request);
-    operation.conditions.push_back(ValueIs{key, request.record});
+    const std::string fenced =
+        EncodeRequestRecord({RequestRecordState::kFenced, request.spec.id, request.cell, ""});
+    operation.conditions.push_back(ValueIs{key, fenced});
     operation.writes.push_back(PutKey{key, OpenRecord(request, to)});
     operation.reads.push_back(key);
   }
   operation.writes.push_back(DeleteKey{JobRecordKey(request.cell, request.spec.id)});
+  if (refused) {
+    // The scheduler that refused has stored the refusal as the job's answer.
+    operation.writes.push_back(DeleteKey{answer_key});
+  } else {
+    operation.conditions.push_back(KeyAbsent{answer_key});
+  }
   BeginOperation(request, OperationKind::kMove, std::move(operation));
 }
 
--- a/src/process/entry_core_submit.cc
+++ b/src/process/entry_core_submit.cc
@@ -159,7 +159,7 @@
   Finish(request, std::move(end));
 }
 
-void EntryCore::Impl::StartIn(EntryRequest& request, const Routed& routed) {
+void EntryCore::Impl::StartIn(EntryRequest& request, const Routed& routed, bool refused) {
   request.routing = routed.candidates;
   LogLine(EventId::kRequestRouted,
           fmt::format("{} cell={} reason=\"{}\" link_bytes={} candidates=[{}]",
@@ -167,7 +167,7 @@
                       routed.link_bytes, Join(routed.candidates)));
   if (routed.link_bytes > 0) link.TryTake(now, routed.link_bytes);
   if (request.spec.durable && request.records_created) {
-    MoveRecords(request, routed.cell);
+    MoveRecords(request, routed.cell, refused);
     return;
   }
   request.cell = routed.cell;
--- a/src/process/entry_core_tick.cc
+++ b/src/process/entry_core_tick.cc
@@ -98,9 +98,10 @@
   const KnownCell& cell = cells[request.cell];
   const bool silent = now - std::max(cell.heard, request.received) > options.cell_silence;
   if (!silent || request.cancel_requested) return;
-  // Work that runs may be finished behind the broken link; only urgent jobs are worth a second run.
+  // The cell may still run the job behind the broken link. A non-idempotent job must not run twice,
+  // and of running jobs only urgent ones are worth a second run.
   const bool runs = request.state == JobState::kRunning;
-  if (runs && (request.spec.durable || !request.spec.idempotent)) return;
+  if (!request.spec.idempotent || (runs && request.spec.durable)) return;
   request.tried.insert(request.cell);
   RoutingResult route = Route(request);
   const auto* const routed = std::get_if<Routed>(&route);
--- a/tests/process/entry_records_test.cc
+++ b/tests/process/entry_records_test.cc
@@ -136,19 +136,44 @@
   EXPECT_EQ(ErrorOf(1), ErrorKind::kNoCapacity);
 }
 
-// Guards against two cells that may both claim a job that was moved.
-TEST_F(EntryRecordsTest, AMoveRewritesTheRequestRecordByComparison) {
+// Guards against two cells that may both claim a job that was moved, and against the refusal of the
+// first cell standing in the store as the answer of the job.
+TEST_F(EntryRecordsTest, AMoveReopensTheFencedRecordAndDropsTheStoredRefusal) {
   Summarize(2, 1, 0, "south", 60000);
   Record(1, "j1", "k");
   const EntryEffects move = Finished(Scheduler(1), "j1", Failure(ErrorKind::kOverloaded));
   ASSERT_EQ(move.operations.size(), 1U);
-  EXPECT_EQ(std::get<ValueIs>(move.operations[0].conditions[1]).value, "open j1 a/1");
-  EXPECT_EQ(std::get<PutKey>(move.operations[0].writes[1]).value, "open j1 a/2");
+  const EntryStoreOperation& operation = move.operations[0];
+  EXPECT_EQ(std::get<ValueIs>(operation.conditions[1]).value, "fenced j1 a/1");
+  EXPECT_EQ(std::get<PutKey>(operation.writes[1]).value, "open j1 a/2");
+  EXPECT_EQ(std::get<DeleteKey>(operation.writes[3]).key, "/basilspring/answers/j1");
   const auto sent = Sent<SubmitJob>(Do(Completed(move, true)));
   ASSERT_EQ(sent.size(), 1U);
   EXPECT_EQ(sent[0].first, Scheduler(2));
 }
 
+// Guards against running a job whose id is known to callers, who can have read its refusal "not
+// run" at another entry.
+TEST_F(EntryRecordsTest, AnAcknowledgedDurableJobStaysRefused) {
+  Summarize(2, 1, 0, "south", 60000);
+  Do(Completed(Submit(1, Spec("j1", JobClass::kBatch), Duration(0)), true));
+  After(Duration(100));
+  ASSERT_EQ(replies_[1].size(), 1U);
+  const EntryEffects read = Finished(Scheduler(1), "j1", Failure(ErrorKind::kOverloaded));
+  ASSERT_EQ(read.operations.size(), 1U);
+  EXPECT_TRUE(read.operations[0].writes.empty());
+}
+
+// Guards against a second run of a non-idempotent job whose cell is only out of reach.
+TEST_F(EntryRecordsTest, NonIdempotentJobsStayInASilentCell) {
+  Record(1, "j1", "k");
+  now_ = now_ + Duration(11000);
+  Summarize(2);
+  const EntryEffects effects = After(Duration(0));
+  EXPECT_TRUE(effects.operations.empty());
+  EXPECT_TRUE(Sent<SubmitJob>(effects).empty());
+}
+
 // Guards against a deadline that is answered "not run" although the job was claimed.
 TEST_F(EntryRecordsTest, AnOverdueDeadlineIsDecidedByTheFence) {
   JobSpec spec = Spec("j1", JobClass::kUrgent, false, "k");
