--- a/src/process/cell_store.cc
+++ b/src/process/cell_store.cc
@@ -1,8 +1,9 @@
 #include "process/cell_store.h"
 
-#include <optional>
+#include <fmt/format.h>
+
+#include <string_view>
 #include <utility>
-#include <vector>
 
 #include "basilspring/connection/frame.h"
 #include "basilspring/error.h"
@@ -14,28 +15,38 @@
 
 // A record holds up to 256 KiB, so a page stays under 25 MiB.
 constexpr std::size_t kRecordsPerRead = 100;
+
 StoreOutcome OutcomeOf(const Error& error) {
   return error.kind() == ErrorKind::kStoreOutcomeUnknown ? StoreOutcome::kUnknown
                                                          : StoreOutcome::kUnavailable;
 }
 
-// Moves a record from `open` to another state. Returns the record as it stands afterwards; nothing
-// when it is absent or can't be read.
-std::optional<RequestRecord> MoveFromOpen(StoreClient& store, const std::string& key,
-                                          const RequestRecord& wanted) {
-  const RequestRecord open{RequestRecordState::kOpen, wanted.job, wanted.cell};
-  const TxnResult result = store.Txn({ValueIs{key, EncodeRequestRecord(open)}},
-                                     {PutKey{key, EncodeRequestRecord(wanted)}}, {key});
-  if (result.succeeded) return wanted;
-  if (result.found.empty()) return std::nullopt;
+// Whether the record as it stands excludes that this job runs in this cell: it is fenced, or it
+// belongs to another job or cell, which is possible only after it was fenced.
+bool IsFenced(const std::string& value, const RequestRecord& wanted) {
   try {
-    return DecodeRequestRecord(result.found[0].value);
-  } catch (const Error& error) {
-    Log(EventId::kInternalError, "key={} cause=\"{}\"", key, error.what());
-    return std::nullopt;
+    const RequestRecord found = DecodeRequestRecord(value);
+    const bool same = found.job == wanted.job && found.cell == wanted.cell;
+    return found.state == RequestRecordState::kFenced || !same;
+  } catch (const Error&) {
+    return false;
   }
 }
 
+// Moves the record of this job in this cell from `open` to a new state. Otherwise the record as it
+// stands is left in `found`.
+bool MoveFromOpen(StoreClient& store, const std::string& key, const RequestRecord& wanted,
+                  std::string* found) {
+  const std::string open =
+      EncodeRequestRecord({RequestRecordState::kOpen, wanted.job, wanted.cell, ""});
+  const std::string value = EncodeRequestRecord(wanted);
+  const TxnResult result = store.Txn({ValueIs{key, open}}, {PutKey{key, value}}, {key});
+  if (result.succeeded) return true;
+  *found = result.found.empty() ? "" : result.found[0].value;
+  // An earlier attempt of the same call took effect.
+  return *found == value;
+}
+
 }  // namespace
 
 CellStore::CellStore(StoreClient& store, CellId cell, Duration answer_retention)
@@ -43,7 +54,7 @@
 
 RecordsListed CellStore::List() {
   RecordsListed listed;
-  const std::string prefix = JobRecordPrefix(cell_);
+  const std::string prefix = fmt::format("/basilspring/jobs/{}/", cell_.value());
   std::string from;
   while (true) {
     const RangeResult page = store_.List(prefix, kRecordsPerRead, from);
@@ -61,14 +72,15 @@
 
 ClaimReply CellStore::Claim(const ClaimRequest& request) {
   ClaimReply reply{request.job, request.attempt};
+  const RequestRecord wanted{RequestRecordState::kClaimed, request.job, cell_,
+                             request.attempt.value()};
   try {
-    const RequestRecord wanted{RequestRecordState::kClaimed, request.job, cell_,
-                               request.attempt.value()};
-    const std::optional<RequestRecord> record =
-        MoveFromOpen(store_, RequestRecordKey(request.workspace, request.key), wanted);
-    // The same claim may have been made by an earlier call whose answer was lost.
-    reply.outcome = record == wanted ? StoreOutcome::kDone : StoreOutcome::kRefused;
-    reply.fenced = record && record->state == RequestRecordState::kFenced;
+    std::string found;
+    if (MoveFromOpen(store_, RequestRecordKey(request.workspace, request.key), wanted, &found)) {
+      return reply;
+    }
+    reply.outcome = StoreOutcome::kRefused;
+    reply.fenced = IsFenced(found, wanted);
   } catch (const Error& error) {
     reply.outcome = OutcomeOf(error);
   }
@@ -77,11 +89,13 @@
 
 FenceReply CellStore::Fence(const FenceRequest& request) {
   FenceReply reply{request.job};
+  const RequestRecord wanted{RequestRecordState::kFenced, request.job, cell_, ""};
   try {
-    const RequestRecord wanted{RequestRecordState::kFenced, request.job, cell_};
-    const std::optional<RequestRecord> record =
-        MoveFromOpen(store_, RequestRecordKey(request.workspace, request.key), wanted);
-    reply.outcome = record == wanted ? StoreOutcome::kDone : StoreOutcome::kRefused;
+    std::string found;
+    if (MoveFromOpen(store_, RequestRecordKey(request.workspace, request.key), wanted, &found)) {
+      return reply;
+    }
+    reply.outcome = IsFenced(found, wanted) ? StoreOutcome::kDone : StoreOutcome::kRefused;
   } catch (const Error& error) {
     reply.outcome = OutcomeOf(error);
   }
@@ -102,18 +116,14 @@
 ResultReply CellStore::Write(const ResultWrite& write) {
   ResultReply reply;
   reply.job = write.job;
-  const std::string answer = AnswerKey(write.job);
-  const std::string record = JobRecordKey(cell_, write.job);
+  const std::string answer = fmt::format("/basilspring/answers/{}", write.job.value());
+  const std::string record =
+      fmt::format("/basilspring/jobs/{}/{}", cell_.value(), write.job.value());
   try {
-    std::vector<StoreWrite> writes = {PutKey{answer, EncodeJobResult(write.result), AnswerLease()},
-                                      DeleteKey{record}};
-    if (!write.claimed.empty()) {
-      // Only the holder of a claim writes its record.
-      const RequestRecord done{RequestRecordState::kDone, write.job, cell_, write.claimed.value()};
-      writes.emplace_back(
-          PutKey{RequestRecordKey(write.workspace, write.key), EncodeRequestRecord(done)});
-    }
-    const TxnResult result = store_.Txn({KeyAbsent{answer}}, writes, {answer});
+    const TxnResult result = store_.Txn(
+        {KeyAbsent{answer}},
+        {PutKey{answer, EncodeJobResult(write.result), AnswerLease()}, DeleteKey{record}},
+        {answer});
     if (result.succeeded) return reply;
     reply.outcome = StoreOutcome::kRefused;
     if (!result.found.empty()) reply.stored = DecodeJobResult(result.found[0].value);
