--- a/src/connection/http_session.cc
+++ b/src/connection/http_session.cc
@@ -2,7 +2,6 @@
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
-#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 #include <chrono>
 #include <utility>
@@ -43,8 +42,7 @@
 void HttpSession::AwaitRequest() {
   if (closed_) return;
   parser_.emplace();
-  parser_->header_limit(static_cast<std::uint32_t>(server_->limits.max_header_bytes));
-  parser_->body_limit(server_->limits.max_body_bytes);
+  SetParserLimits(*parser_, server_->limits);
   read_timed_out_ = false;
   if (buffer_.size() > 0) {
     ReadHeader();
@@ -110,47 +108,25 @@
 }
 
 void HttpSession::OnReadError(const ErrorCode& error) {
-  const bool malformed =
-      error != http::error::end_of_stream &&
-      error.category() == http::make_error_code(http::error::bad_method).category();
+  const auto refusal = RefusalOf(error, server_->limits);
   if (read_timed_out_) {
     Reject(408, ErrorKind::kTimeout, "the request did not arrive whole in time");
-  } else if (!malformed) {
-    Close();
-  } else if (error == http::error::header_limit || error == http::error::buffer_overflow) {
-    Reject(431, ErrorKind::kPayloadTooLarge,
-           fmt::format("the header is larger than {} bytes", server_->limits.max_header_bytes));
-  } else if (error == http::error::body_limit) {
-    Reject(413, ErrorKind::kPayloadTooLarge,
-           fmt::format("the body is larger than {} bytes", server_->limits.max_body_bytes));
+  } else if (refusal) {
+    Reject(refusal->status, refusal->kind, refusal->reason);
   } else {
-    Reject(400, ErrorKind::kInvalidArgument, "malformed request: " + error.message());
+    Close();
   }
 }
 
 void HttpSession::Dispatch() {
-  const auto& head = parser_->get();
   HttpRequest request;
-  const auto method = head.method_string();
-  request.method.assign(method.data(), method.size());
-  for (const auto& field : head) {
-    std::string name = LowerCase({field.name_string().data(), field.name_string().size()});
-    const std::string value(field.value().data(), field.value().size());
-    const auto [entry, added] = request.headers.emplace(std::move(name), value);
-    if (!added) entry->second += ", " + value;
-  }
-  const std::string_view target(head.target().data(), head.target().size());
-  const bool version_ok = head.version() == 10 || head.version() == 11;
-  const bool host_ok = head.version() == 10 || head.count(http::field::host) == 1;
-  if (!version_ok || !host_ok || !ParseTarget(target, request)) {
-    Reject(400, ErrorKind::kInvalidArgument,
-           "the version, the Host header or the target of the request is invalid");
+  if (const auto refusal = MakeRequest(*parser_, request)) {
+    Reject(refusal->status, refusal->kind, refusal->reason);
     return;
   }
   keep_alive_ = parser_->keep_alive();
-  head_only_ = head.method() == http::verb::head;
-  http_1_0_ = head.version() == 10;
-  request.body = std::move(parser_->get().body());
+  head_only_ = parser_->get().method() == http::verb::head;
+  http_1_0_ = parser_->get().version() == 10;
   CallHandler(std::move(request));
 }
 
--- a/src/connection/http_session.h
+++ b/src/connection/http_session.h
@@ -5,8 +5,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -16,6 +14,7 @@
 #include <string>
 
 #include "basilspring/connection/http_server.h"
+#include "connection/http_request.h"
 #include "connection/http_text.h"
 #include "connection/io_gate.h"
 
@@ -95,7 +94,7 @@
   boost::asio::steady_timer timer_;
   std::uint64_t timer_generation_ = 0;
   boost::beast::flat_buffer buffer_;
-  std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser_;
+  std::optional<RequestParser> parser_;
 
   /// Number of the current request of this connection.
   std::uint64_t exchange_ = 0;
