--- a/src/process/cell_store.cc
+++ b/src/process/cell_store.cc
@@ -1,9 +1,7 @@
 #include "process/cell_store.h"
 
-#include <fmt/format.h>
-
-#include <string_view>
 #include <utility>
+#include <vector>
 
 #include "basilspring/connection/frame.h"
 #include "basilspring/error.h"
@@ -15,7 +13,6 @@
 
 // A record holds up to 256 KiB, so a page stays under 25 MiB.
 constexpr std::size_t kRecordsPerRead = 100;
-
 StoreOutcome OutcomeOf(const Error& error) {
   return error.kind() == ErrorKind::kStoreOutcomeUnknown ? StoreOutcome::kUnknown
                                                          : StoreOutcome::kUnavailable;
@@ -54,7 +51,7 @@
 
 RecordsListed CellStore::List() {
   RecordsListed listed;
-  const std::string prefix = fmt::format("/basilspring/jobs/{}/", cell_.value());
+  const std::string prefix = JobRecordPrefix(cell_);
   std::string from;
   while (true) {
     const RangeResult page = store_.List(prefix, kRecordsPerRead, from);
@@ -116,14 +113,18 @@
 ResultReply CellStore::Write(const ResultWrite& write) {
   ResultReply reply;
   reply.job = write.job;
-  const std::string answer = fmt::format("/basilspring/answers/{}", write.job.value());
-  const std::string record =
-      fmt::format("/basilspring/jobs/{}/{}", cell_.value(), write.job.value());
+  const std::string answer = AnswerKey(write.job);
+  const std::string record = JobRecordKey(cell_, write.job);
   try {
-    const TxnResult result = store_.Txn(
-        {KeyAbsent{answer}},
-        {PutKey{answer, EncodeJobResult(write.result), AnswerLease()}, DeleteKey{record}},
-        {answer});
+    std::vector<StoreWrite> writes = {PutKey{answer, EncodeJobResult(write.result), AnswerLease()},
+                                      DeleteKey{record}};
+    if (!write.claimed.empty()) {
+      // Only the holder of a claim writes its record.
+      const RequestRecord done{RequestRecordState::kDone, write.job, cell_, write.claimed.value()};
+      writes.emplace_back(
+          PutKey{RequestRecordKey(write.workspace, write.key), EncodeRequestRecord(done)});
+    }
+    const TxnResult result = store_.Txn({KeyAbsent{answer}}, writes, {answer});
     if (result.succeeded) return reply;
     reply.outcome = StoreOutcome::kRefused;
     if (!result.found.empty()) reply.stored = DecodeJobResult(result.found[0].value);
