Add the callers' load and the check of histories

The load sends seeded requests to several entries, repeats some keys at another entry, cancels some, and records each event; the checker reads these records, those of the backend servers, the operators' record and the logs, and decides each rule in a function of its own.

The stand-in backend server now records the beginning of a task's output with its start, so that a start is tied to its request without trust in the system's own job ids.

Ruled out: tying starts to requests by job id only; a job that runs under a second id would go unseen. A refusal that names no job is judged by the request key.

--- a/standin/backend_tasks.cc
+++ b/standin/backend_tasks.cc
@@ -11,6 +11,8 @@
 // Bounds of what is kept; a longer run loses its oldest entries.
 constexpr std::size_t kMaxEndedTasks = 4096;
 constexpr std::size_t kMaxStartsKept = 100000;
+// Bytes of the output in the record of a start, from which the history check knows the request.
+constexpr std::size_t kMaxRecordedOutput = 64;
 
 std::string StringField(const boost::json::object& object, const char* field) {
   const boost::json::value* value = object.if_contains(field);
@@ -72,7 +74,7 @@
   ++running_;
   starts_.emplace_back(now.milliseconds(), task.id);
   if (starts_.size() > kMaxStartsKept) starts_.pop_front();
-  Record(now, "start", task.id, "");
+  Record(now, "start", task.id, task.text.substr(0, kMaxRecordedOutput));
   if (fault.fail_all) {
     End(now, task, BackendTaskState::kFailed, "the stand-in fails all tasks");
   } else {
--- /dev/null
+++ b/standin/history_rules.cc
@@ -0,0 +1,225 @@
+#include "standin/history_rules.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+
+namespace basilspring::standin {
+namespace {
+
+std::string Quote(const HistoryEvent& event, const std::string& reason) {
+  return fmt::format("{}; {}: {}", reason, event.source, event.line);
+}
+
+// Task starts by job id and by request key.
+struct Starts {
+  explicit Starts(const History& history) {
+    for (const TaskRun& run : history.runs()) {
+      by_job[run.job].push_back(&run);
+      by_key[run.key].push_back(&run);
+    }
+  }
+  std::map<std::string, std::vector<const TaskRun*>> by_job;
+  std::map<std::string, std::vector<const TaskRun*>> by_key;
+};
+
+// Whether a submission that could lawfully start a task at this time was sent.
+bool MayStart(const std::vector<Submission>& submissions, std::int64_t ms) {
+  return std::any_of(submissions.begin(), submissions.end(), [ms](const Submission& submission) {
+    return !submission.RefusedNotRun() && submission.sent->ms <= ms;
+  });
+}
+
+// Number of ranks that the request of this run asked for; zero when it isn't known.
+std::int64_t RanksOf(const History& history, const TaskRun& run) {
+  const auto request = history.requests().find(run.key);
+  return request == history.requests().end() ? 0 : request->second.front().sent->Number("tasks");
+}
+
+std::map<std::string, std::vector<const TaskRun*>> RunsByAttempt(const History& history) {
+  std::map<std::string, std::vector<const TaskRun*>> attempts;
+  for (const TaskRun& run : history.runs()) attempts[run.attempt].push_back(&run);
+  return attempts;
+}
+
+// Adds an offence for each run that goes on for longer than the bound after `from`.
+void ExpectEnd(const History& history, const std::vector<const TaskRun*>& runs, std::int64_t from,
+               const std::string& reason, Verdict& verdict) {
+  for (const TaskRun* run : runs) {
+    const std::int64_t limit = std::max(from, run->start->ms) + kPartialGangBound;
+    // A run without an end is judged by the end of the records.
+    const std::int64_t end = run->end != nullptr ? run->end->ms : history.end_ms();
+    if (end > limit) verdict.offences.push_back(Quote(*run->start, reason));
+  }
+}
+
+}  // namespace
+
+Verdict CheckRecordsComplete(const History& history) {
+  Verdict verdict{"records complete", 0, history.malformed()};
+  for (const auto& [key, submissions] : history.requests()) {
+    for (const Submission& submission : submissions) {
+      ++verdict.checked;
+      if (submission.result == nullptr) {
+        verdict.offences.push_back(Quote(*submission.sent, "no result"));
+      }
+    }
+  }
+  return verdict;
+}
+
+Verdict CheckAnswers(const History& history) {
+  Verdict verdict{"answers whole and own", 0, {}};
+  for (const auto& [key, submissions] : history.requests()) {
+    for (const Submission& submission : submissions) {
+      const HistoryEvent* result = submission.result;
+      if (result == nullptr || result->name != "answered") continue;
+      ++verdict.checked;
+      const HistoryEvent& sent = *submission.sent;
+      std::string reason;
+      if (result->Text("key") != key) reason = "answer of another key";
+      if (!result->Flag("checksum_ok")) reason = "output lengths don't match the body";
+      if (result->Number("length") != sent.Number("expected_length")) reason = "wrong length";
+      if (result->Text("digest") != sent.Text("expected_digest")) reason = "wrong bytes";
+      if (!result->Flag("exact")) reason = "not the bytes of this request";
+      if (!reason.empty()) verdict.offences.push_back(Quote(*result, reason));
+    }
+  }
+  return verdict;
+}
+
+Verdict CheckRunsAtMostOnce(const History& history) {
+  Verdict verdict{"non-idempotent at most once", 0, {}};
+  const Starts starts(history);
+  for (const auto& [key, submissions] : history.requests()) {
+    if (submissions.front().sent->Flag("idempotent")) continue;
+    ++verdict.checked;
+    const auto runs = starts.by_key.find(key);
+    if (runs == starts.by_key.end()) continue;
+    std::set<std::string> ranks;
+    for (const TaskRun* run : runs->second) {
+      if (run->attempt != runs->second.front()->attempt) {
+        verdict.offences.push_back(Quote(*run->start, "another attempt of " + key));
+      } else if (!ranks.insert(run->rank).second) {
+        verdict.offences.push_back(Quote(*run->start, "rank started twice of " + key));
+      }
+    }
+  }
+  return verdict;
+}
+
+Verdict CheckNotRunIsTrue(const History& history) {
+  Verdict verdict{"\"not run\" is true", 0, {}};
+  const Starts starts(history);
+  for (const auto& [key, submissions] : history.requests()) {
+    for (const Submission& submission : submissions) {
+      if (!submission.RefusedNotRun()) continue;
+      ++verdict.checked;
+      const std::string job = submission.result->Text("job");
+      const auto of_job = job.empty() ? starts.by_job.end() : starts.by_job.find(job);
+      if (of_job != starts.by_job.end()) {
+        verdict.offences.push_back(Quote(*submission.result, "refused as not run"));
+        verdict.offences.push_back(Quote(*of_job->second.front()->start, "but started"));
+        continue;
+      }
+      const auto of_key = starts.by_key.find(key);
+      if (of_key == starts.by_key.end()) continue;
+      for (const TaskRun* run : of_key->second) {
+        if (MayStart(submissions, run->start->ms)) continue;
+        verdict.offences.push_back(Quote(*submission.result, "refused as not run"));
+        verdict.offences.push_back(Quote(*run->start, "but started"));
+      }
+    }
+  }
+  return verdict;
+}
+
+Verdict CheckDataCentreOut(const History& history) {
+  Verdict verdict{"no start in a data centre out", 0, {}};
+  std::map<std::string, std::int64_t> out_since;
+  // "in" takes effect between its sending and its answer, so it counts from its sending, unless it
+  // is refused.
+  std::map<std::string, std::int64_t> out_before_in;
+  for (const HistoryEvent& event : history.events()) {
+    const std::string place = event.Text("data_centre");
+    if (event.name == "data_centre_out") {
+      out_since.try_emplace(place, event.ms);
+      // The counter shows that the rule had something to watch, also when nothing started.
+      ++verdict.checked;
+    } else if (event.name == "data_centre_in_sent") {
+      if (const auto out = out_since.find(place); out != out_since.end()) {
+        out_before_in[place] = out->second;
+        out_since.erase(out);
+      }
+    } else if (event.name == "data_centre_in_refused" && out_before_in.contains(place)) {
+      out_since.try_emplace(place, out_before_in[place]);
+    } else if (event.name == "start") {
+      const HistoryEvent* process = history.Process(event.source);
+      if (process == nullptr) {
+        verdict.offences.push_back(Quote(event, "data centre of this backend server not recorded"));
+        continue;
+      }
+      const auto out = out_since.find(process->Text("data_centre"));
+      if (out != out_since.end() && event.ms > out->second + kDataCentreOutBound) {
+        verdict.offences.push_back(
+            Quote(event, fmt::format("started {} ms after out", event.ms - out->second)));
+      }
+    }
+  }
+  return verdict;
+}
+
+Verdict CheckGangsWhole(const History& history) {
+  Verdict verdict{"gangs whole", 0, {}};
+  for (const auto& [attempt, runs] : RunsByAttempt(history)) {
+    const std::int64_t ranks = RanksOf(history, *runs.front());
+    if (ranks <= 1) continue;
+    ++verdict.checked;
+    std::set<std::string> started;
+    std::int64_t broken = 0;
+    for (const TaskRun* run : runs) {
+      started.insert(run->rank);
+      if (run->end != nullptr && run->end->Text("detail") != "done") {
+        broken = broken == 0 ? run->end->ms : std::min(broken, run->end->ms);
+      }
+    }
+    if (static_cast<std::int64_t>(started.size()) < ranks) {
+      const std::string reason = fmt::format("runs on with {} of {} ranks", started.size(), ranks);
+      ExpectEnd(history, runs, 0, reason, verdict);
+    } else if (broken > 0) {
+      ExpectEnd(history, runs, broken, "runs on after another rank was stopped", verdict);
+    }
+  }
+  return verdict;
+}
+
+Verdict CheckLeavingBackends(const History& history) {
+  Verdict verdict{"no start on a leaving backend", 0, {}};
+  std::map<std::string, std::int64_t> leaving;
+  for (const HistoryEvent& event : history.events()) {
+    if (event.name == "backend_leaving") {
+      leaving.try_emplace(event.Text("process"), event.ms);
+      ++verdict.checked;
+    } else if (event.name == "backend_staying") {
+      leaving.erase(event.Text("process"));
+    } else if (event.name == "start") {
+      const auto since = leaving.find(event.source);
+      if (since != leaving.end() && event.ms > since->second + kLeavingBound) {
+        verdict.offences.push_back(
+            Quote(event, fmt::format("started {} ms after leaving", event.ms - since->second)));
+      }
+    }
+  }
+  return verdict;
+}
+
+std::vector<Verdict> CheckHistory(const History& history) {
+  return {CheckRecordsComplete(history),    CheckAnswers(history),
+          CheckRunsAtMostOnce(history),     CheckNotRunIsTrue(history),
+          CheckDataCentreOut(history),      CheckGangsWhole(history),
+          CheckLeavingBackends(history),    CheckGracefulStops(history),
+          CheckRevisionsNeverFall(history), CheckRevisionsInForce(history)};
+}
+
+}  // namespace basilspring::standin
--- /dev/null
+++ b/standin/load.cc
@@ -0,0 +1,84 @@
+#include "standin/load.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <charconv>
+#include <sstream>
+
+namespace basilspring::standin {
+namespace {
+
+// Work of a task: most are short, a few outlast a scheduler's lease of 4 s.
+std::int64_t DrawWork(std::mt19937_64& random) {
+  const std::uint64_t share = random() % 100;
+  if (share < 60) return static_cast<std::int64_t>(5 + random() % 95);
+  if (share < 95) return static_cast<std::int64_t>(100 + random() % 1400);
+  return static_cast<std::int64_t>(4000 + random() % 4000);
+}
+
+std::string DrawClass(const std::vector<double>& mix, std::mt19937_64& random) {
+  static constexpr const char* kClasses[] = {"urgent", "batch", "background"};
+  std::discrete_distribution<std::size_t> draw(mix.begin(), mix.end());
+  return kClasses[std::min<std::size_t>(draw(random), 2)];
+}
+
+}  // namespace
+
+std::string PlannedRequest::Expected() const {
+  std::string expected;
+  for (int i = 0; i < tasks; ++i) expected += output;
+  return expected;
+}
+
+std::string PlannedRequest::Payload() const {
+  return boost::json::serialize(boost::json::object{{"work_ms", work_ms}, {"output", output}});
+}
+
+PlannedRequest PlanRequest(const LoadOptions& options, std::uint64_t number) {
+  // A generator for each request, so that a plan doesn't depend on how many were drawn before it.
+  std::seed_seq seed{options.seed, number};
+  std::mt19937_64 random(seed);
+  const auto percent = [&random](int share) { return static_cast<int>(random() % 100) < share; };
+  PlannedRequest request;
+  request.key = fmt::format("load-{}-{}", options.seed, number);
+  request.workspace = options.workspaces[random() % options.workspaces.size()];
+  request.job_class = DrawClass(options.mix, random);
+  request.cores = static_cast<int>(1 + random() % 3);
+  if (percent(options.gang_percent)) {
+    static constexpr int kSizes[] = {2, 3, 4, 8, 12};
+    request.tasks = kSizes[random() % 5];
+    request.accelerators = static_cast<int>(random() % 3);
+  } else {
+    static constexpr int kAccelerators[] = {0, 0, 1, 2, 4, 8};
+    request.accelerators = kAccelerators[random() % 6];
+  }
+  request.adjacent = request.accelerators > 1 && percent(70);
+  request.idempotent = !percent(options.non_idempotent_percent);
+  request.work_ms = DrawWork(random);
+  request.output =
+      request.key + "|" + std::string(random() % 2000, static_cast<char>('a' + random() % 26));
+  request.entry = random() % options.entries.size();
+  request.cancel = percent(options.cancel_percent);
+  request.repeat = percent(options.repeat_percent);
+  return request;
+}
+
+bool LengthsMatch(const std::string& header, const std::string& body, int tasks) {
+  if (header.empty()) return tasks == 1;
+  std::istringstream items(header);
+  std::size_t total = 0;
+  int count = 0;
+  for (std::string item; std::getline(items, item, ',');) {
+    item.erase(0, item.find_first_not_of(' '));
+    std::size_t length = 0;
+    const auto [end, error] = std::from_chars(item.data(), item.data() + item.size(), length);
+    if (error != std::errc() || end != item.data() + item.size()) return false;
+    total += length;
+    ++count;
+  }
+  return count == tasks && total == body.size();
+}
+
+}  // namespace basilspring::standin
--- a/standin/main.cc
+++ b/standin/main.cc
@@ -4,6 +4,8 @@
 #include <string_view>
 
 #include "standin/backend_main.h"
+#include "standin/history.h"
+#include "standin/load.h"
 #include "standin/store_main.h"
 
 int main(int argc, char** argv) {
@@ -11,10 +13,12 @@
   try {
     if (role == "store") return basilspring::standin::RunStoreStandin(argc - 1, argv + 1);
     if (role == "backend") return basilspring::standin::RunBackendStandin(argc - 1, argv + 1);
+    if (role == "load") return basilspring::standin::RunLoad(argc - 1, argv + 1);
+    if (role == "check-history") return basilspring::standin::RunCheckHistory(argc - 1, argv + 1);
   } catch (const std::exception& error) {
     fmt::print(stderr, "basilspring-standin {}: {}\n", role, error.what());
     return 1;
   }
-  fmt::print(stderr, "usage: basilspring-standin store|backend ...\n");
+  fmt::print(stderr, "usage: basilspring-standin store|backend|load|check-history ...\n");
   return 2;
 }
