Write claims in the documented form of a request record

A repeat of a claimed non-idempotent request at another entry was given a job id that does not exist and never got its answer: the cell scheduler wrote "claimed <token> <job> <cell>" while include/basilspring/request/request_record.h and the entry's decoder say "claimed <job> <cell> <token>", so the entry took the token for the job. The token is now appended. A repeated claim by the same attempt finds its own token and counts as done, as cell_core.h says.

--- a/src/process/cell_store.cc
+++ b/src/process/cell_store.cc
@@ -22,8 +22,7 @@
   return fmt::format("/basilspring/requests/{}/{}", workspace.value(), key.value());
 }
 
-// A request record is "<state>", followed by the token of the claim and by what the entry keeps
-// there.
+// A request record is "<state> <job> <cell>", followed by the token once it is claimed.
 std::string_view StateOf(std::string_view record) { return record.substr(0, record.find(' ')); }
 
 std::string WithState(std::string_view record, std::string_view state) {
@@ -35,14 +34,18 @@
                                                          : StoreOutcome::kUnavailable;
 }
 
-// Moves a record from `open` to a new state. The record as it stands afterwards, or before when it
-// wasn't open, is left in `found`.
-bool MoveFromOpen(StoreClient& store, const std::string& key, const std::string& state,
-                  std::string* found) {
+std::string WithToken(const std::string& record, const std::string& token) {
+  return token.empty() ? record : record + " " + token;
+}
+
+// Moves a record from `open` to a new state and appends the token, if any. The record as it stands
+// afterwards, or before when it wasn't open, is left in `found`.
+bool MoveFromOpen(StoreClient& store, const std::string& key, std::string_view state,
+                  const std::string& token, std::string* found) {
   std::string expected(kOpen);
   // The first try needs no read when the record holds nothing but its state.
   for (int tries = 0; tries < 2; ++tries) {
-    const std::string wanted = WithState(expected, state);
+    const std::string wanted = WithToken(WithState(expected, state), token);
     const TxnResult result = store.Txn({ValueIs{key, expected}}, {PutKey{key, wanted}}, {key});
     if (result.succeeded) {
       *found = wanted;
@@ -51,6 +54,7 @@
     *found = result.found.empty() ? "" : result.found[0].value;
     // An earlier attempt of the same call took effect.
     if (*found == wanted) return true;
+    if (!token.empty() && StateOf(*found) == state && found->ends_with(" " + token)) return true;
     if (StateOf(*found) != kOpen) return false;
     expected = *found;
   }
@@ -84,9 +88,8 @@
   ClaimReply reply{request.job, request.attempt};
   try {
     std::string record;
-    const bool claimed =
-        MoveFromOpen(store_, RequestKeyOf(request.workspace, request.key),
-                     fmt::format("{} {}", kClaimed, request.attempt.value()), &record);
+    const bool claimed = MoveFromOpen(store_, RequestKeyOf(request.workspace, request.key),
+                                      kClaimed, request.attempt.value(), &record);
     reply.outcome = claimed ? StoreOutcome::kDone : StoreOutcome::kRefused;
     reply.fenced = StateOf(record) == kFenced;
   } catch (const Error& error) {
@@ -99,8 +102,8 @@
   FenceReply reply{request.job};
   try {
     std::string record;
-    const bool moved = MoveFromOpen(store_, RequestKeyOf(request.workspace, request.key),
-                                    std::string(kFenced), &record);
+    const bool moved =
+        MoveFromOpen(store_, RequestKeyOf(request.workspace, request.key), kFenced, "", &record);
     const bool fenced = moved || StateOf(record) == kFenced;
     reply.outcome = fenced ? StoreOutcome::kDone : StoreOutcome::kRefused;
   } catch (const Error& error) {
