--- a/standin/history_rules.h
+++ b/standin/history_rules.h
@@ -18,6 +18,9 @@
 Verdict CheckRecordsComplete(const History& history);
 /// Each 200 answer is whole and has exactly the bytes that belong to its request.
 Verdict CheckAnswers(const History& history);
+/// A caller that was told "accepted" and asked for 60 s gets an outcome when all tasks of its
+/// request are done.
+Verdict CheckAnswersDelivered(const History& history);
 /// At most one attempt runs for a non-idempotent request, and each of its ranks once.
 Verdict CheckRunsAtMostOnce(const History& history);
 /// What was refused as "not run" has no task start at any time. A start belongs to the refused job
@@ -33,7 +36,9 @@
 Verdict CheckLeavingBackends(const History& history);
 /// A graceful stop ends, cuts off no caller's request, and stops no task of its worker.
 Verdict CheckGracefulStops(const History& history);
-/// Applied configuration revisions never fall, neither in a process's log nor in a cell.
+/// Applied configuration revisions never fall in a process's log, nor in a cell from one scheduler
+/// to the next: a line counts under the epoch that its process last acquired, and is compared with
+/// all earlier lines of the same and of lower epochs.
 Verdict CheckRevisionsNeverFall(const History& history);
 /// Each accepted revision is in force within 5 s in each entry and each cell. A process that was
 /// down or paused meanwhile has 5 s from its return; a cell whose scheduler was, has no time bound,
--- /dev/null
+++ b/standin/operators_record.h
@@ -0,0 +1,13 @@
+#ifndef BASILSPRING_STANDIN_OPERATORS_RECORD_H_
+#define BASILSPRING_STANDIN_OPERATORS_RECORD_H_
+
+namespace basilspring::standin {
+
+/// `basilspring-standin record-event FILE EVENT [FIELD=VALUE...]`: appends a JSON line with the
+/// times of both clocks, for scripts, which can't read CLOCK_MONOTONIC. Values of digits become
+/// numbers. Returns the exit code.
+int RunRecordEvent(int argc, char** argv);
+
+}  // namespace basilspring::standin
+
+#endif  // BASILSPRING_STANDIN_OPERATORS_RECORD_H_
--- a/tests/standin/history_test.cc
+++ b/tests/standin/history_test.cc
@@ -85,6 +85,19 @@
   }
 }
 
+// Guards against blaming a scheduler that was paused, whose lease another one took meanwhile, for
+// reading an old update before it learns that it is deposed.
+TEST(HistoryTest, ADeposedSchedulerMayLagBehindItsCell) {
+  const std::string lines =
+      With("agent-a 2026-01-01T00:00:02.100Z",
+           "agent-a 2026-01-01T00:00:02.000Z info [300 CellAcquired] process=agent-a cell=a/0 "
+           "epoch=4\nagent-a 2026-01-01T00:00:02.100Z") +
+      "agent-b 2026-01-01T00:00:01.500Z info [300 CellAcquired] process=agent-b cell=a/0 epoch=3\n"
+      "agent-b 2026-01-01T00:00:05.000Z info [700 ConfigurationApplied] process=agent-b cell=a/0 "
+      "revision=8\n";
+  EXPECT_EQ(Broken(lines), "");
+}
+
 struct BadCase {
   const char* what;
   std::string lines;
@@ -100,6 +113,9 @@
       {"foreign bytes", With("\"digest\":\"d2\"", "\"digest\":\"d1\""), "answers whole and own"},
       {"cut short", With("\"length\":6,\"digest", "\"length\":5,\"digest"),
        "answers whole and own"},
+      {"done, but the caller never got it",
+       With("{\"ms\":2220,\"event\":\"answered\"", "{\"ms\":2220,\"event\":\"abandoned\""),
+       "finished work is delivered"},
       {"second attempt after the first was lost",
        good +
            "backend-b {\"ms\":2500,\"event\":\"start\",\"task\":\"j1#6.1.0\",\"detail\":\"k1|\"}\n"
@@ -162,6 +178,12 @@
        good + "agent-b 2026-01-01T00:00:05.000Z info [700 ConfigurationApplied] process=agent-b "
               "cell=a/0 revision=8\n",
        "revisions never fall"},
+      {"revision falls in a cell in a higher epoch",
+       good + "agent-b 2026-01-01T00:00:04.900Z info [300 CellAcquired] process=agent-b cell=a/0 "
+              "epoch=4\n"
+              "agent-b 2026-01-01T00:00:05.000Z info [700 ConfigurationApplied] process=agent-b "
+              "cell=a/0 revision=8\n",
+       "revisions never fall"},
       {"late in a cell", With("00:00:04.000Z", "00:00:08.001Z"), "revisions in force in 5 s"},
       {"never in force at an entry",
        With("process=entry-a revision=9", "process=entry-a revision=8"),
