--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -18,6 +18,16 @@
   process_ids[$name]=$!
 }
 
+# Fails when a deployment already runs on the same addresses.
+require_free_addresses() {
+  local address
+  address=$(sed -nE 's/^servers = \["([^"]*)".*/\1/p' "deploy/$deployment"/entry-*.toml | head -n 1)
+  if curl -fsS -m 2 "http://${address%:*}:2380/stats" >/dev/null 2>&1; then
+    echo "another deployment runs on the addresses of deploy/$deployment" >&2
+    return 1
+  fi
+}
+
 start_store() {
   store_address=$(sed -nE 's/^servers = \["([^"]*)".*/\1/p' "deploy/$deployment"/entry-*.toml | head -n 1)
   store_control=${store_address%:*}:2380
@@ -98,6 +108,7 @@
 start_cluster() {
   local file
   mkdir -p "$run_dir"
+  require_free_addresses
   start_store
   for file in "deploy/$deployment"/entry-*.toml; do start_entry "$file"; done
   for file in "deploy/$deployment"/agent-*.toml; do
