Stop new work on a refused connection; keep the grace of a scheduler's stop

Cause: in a trial with a killed backend server, its agent went on accepting work for 6 s and one job used up four attempts there; the refusals of the other ranks read "the request is malformed". A member that ended first cut the grace of the others to 2 s.

Change: a refused connection ends admission until the next announcement. A start whose gang is known to be partial is refused with reservation_missing. A broken gang no longer shortens a stop that is under way.

Ruled out: ending admission after an unanswered call as well, because a slow backend server would drop out under load.

--- a/src/process/agent_core.cc
+++ b/src/process/agent_core.cc
@@ -137,6 +137,14 @@
 }
 
 void AgentCore::Impl::On(TimePoint now, const BackendResult& result, AgentOutput& out) {
+  // A backend server that refuses connections has probably died. New work waits for its next
+  // announcement, instead of failing until three announcements are missing.
+  if (result.status == BackendStatus::kUnreachable && backend_present) {
+    backend_present = false;
+    link.HurryHeartbeat();
+    out.log.push_back({EventId::kBackendGone,
+                       fmt::format("backend={} reason=\"{}\"", backend.ToString(), result.text)});
+  }
   tasks.OnResult(StepAt(now, out), result);
 }
 
--- a/src/process/agent_task_run.cc
+++ b/src/process/agent_task_run.cc
@@ -353,7 +353,11 @@
   step.out.log.push_back({EventId::kGangLeaseExpired,
                           fmt::format("attempt={} tasks={}", attempt.value(), keys.size())});
   for (const TaskKey& key : keys) {
-    BeginStop(step, tasks_.find(key), StopReason::kGangMemberLost, options_.timings.backend_poll);
+    const auto task = tasks_.find(key);
+    // A stop that the scheduler has asked for keeps its grace, so that its checkpoint is not cut
+    // short by a member that has stopped sooner.
+    if (task->second.stop) continue;
+    BeginStop(step, task, StopReason::kGangMemberLost, options_.timings.backend_poll);
   }
 }
 
--- a/src/process/agent_tasks.cc
+++ b/src/process/agent_tasks.cc
@@ -133,28 +133,31 @@
   if (step.now >= task.expires) return ErrorKind::kReservationMissing;
   if (step.now > start.not_after) return ErrorKind::kPermitExpired;
   if (admission != ErrorKind::kNone) return admission;
-  return MembersUsable(task, start) ? ErrorKind::kNone : ErrorKind::kInvalidArgument;
+  if (task.reservation.tasks <= 1) return ErrorKind::kNone;
+  if (!MembersComplete(task, start, options_.worker)) return ErrorKind::kInvalidArgument;
+  return GangCanBeWhole(start) ? ErrorKind::kNone : ErrorKind::kReservationMissing;
 }
 
 // Without the whole member list the gang lease could not detect a partial gang.
-bool AgentTasks::MembersUsable(const AgentTask& task, const Start& start) const {
-  if (task.reservation.tasks <= 1) return true;
-  if (gangs_.Broken(start.attempt)) return false;
+bool AgentTasks::MembersComplete(const AgentTask& task, const Start& start, const WorkerId& self) {
   std::set<std::uint32_t> ranks;
   bool own_rank = false;
   for (const GangMember& member : start.members) {
     if (member.rank >= task.reservation.tasks || !ranks.insert(member.rank).second) return false;
-    const bool local = member.worker == options_.worker;
-    own_rank = own_rank || (local && member.rank == start.rank);
-    // The first rank to start here needs all ranks of this worker still reserved.
-    if (local && !gangs_.Knows(start.attempt) &&
-        tasks_.count(TaskKey{start.attempt, member.rank}) == 0) {
-      return false;
-    }
+    own_rank = own_rank || (member.worker == self && member.rank == start.rank);
   }
   return own_rank && ranks.size() == task.reservation.tasks;
 }
 
+bool AgentTasks::GangCanBeWhole(const Start& start) const {
+  if (gangs_.Knows(start.attempt)) return !gangs_.Broken(start.attempt);
+  // The first rank to start here needs all ranks of this worker still reserved.
+  return std::all_of(start.members.begin(), start.members.end(), [&](const GangMember& member) {
+    return member.worker != options_.worker ||
+           tasks_.count(TaskKey{start.attempt, member.rank}) != 0;
+  });
+}
+
 void AgentTasks::BeginTask(const Step& step, const TaskKey& key, AgentTask& task,
                            const Start& start, const Address& backend) {
   task.state = TaskState::kRunning;
--- a/src/process/agent_tasks.h
+++ b/src/process/agent_tasks.h
@@ -126,7 +126,9 @@
   /// kNone when the task may start now.
   ErrorKind CheckStart(const Step& step, const AgentTask& task, const Start& start,
                        ErrorKind admission) const;
-  bool MembersUsable(const AgentTask& task, const Start& start) const;
+  static bool MembersComplete(const AgentTask& task, const Start& start, const WorkerId& self);
+  /// Whether no rank of the gang is known to be missing.
+  bool GangCanBeWhole(const Start& start) const;
   void BeginTask(const Step& step, const TaskKey& key, AgentTask& task, const Start& start,
                  const Address& backend);
   void AnswerRepeatedStart(const Step& step, const Address& from, const TaskKey& key);
--- a/tests/process/agent_core_test.cc
+++ b/tests/process/agent_core_test.cc
@@ -146,6 +146,7 @@
 TEST_F(AgentCoreTest, FailedStartsSayWhetherTheTaskMayHaveStarted) {
   Ready();
   const auto outcome = [this](const std::string& attempt, BackendStatus status) {
+    Handle(Announcement());
     Receive(PrepareOf(attempt));
     Receive(StartOf(attempt));
     Answer(attempt, BackendCallKind::kStart, status);
@@ -251,6 +252,23 @@
   EXPECT_EQ(core.counts().stopping, 1U);
 }
 
+// Guards against a checkpoint that is cut short because another rank has stopped sooner.
+TEST_F(AgentGangTest, StopOfTheSchedulerKeepsItsGrace) {
+  Ready();
+  Receive(PrepareOf("j1#5.1", 0, 2));
+  StartRank(0, WorkerId("w2"), {"127.0.0.1", 7001});
+  Receive(StopOf("j1#5.1", Duration(5000)));
+  GangHeartbeat ended;
+  ended.attempt = AttemptId("j1#5.1");
+  ended.rank = 1;
+  ended.worker = WorkerId("w2");
+  Receive(ended, {"127.0.0.1", 7001});
+  Pass(4900);
+  EXPECT_EQ(Calls(BackendCallKind::kStop), 0U);
+  Pass(200);
+  EXPECT_EQ(Calls(BackendCallKind::kStop), 1U);
+}
+
 // Guards against starting a rank whose fellow on this worker can't start any more.
 TEST_F(AgentGangTest, RefusesAStartWhenAnotherLocalRankHasNoReservation) {
   Ready();
@@ -258,6 +276,20 @@
   StartRank(0, WorkerId("w1"), kAgentAddress);
   EXPECT_TRUE(out.calls.empty());
   EXPECT_FALSE(Only<TaskDone>().started);
+  EXPECT_EQ(Only<TaskDone>().error, ErrorKind::kReservationMissing);
+}
+
+// Guards against attempts that are used up on a backend server that has died a moment ago.
+TEST_F(AgentCoreTest, RefusedConnectionStopsNewWorkUntilTheNextAnnouncement) {
+  Ready();
+  Receive(PrepareOf("j1#5.1"));
+  Receive(StartOf("j1#5.1"));
+  Answer("j1#5.1", BackendCallKind::kStart, BackendStatus::kUnreachable);
+  EXPECT_FALSE(Only<Heartbeat>().accepting);
+  Receive(PrepareOf("j2#5.1"));
+  EXPECT_EQ(Only<Prepared>().error, ErrorKind::kBackendUnavailable);
+  Handle(Announcement());
+  EXPECT_TRUE(Only<Heartbeat>().accepting);
 }
 
 // Guards against a stop of the process that cuts off running tasks or takes new ones.
