--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -3,6 +3,9 @@
 # shellcheck shell=bash
 # shellcheck disable=SC2154  # the variables above are set by the script that sources this file
 
+# A script can set deployment_dir to a copy of the settings that differs from deploy/.
+deployment_dir=${deployment_dir:-deploy/$deployment}
+
 declare -A process_ids=()
 
 # The value of a key in a settings file: setting FILE KEY
@@ -21,15 +24,15 @@
 # Fails when a deployment already runs on the same addresses.
 require_free_addresses() {
   local address
-  address=$(sed -nE 's/^servers = \["([^"]*)".*/\1/p' "deploy/$deployment"/entry-*.toml | head -n 1)
+  address=$(sed -nE 's/^servers = \["([^"]*)".*/\1/p' "$deployment_dir"/entry-*.toml | head -n 1)
   if curl -fsS -m 2 "http://${address%:*}:2380/stats" >/dev/null 2>&1; then
-    echo "another deployment runs on the addresses of deploy/$deployment" >&2
+    echo "another deployment runs on the addresses of $deployment_dir" >&2
     return 1
   fi
 }
 
 start_store() {
-  store_address=$(sed -nE 's/^servers = \["([^"]*)".*/\1/p' "deploy/$deployment"/entry-*.toml | head -n 1)
+  store_address=$(sed -nE 's/^servers = \["([^"]*)".*/\1/p' "$deployment_dir"/entry-*.toml | head -n 1)
   store_control=${store_address%:*}:2380
   start store "$build_dir/basilspring-standin" store --listen "$store_address" --control "$store_control"
 }
@@ -55,13 +58,13 @@
 
 # Address of the first entry's HTTP interface.
 first_entry() {
-  local files=("deploy/$deployment"/entry-*.toml)
+  local files=("$deployment_dir"/entry-*.toml)
   setting "${files[0]}" http
 }
 
 all_entries() {
   local file list=""
-  for file in "deploy/$deployment"/entry-*.toml; do list+="${list:+,}$(setting "$file" http)"; done
+  for file in "$deployment_dir"/entry-*.toml; do list+="${list:+,}$(setting "$file" http)"; done
   echo "$list"
 }
 
@@ -90,7 +93,7 @@
 # Entries hear the cells of their own region; so each region is asked.
 region_workers() {
   local file total=0 seen="" region count
-  for file in "deploy/$deployment"/entry-*.toml; do
+  for file in "$deployment_dir"/entry-*.toml; do
     region=$(setting "$file" region)
     case " $seen " in *" $region "*) continue ;; esac
     seen+=" $region"
@@ -102,7 +105,7 @@
 }
 
 all_workers_known() {
-  [ "$(region_workers)" -eq "$(find "deploy/$deployment" -name 'agent-*.toml' | wc -l)" ]
+  [ "$(region_workers)" -eq "$(find "$deployment_dir" -name 'agent-*.toml' | wc -l)" ]
 }
 
 start_cluster() {
@@ -110,12 +113,12 @@
   mkdir -p "$run_dir"
   require_free_addresses
   start_store
-  for file in "deploy/$deployment"/entry-*.toml; do start_entry "$file"; done
-  for file in "deploy/$deployment"/agent-*.toml; do
+  for file in "$deployment_dir"/entry-*.toml; do start_entry "$file"; done
+  for file in "$deployment_dir"/agent-*.toml; do
     start_agent "$file"
     start_backend "$file"
   done
-  for file in "deploy/$deployment"/entry-*.toml; do
+  for file in "$deployment_dir"/entry-*.toml; do
     wait_until "$file is ready" entry_ready "$(setting "$file" http)"
   done
   wait_until "all workers are known to their cell schedulers" all_workers_known
