Refuse durable jobs early while the store hangs, and see cancellations made elsewhere

Cause: with a hanging store a durable request ended as store_outcome_unknown although it could have been refused as "not run" before the write. The end of a job that another entry cancelled reached neither entry's caller until the next poll. "Unknown here" from a scheduler that hands over is not taken for the end of a job.

--- a/include/basilspring/process/entry_core.h
+++ b/include/basilspring/process/entry_core.h
@@ -118,6 +118,11 @@
   std::uint32_t retry_percent = 20;
 };
 
+/// Whether the store answers; true at the start.
+struct StoreState {
+  bool reachable = true;
+};
+
 struct TickEvent {};
 
 /// Graceful stop: refuses new requests, goes on with those in flight.
@@ -126,7 +131,7 @@
 using EntryEvent =
     std::variant<SubmitRequest, ResultRequest, ProgressRequest, ExplainRequest, ListRequest,
                  CancelRequest, CallerGone, ProcessMessage, StoreCompleted, CellChanged,
-                 RoutingConfiguration, TickEvent, StopEvent>;
+                 RoutingConfiguration, StoreState, TickEvent, StopEvent>;
 
 // Effects: what the driver has to do, in this order.
 
--- a/src/process/entry.cc
+++ b/src/process/entry.cc
@@ -102,6 +102,11 @@
   last_tick_ = now.milliseconds();
   Handle(TickEvent{});
   TickPermits();
+  const bool reachable = now - last_store_read_ < settings_.timings.permit_validity;
+  if (reachable != store_reachable_) {
+    store_reachable_ = reachable;
+    Handle(StoreState{reachable});
+  }
   if (needs_synchronization_.exchange(false) && !synchronizing_) {
     synchronizing_ = true;
     Spawn([this] { Synchronize(); });
@@ -113,8 +118,7 @@
 void EntryDriver::EverySecond() {
   const TimePoint now = Clock::Now();
   next_second_ = now + settings_.timings.summary;
-  directory_.SetStoreReachable(synchronized_ &&
-                               now - last_store_read_ < settings_.timings.permit_validity);
+  directory_.SetStoreReachable(synchronized_ && store_reachable_);
   SendAll(directory_.Greet(now));
   UpdateRouting();
   UpdateMetrics();
--- a/src/process/entry_core_internal.h
+++ b/src/process/entry_core_internal.h
@@ -137,6 +137,7 @@
   std::uint64_t next_operation = 1;
   std::uint64_t next_explain = 1;
   bool stopping = false;
+  bool store_reachable = true;
 
   // The event and where its effects go, while it is handled.
   TimePoint now;
@@ -221,6 +222,7 @@
 
   // entry_core_tick.cc
   void On(const RoutingConfiguration& event);
+  void On(const StoreState& event);
   void On(const TickEvent& event);
   void On(const StopEvent& event);
   void TickRequest(internal::EntryRequest& request);
--- a/src/process/entry_core_messages.cc
+++ b/src/process/entry_core_messages.cc
@@ -79,6 +79,13 @@
     }
     return Finish(*request, message.result);
   }
+  // A scheduler that hands over drops a submission, so "unknown here" says nothing about the job;
+  // it is asked for again.
+  if (message.result.error == ErrorKind::kNotFound) return;
+  // The result goes to the entry that cancelled the job, also when another one submitted it.
+  const bool cancelled_here = request->phase == RequestPhase::kObserved && request->known &&
+                              request->cancel_requested && from == cells[request->cell].holder;
+  if (cancelled_here) return Finish(*request, message.result);
   // A deposed scheduler, or one that the job was moved away from, does not know what became of it.
   if (request->phase != RequestPhase::kSubmitted || from != request->scheduler) return;
   Refused(*request, message.result);
--- a/src/process/entry_core_queries.cc
+++ b/src/process/entry_core_queries.cc
@@ -23,6 +23,10 @@
 void EntryCore::Impl::On(const ResultRequest& event) {
   EntryRequest* const request = Find(event.job);
   AddWaiter(request == nullptr ? Observe(event.job) : *request, event.caller, event.wait);
+  // A job that was cancelled at another entry sends its end there.
+  if (request != nullptr && request->spec.durable && request->phase == RequestPhase::kSubmitted) {
+    Send(request->scheduler, QueryJob{event.job, 0});
+  }
 }
 
 void EntryCore::Impl::On(const ProgressRequest& event) {
--- a/src/process/entry_core_records.cc
+++ b/src/process/entry_core_records.cc
@@ -68,6 +68,12 @@
 }
 
 void EntryCore::Impl::CreateRecords(EntryRequest& request, const std::string& replaced) {
+  // A write to a store that hangs would end with an unknown outcome; not to try is a true "not
+  // run".
+  if (!store_reachable) {
+    return Finish(request, Failure(ErrorKind::kStoreUnavailable,
+                                   "the store does not answer, nothing was written"));
+  }
   request.phase = RequestPhase::kCreating;
   EntryStoreOperation operation;
   const std::string job_key = JobRecordKey(request.cell, request.spec.id);
--- a/src/process/entry_core_tick.cc
+++ b/src/process/entry_core_tick.cc
@@ -28,6 +28,8 @@
   retries.SetPercent(event.retry_percent);
 }
 
+void EntryCore::Impl::On(const StoreState& event) { store_reachable = event.reachable; }
+
 void EntryCore::Impl::On(const StopEvent& /*event*/) {
   stopping = true;
   // A durable job goes on without this entry: who waits long for it is told "accepted" in time.
--- a/src/process/entry_driver.h
+++ b/src/process/entry_driver.h
@@ -123,6 +123,7 @@
   std::mt19937_64 random_;
   bool synchronizing_ = false;
   bool vouching_ = false;
+  bool store_reachable_ = true;
   std::uint32_t lagging_reads_ = 0;
   TimePoint last_store_read_;
   TimePoint next_second_;
--- a/tests/process/entry_records_test.cc
+++ b/tests/process/entry_records_test.cc
@@ -117,6 +117,10 @@
   EXPECT_TRUE(Do(failed).messages.empty());
   EXPECT_EQ(ErrorOf(1), ErrorKind::kStoreUnavailable);
   EXPECT_EQ(Sent<SubmitJob>(Submit(2, Spec("j2"))).size(), 1U);
+  // A store that is known to hang is not written to, so that the refusal can say "not run".
+  Do(StoreState{false});
+  EXPECT_TRUE(Submit(3, Spec("j3", JobClass::kBatch)).operations.empty());
+  EXPECT_EQ(ErrorOf(3), ErrorKind::kStoreUnavailable);
 }
 
 // Guards against "not run" for a durable job whose record a later scheduler would take up.
@@ -186,6 +190,25 @@
   EXPECT_EQ(ErrorOf(1), ErrorKind::kOutcomeUnknown);
 }
 
+// Guards against a cancellation whose end is dropped because another entry had submitted the job,
+// and against a stale state there.
+TEST_F(EntryRecordsTest, ACancellationAtAnotherEntryIsSeenAtBoth) {
+  Do(CancelRequest{CallerId(1), JobId("other"), Duration(5000)});
+  JobReport report;
+  report.job = JobId("other");
+  report.known = true;
+  report.state = JobState::kRunning;
+  EXPECT_EQ(Sent<CancelJob>(Do(ProcessMessage{Scheduler(1), report})).size(), 1U);
+  Finished(Scheduler(1), "other", Failure(ErrorKind::kCancelledRunning));
+  EXPECT_EQ(ErrorOf(1), ErrorKind::kCancelledRunning);
+
+  Do(Completed(Submit(2, Spec("j1", JobClass::kBatch)), true));
+  const EntryEffects asked = Do(ResultRequest{CallerId(3), JobId("j1"), Duration(0)});
+  EXPECT_EQ(Sent<QueryJob>(asked).size(), 1U);
+  Finished(Scheduler(1), "j1", Failure(ErrorKind::kNotFound));
+  EXPECT_TRUE(replies_[2].empty());
+}
+
 // Guards against an answer that can be fetched only where the job was submitted.
 TEST_F(EntryRecordsTest, AnswersOfOtherEntriesAreReadFromTheStore) {
   const EntryEffects look = Do(ResultRequest{CallerId(1), JobId("other"), Duration(0)});
