--- a/src/process/cell_core.cc
+++ b/src/process/cell_core.cc
@@ -77,17 +77,24 @@
 }
 
 void CellCore::Impl::OnTick() {
+  TickRecovery();
+  if (now_ >= next_scan_) {
+    next_scan_ = now_ + internal::kScanInterval;
+    Scan();
+  }
+  if (WantsPermit() && now_ >= next_permit_request_) RequestPermit();
+  TickSummary();
+}
+
+void CellCore::Impl::Scan() {
   if (queue_.size() > 0 && now_ - no_room_since_ >= internal::kForgetNoRoom) {
     no_room_since_ = now_;
     NoteRoomChange();
   }
   TickWorkers();
-  TickRecovery();
   TickDataCentreOut();
   TickAttempts();
   TickJobs();
-  if (WantsPermit() && now_ >= next_permit_request_) RequestPermit();
-  TickSummary();
   for (std::size_t i = 0; i < kJobClassCount; ++i) {
     counters_.queued[i] = queue_.Count(static_cast<JobClass>(i));
   }
--- a/src/process/cell_core_internal.h
+++ b/src/process/cell_core_internal.h
@@ -49,6 +49,8 @@
   // cell_core.cc: dispatch and output.
   void Dispatch(const Address& from, const Message& message);
   void OnTick();
+  /// Looks through all workers, attempts and jobs for what is due.
+  void Scan();
   void OnHandOver();
   void OnLeaseReleased();
   void Send(const Address& to, Message message);
@@ -210,6 +212,7 @@
   CellOutput* out_ = nullptr;
   bool deposed_ = false;
   TimePoint last_tick_;
+  TimePoint next_scan_;
   /// Something changed that may let a queued job be placed.
   bool dirty_ = false;
 
--- a/src/process/cell_model.h
+++ b/src/process/cell_model.h
@@ -29,6 +29,9 @@
 inline constexpr std::size_t kKeptResultBytes = 16 * 1024 * 1024;
 /// A job without payload, known only from an agent's report, waits this long for its entry.
 inline constexpr Duration kKeepOrphan = Duration::Seconds(60);
+/// Scans of all jobs and attempts are this far apart: with 10,000 waiting jobs, one on each tick
+/// would take more than the share of a core that control may use.
+inline constexpr Duration kScanInterval = Duration(100);
 /// Jobs that are tried in one pass over the queue; bounds the time of one event.
 inline constexpr std::size_t kJobsPerPass = 256;
 /// Placements that may find no room in one pass; each takes up to a millisecond in a large cell.
--- a/src/process/cell_placement.cc
+++ b/src/process/cell_placement.cc
@@ -15,10 +15,16 @@
   UpdateTrust();
   BindFreedRoom();
   UpdateReservation();
+  // The job that room is kept for goes first: jobs alike that come before it in the queue may not
+  // use that room, and their failure says nothing about it.
+  if (reservation_) {
+    Job& job = jobs_.at(reservation_->job);
+    if (MayPlace(job)) TryPlace(job);
+  }
   std::size_t failures = 0;
   for (const JobId& id : queue_.Order(now_, internal::kJobsPerPass)) {
     Job& job = jobs_.at(id);
-    if (!MayPlace(job)) continue;
+    if (!MayPlace(job) || (reservation_ && reservation_->job == id)) continue;
     const internal::Likeness likeness{job.spec.workspace, job.spec.job_class, job.spec.shape};
     if (no_room_.contains(likeness) || TryPlace(job)) continue;
     queue_.MarkPassedOver(id, now_);
--- a/tests/process/cell_harness.cc
+++ b/tests/process/cell_harness.cc
@@ -33,6 +33,7 @@
 void CellHarness::Heartbeats() {
   for (auto& [name, agent] : agents_) {
     if (agent->silent) continue;
+    SendUnsent(*agent);
     Heartbeat heartbeat{agent->id, RackId("rack"), agent->address, agent->epoch, ++agent->sequence};
     heartbeat.tasks = static_cast<std::uint32_t>(agent->tasks.size());
     heartbeat.accepting = true;
@@ -131,6 +132,7 @@
     return;
   }
   task->second.state = TaskState::kRunning;
+  started[task->second.job].insert(start.attempt);
   FromAgent(agent, TaskStarted{start.attempt, start.rank});
 }
 
@@ -209,13 +211,18 @@
       TaskReport& own = agent->tasks.at(key);
       own.state = TaskState::kFinished;
       own.output = fmt::format("{}/{}", job, task.rank);
-      if (agent->silent) continue;
-      FromAgent(*agent,
-                TaskDone{task.attempt, task.job, task.rank, ErrorKind::kNone, true, own.output});
+      agent->unsent.push_back(
+          {task.attempt, task.job, task.rank, ErrorKind::kNone, true, own.output});
     }
+    SendUnsent(*agent);
   }
 }
 
+void CellHarness::SendUnsent(FakeAgent& agent) {
+  if (agent.silent) return;
+  for (const TaskDone& done : std::exchange(agent.unsent, {})) FromAgent(agent, done);
+}
+
 void CellHarness::ReplaceScheduler(bool run_rebuild) {
   const Epoch last(epoch_);
   epoch_ += 10;
--- a/tests/process/cell_harness.h
+++ b/tests/process/cell_harness.h
@@ -22,6 +22,8 @@
   Epoch epoch;
   std::uint64_t sequence = 0;
   std::map<std::pair<AttemptId, std::uint32_t>, TaskReport> tasks;
+  /// TaskDone that the transport sends when the agent can be reached again.
+  std::vector<TaskDone> unsent;
 
   // Switches of the test.
   bool silent = false;
@@ -84,6 +86,9 @@
   std::vector<CellLogLine> log;
   bool deposed = false;
 
+  /// Attempts of each job of which an agent started a task.
+  std::map<JobId, std::set<AttemptId>> started;
+
   // Permits.
   bool give_permits = true;
   bool out = false;
@@ -108,6 +113,7 @@
   void OnOperation(const StoreOperation& operation);
   StoreOutcome Claim(const ClaimRequest& claim);
   void Heartbeats();
+  void SendUnsent(FakeAgent& agent);
 
   std::map<std::string, std::unique_ptr<FakeAgent>> agents_;
   std::deque<CellEvent> events_;
--- a/tests/process/cell_operations_test.cc
+++ b/tests/process/cell_operations_test.cc
@@ -132,6 +132,21 @@
   EXPECT_EQ(ErrorInfo(cell.Outcome("queued")).outcome, RunOutcome::kNotRun);
 }
 
+// Guards against room that is kept for a large job and never used: another job of the same kind
+// stands before it in the queue and must not count as a proof that there is no room.
+TEST_F(CellOperations, RoomKeptForAJobIsUsedByIt) {
+  cell.Submit("first", 2, 8, true, JobClass::kBatch);
+  cell.Submit("second", 2, 8, true, JobClass::kBatch);
+  cell.Submit("small", 1, 8);
+  cell.Run(500);
+  ASSERT_EQ(cell.Running("small"), 1U) << "the urgent job preempts the first one";
+  cell.Run(31000);
+  ASSERT_EQ(Logged(EventId::kRoomReserved), 1U);
+  cell.FinishTasks("small");
+  cell.Run(1000);
+  EXPECT_EQ(cell.Running("first") + cell.Running("second"), 2U);
+}
+
 // Guards against a hand-over that starts work or cuts off running work.
 TEST_F(CellOperations, HandOverKeepsRunningWorkAndStartsNothing) {
   cell.Submit("runs", 1, 8);
