Give queued jobs back to their entry when a data centre goes out of service

Cause: queued jobs, urgent ones too, waited in a data centre that was out of service although others had room. Change: the cell scheduler returns queued idempotent jobs with a new message; the entry places them elsewhere, or again in the same cell once it is back; a job that ran before is never refused as not run afterwards. Ruled out: refusing the jobs as before, because the refusal of a durable job is stored and final.

--- a/include/basilspring/connection/messages.h
+++ b/include/basilspring/connection/messages.h
@@ -440,6 +440,16 @@
   BASILSPRING_SERIALIZE(attempt, rank, worker, agent, running, whole, finished, whole_age)
 };
 
+/// A cell scheduler whose data centre is out of service gives a queued idempotent job back to its
+/// entry, which places it elsewhere. The scheduler has forgotten the job.
+struct JobReturned {
+  JobId job;
+  std::uint32_t attempts = 0;
+  /// Whether a task of the job has or may have run, so that a later refusal must not say "not run".
+  bool ran = false;
+  BASILSPRING_SERIALIZE(job, attempts, ran)
+};
+
 /// The holder of a cell that stops gracefully asks its agents to choose a successor at once.
 struct SchedulerGoodbye {
   CellId cell;
@@ -456,7 +466,7 @@
                  ConfigurationInForce, PermitRequest, Permit, VouchRequest, Vouch, Registration,
                  RegistrationAck, SchedulerHello, AgentReport, Heartbeat, HeartbeatReply, Prepare,
                  Prepared, Start, TaskStarted, TaskDone, TaskDoneAck, StopTask, TaskStopped,
-                 GangHeartbeat, SchedulerGoodbye>;
+                 GangHeartbeat, SchedulerGoodbye, JobReturned>;
 
 /// Name of the message's type, for logs.
 std::string_view MessageName(const Message& message);
--- a/include/basilspring/process/cell_core.h
+++ b/include/basilspring/process/cell_core.h
@@ -76,7 +76,11 @@
   AttemptId claimed;
 };
 
-using StoreOperation = std::variant<ClaimRequest, FenceRequest, ResultWrite>;
+/// Lists the job records of the cell again: after its data centre came back, since jobs that were
+/// given back may have lost their entry. RecordsListed answers it.
+struct ListRecords {};
+
+using StoreOperation = std::variant<ClaimRequest, FenceRequest, ResultWrite, ListRecords>;
 
 // Events.
 
@@ -102,7 +106,7 @@
   /// The stored answer, with kRefused.
   std::optional<JobResult> stored;
 };
-/// All job records of the cell, as listed after the lease was acquired.
+/// All job records of the cell, as listed after the lease was acquired or after ListRecords.
 struct RecordsListed {
   std::vector<JobSpec> jobs;
 };
--- a/src/connection/messages.cc
+++ b/src/connection/messages.cc
@@ -68,7 +68,8 @@
       "StopTask",
       "TaskStopped",
       "GangHeartbeat",
-      "SchedulerGoodbye"};
+      "SchedulerGoodbye",
+      "JobReturned"};
   return kNames[message.index()];
 }
 
--- a/src/process/cell_core_internal.h
+++ b/src/process/cell_core_internal.h
@@ -183,6 +183,9 @@
   /// Acts on a change of DataCentreOut.
   void NoteDataCentreState();
   void StopForDataCentre(Attempt& attempt);
+  /// Gives queued jobs back to their entries while the data centre is out of service.
+  void ReturnQueuedJobs();
+  bool CanReturn(const Job& job) const;
   void TickDataCentreOut();
 
   // cell_configuration.cc
--- a/src/process/cell_permits.cc
+++ b/src/process/cell_permits.cc
@@ -64,6 +64,7 @@
   if (!DataCentreOut()) {
     out_since_.reset();
     dirty_ = true;
+    out_->operations.emplace_back(ListRecords{});
     return;
   }
   out_since_ = now_;
@@ -87,9 +88,35 @@
       attempt.start_sent ? settings_.preemption_grace : Duration(0));
 }
 
+bool CellCore::Impl::CanReturn(const Job& job) const {
+  // A non-idempotent job would first have to be fenced, and what was fenced is refused for good; it
+  // waits here.
+  const bool queued = job.state == JobState::kQueued && !job.result && !job.refusal && !job.cancel;
+  return queued && job.spec.idempotent && job.spec_known && !job.entry.empty() &&
+         !HasFoundAttempt(job.spec.id) && attempts_.find(job.attempt) == attempts_.end();
+}
+
+void CellCore::Impl::ReturnQueuedJobs() {
+  if (!ready_) return;
+  std::vector<JobId> returned;
+  for (const auto& [id, job] : jobs_) {
+    if (CanReturn(job)) returned.push_back(id);
+  }
+  for (const JobId& id : returned) {
+    const Job& job = jobs_.at(id);
+    Log(EventId::kJobRequeued, "job={} returned_to={} reason=\"the data centre is out of service\"",
+        id.value(), job.entry.ToString());
+    Send(job.entry, JobReturned{id, job.attempts, MayHaveRun(job)});
+    queue_.Cancel(id);
+    ForgetJob(id);
+  }
+}
+
 void CellCore::Impl::TickDataCentreOut() {
+  if (!out_since_) return;
+  ReturnQueuedJobs();
   // Borrowed work has had its grace by then; the rest is checkpointed and queued again.
-  if (!out_since_ || now_ < *out_since_ + settings_.preemption_grace) return;
+  if (now_ < *out_since_ + settings_.preemption_grace) return;
   for (const AttemptId& id : AttemptIds()) {
     Attempt* const attempt = FindAttempt(id);
     if (attempt != nullptr && !attempt->failure) StopForDataCentre(*attempt);
--- a/src/process/cell_scheduler.cc
+++ b/src/process/cell_scheduler.cc
@@ -87,6 +87,7 @@
 }
 
 void CellScheduler::Run(const StoreOperation& operation) {
+  if (std::holds_alternative<ListRecords>(operation)) return Start();
   impl_->duty.Spawn([self = shared_from_this(), operation] {
     Impl& impl = *self->impl_;
     if (const auto* const claim = std::get_if<ClaimRequest>(&operation)) {
--- a/src/process/entry_core_finish.cc
+++ b/src/process/entry_core_finish.cc
@@ -95,6 +95,11 @@
 }
 
 void EntryCore::Impl::Finish(EntryRequest& request, JobResult result) {
+  if (request.ran && ErrorInfo(result.error).outcome == RunOutcome::kNotRun) {
+    result.message = fmt::format("{}: {}; an earlier attempt had run", ErrorInfo(result.error).name,
+                                 result.message);
+    result.error = ErrorKind::kAttemptsExhausted;
+  }
   const ErrorRow& row = ErrorInfo(result.error);
   const std::string facts =
       fmt::format("job={} cell={} attempts={} duration_ms={} waiters={}", request.spec.id.value(),
--- a/src/process/entry_core_internal.h
+++ b/src/process/entry_core_internal.h
@@ -57,6 +57,11 @@
   /// Whether any scheduler may have it.
   bool sent = false;
   bool accepted = false;
+  /// Its cell gave it back, because its data centre is out of service; waits for a cell that takes
+  /// it.
+  bool returned = false;
+  /// Whether a task of it has or may have run under a scheduler that gave it back.
+  bool ran = false;
   bool records_created = false;
   /// Current value of the request record, for non-idempotent requests.
   std::string record;
@@ -193,6 +198,8 @@
   void OnMessage(const Address& from, const JobProgress& message);
   void OnMessage(const Address& from, const JobFinished& message);
   void OnMessage(const Address& from, const JobReport& message);
+  void OnMessage(const Address& from, const JobReturned& message);
+  void PlaceReturned(internal::EntryRequest& request);
   void OnMessage(const Address& from, const CellSummary& message);
   void On(const CellChanged& event);
   void SchedulerChanged(internal::KnownCell& cell);
--- a/src/process/entry_core_messages.cc
+++ b/src/process/entry_core_messages.cc
@@ -19,6 +19,8 @@
 // results that were lost with a process.
 constexpr Duration kAcceptedPoll = Duration(10000);
 constexpr Duration kObservedPoll = Duration(1000);
+// How often a cell is sought for a job that was given back.
+constexpr Duration kReturnedPoll = Duration(500);
 
 bool Ended(JobState state) { return state >= JobState::kDone; }
 
@@ -34,6 +36,8 @@
     OnMessage(from, *finished);
   } else if (const auto* const report = std::get_if<JobReport>(&event.message)) {
     OnMessage(from, *report);
+  } else if (const auto* const returned = std::get_if<JobReturned>(&event.message)) {
+    OnMessage(from, *returned);
   } else if (const auto* const summary = std::get_if<CellSummary>(&event.message)) {
     OnMessage(from, *summary);
   }
@@ -150,6 +154,30 @@
   if (Ended(message.state) && request->operation == 0) ReadAnswer(*request);
 }
 
+void EntryCore::Impl::OnMessage(const Address& from, const JobReturned& message) {
+  EntryRequest* const request = Find(message.job);
+  if (request == nullptr || request->phase != RequestPhase::kSubmitted) return;
+  if (from != request->scheduler) return;
+  request->returned = true;
+  request->ran = request->ran || message.ran;
+  UpdateState(*request, JobState::kQueued, std::max(request->attempts, message.attempts));
+  PlaceReturned(*request);
+}
+
+void EntryCore::Impl::PlaceReturned(EntryRequest& request) {
+  request.next_poll = now + kReturnedPoll;
+  if (request.operation != 0) return;
+  const RoutingResult route = Route(request);
+  const auto* const routed = std::get_if<Routed>(&route);
+  if (routed == nullptr) return;
+  request.returned = false;
+  if (routed->cell == request.cell) return Submit(request);
+  LogLine(EventId::kRequestResubmitted,
+          fmt::format("job={} reason=\"data centre of cell {} is out of service\"",
+                      request.spec.id.value(), request.cell.value()));
+  StartIn(request, *routed);
+}
+
 void EntryCore::Impl::OnMessage(const Address& from, const CellSummary& message) {
   KnownCell& cell = cells[message.cell];
   cell.id = message.cell;
--- a/src/process/entry_core_submit.cc
+++ b/src/process/entry_core_submit.cc
@@ -189,6 +189,7 @@
   cell.id = request.cell;
   request.phase = RequestPhase::kSubmitted;
   request.accepted = false;
+  request.returned = false;
   request.scheduler = cell.holder;
   request.next_poll = now + kAcceptWait;
   // A vacant cell gets the job when its next scheduler is known.
--- a/src/process/entry_core_tick.cc
+++ b/src/process/entry_core_tick.cc
@@ -115,6 +115,7 @@
 
 void EntryCore::Impl::Poll(EntryRequest& request) {
   if (now < request.next_poll) return;
+  if (request.phase == RequestPhase::kSubmitted && request.returned) return PlaceReturned(request);
   if (request.phase == RequestPhase::kSubmitted && request.sent) {
     request.next_poll = now + kPollInterval;
     Send(request.scheduler, QueryJob{request.spec.id, 0});
--- a/src/process/operator_api.cc
+++ b/src/process/operator_api.cc
@@ -335,6 +335,8 @@
 json::object CellJson(const CellSummary& summary, const SettingsTree& tree) {
   json::array queued;
   for (const std::uint32_t count : summary.queued) queued.emplace_back(count);
+  json::array free_runs;
+  for (const std::uint32_t count : summary.free_runs) free_runs.emplace_back(count);
   return {{"cell", summary.cell.value()},
           {"region", summary.region.value()},
           {"data_centre", summary.data_centre.value()},
@@ -345,6 +347,7 @@
           {"workers", summary.workers},
           {"free_accelerators", summary.free_accelerators},
           {"total_accelerators", summary.total_accelerators},
+          {"free_runs", std::move(free_runs)},
           {"running_tasks", summary.running_tasks},
           {"queued", std::move(queued)},
           {"config_revision", summary.config_revision.value()}};
--- a/tests/process/cell_harness.cc
+++ b/tests/process/cell_harness.cc
@@ -175,6 +175,10 @@
       records.erase(write->job);
     }
     Deliver(reply);
+  } else if (std::holds_alternative<ListRecords>(operation)) {
+    RecordsListed listed;
+    for (const auto& [id, spec] : records) listed.jobs.push_back(spec);
+    Deliver(listed);
   }
 }
 
--- a/tests/process/cell_operations_test.cc
+++ b/tests/process/cell_operations_test.cc
@@ -84,9 +84,17 @@
   cell.Submit("late", 1, 8);
   cell.Run(3000);
   EXPECT_EQ(cell.Sent<Start>().size(), starts);
+  // Both are given back; the batch job says that it ran.
+  const std::vector<JobReturned> returned = cell.Sent<JobReturned>();
+  ASSERT_EQ(returned.size(), 2U);
+  EXPECT_TRUE(returned[0].job == JobId("batch") && returned[0].ran);
+  EXPECT_TRUE(returned[1].job == JobId("late") && !returned[1].ran);
   cell.out = false;
   cell.Configure(8, {});
   cell.Run(1000);
+  // The entry of the urgent job lives and sends it again; the record of the batch job is found in
+  // the store.
+  cell.Submit("late", 1, 8);
   cell.FinishTasks("once");
   cell.Run(1000);
   EXPECT_EQ(cell.Running("batch") + cell.Running("late"), 2U);
--- a/tests/process/entry_core_test.cc
+++ b/tests/process/entry_core_test.cc
@@ -193,5 +193,23 @@
   EXPECT_EQ(Sent<SubmitJob>(Do(ProcessMessage{Scheduler(1), report})).size(), 1U);
 }
 
+// Guards against work that waits for a data centre that is out while another one has room, and
+// against "not run" for a job that ran before it was given back.
+TEST_F(EntryCoreTest, JobsThatACellGivesBackGoElsewhere) {
+  Summarize(1);
+  Submit(1, Spec("j1"));
+  Submit(2, Spec("j2"));
+  Do(RoutingConfiguration{{DataCentreId("a")}, 1000000, 20});
+  Do(ProcessMessage{Scheduler(1), JobReturned{JobId("j1"), 1, true}});
+  Do(ProcessMessage{Scheduler(1), JobReturned{JobId("j2"), 0, false}});
+  EXPECT_TRUE(Sent<SubmitJob>(After(Duration(600))).empty()) << "no cell is in service";
+  Configure(1000000);
+  EXPECT_EQ(Sent<SubmitJob>(After(Duration(600))).size(), 2U);
+  Finished(Scheduler(1), "j1", Failure(ErrorKind::kDeadlineExceeded));
+  EXPECT_EQ(ErrorOf(1), ErrorKind::kAttemptsExhausted);
+  Finished(Scheduler(1), "j2", Failure(ErrorKind::kDeadlineExceeded));
+  EXPECT_EQ(ErrorOf(2), ErrorKind::kDeadlineExceeded);
+}
+
 }  // namespace
 }  // namespace basilspring
