Close the gaps of the protocol that the models found

Cause: spin found, in the models of gang start, requests and permits, runs that break a promise: a crashed agent gets Prepare and Start once more and starts a non-idempotent task twice; a repeat of a non-idempotent request at an entry without the store is told "not run" although the first one runs; an entry that was removed or restarted has a change on its way; a restarted entry vouches before it has read its own change; registry and guard are read apart. Change: Start names the run of the agent that prepared; the refusal is key_unverified with the outcome unknown; a registration contains the run of the process and every change compares it; an entry vouches only after it has read registry and guard, with the highest guard that it knows; the guard is read after the registry; an older read of the registry keeps entries that made themselves known meanwhile. Silent entries are removed, a stopped one removes itself. Workers on probation are told to the placement.

--- a/include/basilspring/connection/messages.h
+++ b/include/basilspring/connection/messages.h
@@ -350,7 +350,11 @@
   std::uint32_t rank = 0;
   ErrorKind error = ErrorKind::kNone;
   TimePoint agent_now;
-  BASILSPRING_SERIALIZE(attempt, rank, error, agent_now)
+  /// Run of the agent that holds the reservation. Start repeats it: after a restart of the agent
+  /// the transport can deliver Prepare and Start once more, and the second run must not start the
+  /// task again.
+  Incarnation reservation;
+  BASILSPRING_SERIALIZE(attempt, rank, error, agent_now, reservation)
 };
 
 /// Starts one prepared task. All members of the gang are prepared when it is sent.
@@ -362,7 +366,9 @@
   TimePoint not_after;
   std::vector<GangMember> members;
   std::string payload;
-  BASILSPRING_SERIALIZE(epoch, attempt, rank, not_after, members, payload)
+  /// As in Prepared.
+  Incarnation reservation;
+  BASILSPRING_SERIALIZE(epoch, attempt, rank, not_after, members, payload, reservation)
 };
 
 struct TaskStarted {
--- a/include/basilspring/error.h
+++ b/include/basilspring/error.h
@@ -41,6 +41,7 @@
   kTimeout,
   kBadFrame,
   kInternal,
+  kKeyUnverified,
   kCount,
 };
 
--- a/include/basilspring/process/agent_core.h
+++ b/include/basilspring/process/agent_core.h
@@ -16,6 +16,8 @@
   CellId cell;
   /// Where other processes reach this agent.
   Address address;
+  /// Of this run of the process; names its reservations.
+  Incarnation incarnation;
   /// Entries to ask first.
   std::vector<Address> entries;
   Timings timings;
--- a/include/basilspring/process/operator_api.h
+++ b/include/basilspring/process/operator_api.h
@@ -7,13 +7,14 @@
 #include "basilspring/clock.h"
 #include "basilspring/connection/http_server.h"
 #include "basilspring/connection/messages.h"
+#include "basilspring/connection/store_client.h"
 #include "basilspring/ids.h"
 
 namespace basilspring {
 
 class MetricRegistry;
 class PermitAuthority;
-class StoreClient;
+
 struct ProcessSettings;
 
 /// What the operators' requests need of the entry. All members are used on the entry's duty thread,
@@ -37,6 +38,10 @@
   virtual std::map<CellId, ConfigRevision> in_force() const = 0;
   /// Registered entries.
   virtual std::map<ProcessId, Address> entries() const = 0;
+  /// Holds as long as this run of the entry is registered. A write that takes a data centre out of
+  /// service carries it: after a restart or a removal of the entry, others no longer wait for its
+  /// vouch.
+  virtual StoreCondition registration() const = 0;
   virtual StoreClient& store() = 0;
   virtual PermitAuthority& permits() = 0;
   virtual MetricRegistry& metrics() = 0;
--- a/include/basilspring/version/config_change.h
+++ b/include/basilspring/version/config_change.h
@@ -8,14 +8,13 @@
 #include <string>
 #include <vector>
 
+#include "basilspring/connection/store_client.h"
 #include "basilspring/ids.h"
 #include "basilspring/version/guarantee.h"
 #include "basilspring/version/settings_tree.h"
 
 namespace basilspring {
 
-class StoreClient;
-
 inline constexpr const char* kConfigPrefix = "/basilspring/config/";
 inline constexpr const char* kConfigGuardKey = "/basilspring/config/guard";
 inline constexpr const char* kConfigNodePrefix = "/basilspring/config/node";
@@ -48,6 +47,8 @@
   std::string author;
   /// Unique to this change: a lost answer of the store is resolved by it.
   std::string token;
+  /// Further conditions of the transaction, such as the registration of the entry that writes.
+  std::vector<StoreCondition> conditions;
 };
 
 /// Checks a candidate configuration as a whole; throws Error when it must not be accepted.
--- a/src/error.cc
+++ b/src/error.cc
@@ -57,6 +57,8 @@
     {kTimeout, "timeout", 504, kUnknown, true, 3, "no answer came in time"},
     {kBadFrame, "bad_frame", 400, kNotApplicable, false, 1, "the bytes are not a valid message"},
     {kInternal, "internal", 500, kUnknown, false, 4, "internal error"},
+    {kKeyUnverified, "key_unverified", 503, kUnknown, true, 4,
+     "it is not known whether an earlier request with this key has run; repeat with the same key"},
 }};
 
 constexpr bool RowsMatchTheirKinds() {
--- a/src/process/agent.cc
+++ b/src/process/agent.cc
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <future>
 #include <memory>
+#include <random>
 #include <string>
 #include <type_traits>
 #include <utility>
@@ -52,6 +53,8 @@
   options.rack = settings.rack;
   options.cell = settings.cell;
   options.address = settings.listen;
+  options.incarnation =
+      Incarnation((std::uint64_t{std::random_device()()} << 32U) | std::random_device()());
   options.entries = settings.entries;
   options.timings = settings.timings;
   options.drain_limit = settings.drain_limit;
--- a/src/process/agent_tasks.cc
+++ b/src/process/agent_tasks.cc
@@ -108,7 +108,8 @@
     }
   }
   if (error != ErrorKind::kNone) LogRefusal(step, key, "Prepare", error);
-  step.out.messages.push_back({from, Prepared{key.attempt, key.rank, error, step.now}, false});
+  step.out.messages.push_back(
+      {from, Prepared{key.attempt, key.rank, error, step.now, options_.incarnation}, false});
 }
 
 void AgentTasks::OnStart(const Step& step, const Address& from, const Start& start,
@@ -130,6 +131,7 @@
 
 ErrorKind AgentTasks::CheckStart(const Step& step, const AgentTask& task, const Start& start,
                                  ErrorKind admission) const {
+  if (start.reservation != options_.incarnation) return ErrorKind::kReservationMissing;
   if (step.now >= task.expires) return ErrorKind::kReservationMissing;
   if (step.now > start.not_after) return ErrorKind::kPermitExpired;
   if (admission != ErrorKind::kNone) return admission;
@@ -261,7 +263,9 @@
   // Says only that the command was refused: a deposed scheduler must not learn of an end that has
   // not taken place.
   step.out.messages.push_back(
-      {from, Prepared{task.attempt, task.rank, ErrorKind::kStaleEpoch, step.now}, false});
+      {from,
+       Prepared{task.attempt, task.rank, ErrorKind::kStaleEpoch, step.now, options_.incarnation},
+       false});
 }
 
 void AgentTasks::LapseReservation(const Step& step, Tasks::iterator task) {
--- a/src/process/cell_gang.cc
+++ b/src/process/cell_gang.cc
@@ -45,6 +45,7 @@
   }
   member->state = MemberState::kPrepared;
   member->agent_now = prepared.agent_now;
+  member->reservation = prepared.reservation;
   member->prepared_at = now_;
   Advance(*attempt);
 }
@@ -115,6 +116,7 @@
     start.not_after = member.agent_now + (permit_until_ - member.prepared_at);
     start.members = members;
     start.payload = job.spec.payload;
+    start.reservation = member.reservation;
     member.state = MemberState::kStarting;
     member.last_command = now_;
     Send(member.agent, std::move(start));
--- a/src/process/cell_health.cc
+++ b/src/process/cell_health.cc
@@ -22,7 +22,8 @@
     const WorkerTrust trust = health_.Trust(id, now_);
     const bool closed = trust == WorkerTrust::kQuarantined;
     quarantined += closed ? 1 : 0;
-    cell_.SetQuarantined(id, !health_.MayTakeTask(id, worker.tasks.size(), now_));
+    cell_.SetQuarantined(id, closed);
+    cell_.SetProbation(id, trust == WorkerTrust::kProbation);
     if (closed == quarantined_.contains(id)) continue;
     if (closed) {
       quarantined_.insert(id);
--- a/src/process/cell_model.h
+++ b/src/process/cell_model.h
@@ -81,6 +81,8 @@
   /// Whether the task holds resources in the cell's state.
   bool holds = false;
   TimePoint agent_now;
+  /// Run of the agent that prepared it.
+  Incarnation reservation;
   TimePoint prepared_at;
   TimePoint last_command;
   /// Whether the agent has shown that the backend server accepted the task.
--- a/src/process/entry.cc
+++ b/src/process/entry.cc
@@ -1,5 +1,7 @@
 #include "basilspring/process/entry.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <chrono>
 #include <future>
@@ -50,6 +52,7 @@
       directory_(settings.name, settings.listen, settings.region),
       permits_(settings.name, settings.listen, settings.timings),
       random_(RandomSeed()) {
+  registration_value_ = fmt::format("{}#{:016x}", settings_.listen.ToString(), RandomSeed());
   transport_ = std::make_unique<Transport>(
       io_, settings_.name, settings_.listen,
       [this](const Address& from, Message message) { OnMessage(from, std::move(message)); });
@@ -170,6 +173,14 @@
   while (Clock::Now() < limit && server_->in_flight() > 0) {
     std::this_thread::sleep_for(std::chrono::milliseconds(20));
   }
+  // Without it the others would need the vouch of an entry that is gone. Bounded by the deadline of
+  // a store call.
+  if (Post([this] { Spawn([this] { Deregister(); }); })) {
+    const TimePoint last = Clock::Now() + settings_.store.call_deadline;
+    while (!deregistered_ && Clock::Now() < last) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+  }
 }
 
 }  // namespace internal
--- a/src/process/entry_core_records.cc
+++ b/src/process/entry_core_records.cc
@@ -30,6 +30,18 @@
   return result;
 }
 
+// Nothing of this request was written. An earlier one with the same key may have run all the same,
+// which only the store knows, so of a non-idempotent request "not run" can't be said.
+JobResult NothingWritten(const EntryRequest& request) {
+  if (request.spec.idempotent) {
+    return Failure(ErrorKind::kStoreUnavailable, "the store does not answer, nothing was written");
+  }
+  JobResult result = Failure(ErrorKind::kKeyUnverified,
+                             "the store does not answer; repeat the request with the same key");
+  result.retry_after = Duration(1000);
+  return result;
+}
+
 }  // namespace
 
 void EntryCore::Impl::BeginOperation(EntryRequest& request, OperationKind kind,
@@ -71,8 +83,7 @@
   // A write to a store that hangs would end with an unknown outcome; not to try is a true "not
   // run".
   if (!store_reachable) {
-    return Finish(request, Failure(ErrorKind::kStoreUnavailable,
-                                   "the store does not answer, nothing was written"));
+    return Finish(request, NothingWritten(request));
   }
   request.phase = RequestPhase::kCreating;
   EntryStoreOperation operation;
@@ -95,7 +106,7 @@
 
 void EntryCore::Impl::Created(EntryRequest& request, const StoreCompleted& event) {
   if (event.error == ErrorKind::kStoreUnavailable) {
-    return Finish(request, Failure(event.error, "the store does not answer, nothing was written"));
+    return Finish(request, NothingWritten(request));
   }
   if (event.error != ErrorKind::kNone) {
     request.result =
--- a/src/process/entry_driver.h
+++ b/src/process/entry_driver.h
@@ -48,6 +48,9 @@
   std::vector<CellSummary> summaries() const override { return core_.Summaries(); }
   std::map<CellId, ConfigRevision> in_force() const override { return directory_.in_force(); }
   std::map<ProcessId, Address> entries() const override { return directory_.entries(); }
+  StoreCondition registration() const override {
+    return ValueIs{RegistrationKey(), registration_value_};
+  }
   StoreClient& store() override { return store_; }
   PermitAuthority& permits() override { return permits_; }
   MetricRegistry& metrics() override { return metrics_; }
@@ -97,6 +100,13 @@
   void Synchronize();
   std::int64_t ListAll();
   void RefreshRegistry();
+  ConfigRevision ReadGuard();
+  std::string RegistrationKey() const;
+  /// Takes entries whose hosts are gone out of the registry.
+  void RemoveSilentEntries();
+  void RemoveEntry(const ProcessId& entry);
+  /// At a graceful stop: others then need no vouch of this entry any more.
+  void Deregister();
   void OpenWatch(std::int64_t from_revision);
   void OnStoreEvents(const std::vector<StoreEvent>& events);
   void OnStoredCell(const StoreEvent& event);
@@ -121,6 +131,9 @@
   std::unordered_map<CallerId, PendingCall> calls_;
   std::uint64_t next_caller_ = 1;
   std::mt19937_64 random_;
+  /// Address and run of this process; unique, so that a write can depend on it.
+  std::string registration_value_;
+  std::set<ProcessId> removals_;
   bool synchronizing_ = false;
   bool vouching_ = false;
   bool store_reachable_ = true;
@@ -134,6 +147,7 @@
   /// Ends the loops that run in fibers.
   std::atomic<bool> closing_{false};
   std::atomic<bool> drained_{false};
+  std::atomic<bool> deregistered_{false};
   /// Watch events were dropped or the watch ended.
   std::atomic<bool> needs_synchronization_{false};
   std::atomic<std::int64_t> last_tick_{0};
--- a/src/process/entry_store.cc
+++ b/src/process/entry_store.cc
@@ -28,7 +28,8 @@
 
 Address ParseAddress(const StoreKeyValue& pair) {
   try {
-    return Address::Parse(pair.value);
+    // The address is followed by the run of the process that registered.
+    return Address::Parse(pair.value.substr(0, pair.value.find('#')));
   } catch (const Error& error) {
     Log(EventId::kInternalError, "key={} reason=\"{}\"", pair.key, error.what());
     return Address();
@@ -110,11 +111,18 @@
   const TimePoint started = Clock::Now();
   next_registry_read_ = started + kRegistryInterval;
   const RangeResult result = store_.List(std::string(kEntriesPrefix), kListLimit);
+  // Read after the registry: whoever has left the registry wrote before, so the guard shows that
+  // write.
+  const TimePoint guard_started = Clock::Now();
+  const ConfigRevision guard = ReadGuard();
   std::map<ProcessId, Address> entries;
   for (const StoreKeyValue& pair : result.pairs) {
+    // A former run of this entry is not this one.
+    if (pair.key == RegistrationKey() && pair.value != registration_value_) continue;
     // An entry with an unreadable address still counts: no permit may rest on its absence.
     entries[ProcessId(pair.key.substr(kEntriesPrefix.size()))] = ParseAddress(pair);
   }
+  permits_.OnGuardRead(guard_started, guard);
   permits_.OnRegistry(started, entries);
   directory_.SetEntries(std::move(entries));
 }
@@ -218,9 +226,7 @@
   while (!closing_) {
     const TimePoint started = Clock::Now();
     try {
-      const RangeResult result = store_.Get(kConfigGuardKey);
-      const std::int64_t revision = result.pairs.empty() ? 0 : result.pairs.front().mod_revision;
-      const ConfigRevision guard(static_cast<std::uint64_t>(revision));
+      const ConfigRevision guard = ReadGuard();
       permits_.OnGuardRead(started, guard);
       last_store_read_ = started;
       lagging_reads_ = guard > directory_.revision() ? lagging_reads_ + 1 : 0;
@@ -229,6 +235,7 @@
         needs_synchronization_ = true;
       }
       if (synchronized_ && started >= next_registry_read_) RefreshRegistry();
+      RemoveSilentEntries();
     } catch (const Error&) {
       // The store client logs the outage; permits then rest on vouches.
     }
@@ -236,9 +243,56 @@
   }
 }
 
+ConfigRevision EntryDriver::ReadGuard() {
+  const RangeResult result = store_.Get(kConfigGuardKey);
+  const std::int64_t revision = result.pairs.empty() ? 0 : result.pairs.front().mod_revision;
+  return ConfigRevision(static_cast<std::uint64_t>(revision));
+}
+
+std::string EntryDriver::RegistrationKey() const {
+  return std::string(kEntriesPrefix) + settings_.name.value();
+}
+
+void EntryDriver::RemoveSilentEntries() {
+  for (const ProcessId& entry : permits_.SilentPeers(Clock::Now())) {
+    if (!removals_.insert(entry).second) continue;
+    duty_->Spawn([this, entry] {
+      RemoveEntry(entry);
+      removals_.erase(entry);
+    });
+  }
+}
+
+void EntryDriver::RemoveEntry(const ProcessId& entry) {
+  try {
+    const std::string key = std::string(kEntriesPrefix) + entry.value();
+    const RangeResult found = store_.Get(key);
+    if (found.pairs.empty()) return;
+    SleepUntil(permits_.BeginRemoval(Clock::Now(), entry));
+    const std::vector<StoreCondition> conditions = {
+        ModRevisionIs{key, found.pairs.front().mod_revision}, registration()};
+    if (store_.Txn(conditions, {DeleteKey{key}}).succeeded) {
+      Log(EventId::kEntryRemoved, "entry={} reason=\"no answer for {} ms\"", entry.value(),
+          settings_.timings.registration_silence.milliseconds());
+    }
+    RefreshRegistry();
+  } catch (const Error&) {
+    // Tried again while the entry stays silent; until then it gets no vouch.
+  }
+}
+
+void EntryDriver::Deregister() {
+  try {
+    store_.Txn({registration()}, {DeleteKey{RegistrationKey()}});
+  } catch (const Error&) {
+    // The others remove the registration once this entry has been silent long enough.
+  }
+  deregistered_ = true;
+}
+
 void EntryDriver::RegisterLoop() {
-  const std::string key = std::string(kEntriesPrefix) + settings_.name.value();
-  const std::string value = settings_.listen.ToString();
+  const std::string key = RegistrationKey();
+  const std::string& value = registration_value_;
   while (!closing_ && !stopping_) {
     try {
       const RangeResult current = store_.Get(key);
--- a/src/process/operator_api.cc
+++ b/src/process/operator_api.cc
@@ -249,6 +249,7 @@
   change.assignments = assignments;
   change.author = author.empty() ? "operator" : author;
   change.token = NewToken();
+  change.conditions = {context.registration()};
   const ConfigRevision revision = WriteChange(context, change);
   for (const SettingAssignment& assignment : assignments) {
     Log(EventId::kOperatorChange, "author={} node={} key={} value={} revision={}", change.author,
--- a/src/process/permit_authority.cc
+++ b/src/process/permit_authority.cc
@@ -35,7 +35,11 @@
   if (registered && !registered_since_.has_value()) registered_since_ = started;
   if (!registered) registered_since_.reset();
   const auto gone = [&entries](const ProcessId& id) { return entries.find(id) == entries.end(); };
-  std::erase_if(peers_, [&gone](const auto& peer) { return gone(peer.first); });
+  std::erase_if(peers_, [&gone, started](const auto& peer) {
+    // A read that began before the entry made itself known may not show its registration yet.
+    const bool made_known_since = !peer.second.registered && peer.second.last_heard >= started;
+    return gone(peer.first) && !made_known_since;
+  });
   std::erase_if(removing_, gone);
   for (const auto& [id, address] : entries) {
     if (id == self_) continue;
@@ -77,11 +81,15 @@
     Vouch vouch;
     vouch.from = self_;
     vouch.request = request->request;
-    vouch.config_revision = revision_;
+    vouch.config_revision = std::max(revision_, guard_);
     for (const auto& [data_centre, changes] : changing_) vouch.changing.push_back(data_centre);
     // An entry that was removed from the registry, or is about to be, gets no vouch.
     const auto peer = peers_.find(request->from);
-    vouch.granted = peer != peers_.end() && peer->second.registered &&
+    // A restarted entry may have written before; it knows its own writes only once it has read the
+    // store.
+    const bool has_read =
+        registered_since_.has_value() && guard_read_.has_value() && revision_ >= guard_;
+    vouch.granted = has_read && peer != peers_.end() && peer->second.registered &&
                     removing_.find(request->from) == removing_.end();
     return vouch;
   }
@@ -130,6 +138,7 @@
                                                            const DataCentreId& data_centre) const {
   if (!registered_since_.has_value() || !last_registry_read_.has_value()) return std::nullopt;
   if (now - *last_registry_read_ >= timings_.vouching_limit) return std::nullopt;
+  if (guard_ > revision_) return std::nullopt;
   TimePoint proof = now;
   for (const auto& [id, peer] : peers_) {
     if (!peer.vouched_since.has_value() || peer.revision > revision_) return std::nullopt;
--- a/src/version/config_change.cc
+++ b/src/version/config_change.cc
@@ -160,8 +160,9 @@
       candidate.Set(assignment.path, assignment.key, assignment.value);
     }
     check(candidate);
-    const TxnResult result =
-        store.Txn(GuardCondition(snapshot), ChangeWrites(change, snapshot, candidate));
+    std::vector<StoreCondition> conditions = GuardCondition(snapshot);
+    conditions.insert(conditions.end(), change.conditions.begin(), change.conditions.end());
+    const TxnResult result = store.Txn(conditions, ChangeWrites(change, snapshot, candidate));
     if (result.succeeded) return ConfigRevision(static_cast<std::uint64_t>(result.revision));
   }
   throw Error(ErrorKind::kConflict,
--- a/tests/process/agent_core_test.cc
+++ b/tests/process/agent_core_test.cc
@@ -81,6 +81,20 @@
   EXPECT_TRUE(out.calls.empty());
 }
 
+// Guards against a second run of a non-idempotent task: the agent crashed after the start, and the
+// transport delivers Prepare and Start to its next run once more. Found by the model of the gang
+// start.
+TEST_F(AgentCoreTest, RefusesAStartThatNamesAnotherRunOfTheAgent) {
+  Receive(PrepareOf("j1#5.1"));
+  Start start = StartOf("j1#5.1");
+  start.reservation = Incarnation(99);
+  Receive(start);
+  EXPECT_TRUE(out.calls.empty());
+  const auto done = Sent<TaskDone>();
+  ASSERT_EQ(done.size(), 1U);
+  EXPECT_EQ(done[0].error, ErrorKind::kReservationMissing);
+}
+
 // Guards against a second reservation, or another answer, when a scheduler repeats its command.
 TEST_F(AgentCoreTest, RepeatedPrepareGivesTheSameAnswer) {
   Ready();
--- a/tests/process/agent_process_test.cc
+++ b/tests/process/agent_process_test.cc
@@ -99,6 +99,7 @@
     start.epoch = kEpoch;
     start.attempt = AttemptId(attempt);
     start.not_after = prepared.agent_now + Duration(20000);
+    start.reservation = prepared.reservation;
     start.payload = payload;
     Send(start);
   }
--- a/tests/process/permit_authority_test.cc
+++ b/tests/process/permit_authority_test.cc
@@ -129,6 +129,34 @@
   EXPECT_EQ(Remaining(a_, TimePoint(10000)), Duration(0));
 }
 
+// Guards against a restarted entry that vouches although its former run may have written a change.
+// Found by the model.
+TEST_F(PermitAuthorityTest, NoVouchBeforeTheStoreWasRead) {
+  b_ = PermitAuthority(ProcessId("b"), kB, Timings());
+  ExchangeVouches(TimePoint(10000));
+  EXPECT_EQ(Remaining(a_, TimePoint(10000)), Duration(0));
+}
+
+// Guards against an issuer that knows a newer guard from its own last read than it has applied.
+// Found by the model.
+TEST_F(PermitAuthorityTest, NoPermitOnVouchesBelowTheOwnGuard) {
+  a_.OnGuardRead(TimePoint(100), ConfigRevision(6));
+  ExchangeVouches(TimePoint(10000));
+  EXPECT_EQ(Remaining(a_, TimePoint(10000)), Duration(0));
+}
+
+// Guards against an older read of the registry that drops an entry which made itself known
+// meanwhile. Found by the model.
+TEST_F(PermitAuthorityTest, AnOlderRegistryReadKeepsANewEntry) {
+  a_.OnMessage(TimePoint(9000), {"127.0.0.1", 3}, Registration{ProcessId("c"), {"127.0.0.1", 3}});
+  a_.OnRegistry(TimePoint(8900), kRegistry);
+  ExchangeVouches(TimePoint(10000));
+  EXPECT_EQ(Remaining(a_, TimePoint(10000)), Duration(0));
+  a_.OnRegistry(TimePoint(9100), kRegistry);
+  ExchangeVouches(TimePoint(11000));
+  EXPECT_GT(Remaining(a_, TimePoint(11000)), Duration(0));
+}
+
 // Guards against permits after the time at which a lone new entry may change a data centre.
 TEST_F(PermitAuthorityTest, NoPermitsAfterTheVouchingLimit) {
   const TimePoint late = TimePoint(0) + Timings().vouching_limit;
