--- a/scripts/fault_kinds.sh
+++ b/scripts/fault_kinds.sh
@@ -39,10 +39,12 @@
 pick_scheduler() {
   # shellcheck disable=SC2034  # a reference to the caller's variable
   local -n chosen=$1
-  local file address holders
+  local file address index=$RANDOM
+  local -a holders
   pick chosen agent
-  holders=$("$BASILSPRING" status --json 2>/dev/null | jq -r '.cells[] | .scheduler' || true)
-  address=$(shuf -n 1 --random-source=<(yes "$RANDOM") <<<"$holders")
+  mapfile -t holders < <("$BASILSPRING" status --json 2>/dev/null | jq -r '.cells[] | .scheduler' | sort)
+  if [ "${#holders[@]}" -eq 0 ]; then return 0; fi
+  address=${holders[index % ${#holders[@]}]}
   for file in "deploy/$deployment"/agent-*.toml; do
     if [ "$(setting "$file" listen)" = "$address" ]; then chosen=$(basename "$file" .toml); fi
   done
@@ -204,12 +206,13 @@
   fi
 }
 begin_race() {
-  local entries i ids=()
+  local entries i first second ids=()
   IFS=, read -ra entries <<<"$BASILSPRING_ENTRY"
   for ((i = 0; i < 3; i++)); do
-    race_one "${entries[0]}" "$((20000 + RANDOM))" &
+    first=$((20000 + RANDOM)) second=$((60000 + RANDOM))
+    race_one "${entries[0]}" "$first" &
     ids+=("$!")
-    race_one "${entries[1]}" "$((60000 + RANDOM))" &
+    race_one "${entries[1]}" "$second" &
     ids+=("$!")
     wait "${ids[@]}" || true
   done
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -36,13 +36,14 @@
 ci_list=("data_centre scheduler_kill" "store_lose entry_kill" "scheduler_pause race" "backend_leaving stop_agent"
   "data_centre store_down" "stop_entry backend_hang" "cancel_wave agent_kill")
 
+# Sets `drawn`. Not to be called in a subshell, where bash seeds RANDOM anew.
 draw_faults() {
-  local first=${fault_kinds[RANDOM % ${#fault_kinds[@]}]} second
-  second=${fault_kinds[RANDOM % ${#fault_kinds[@]}]}
+  local first=${fault_kinds[RANDOM % ${#fault_kinds[@]}]}
+  local second=${fault_kinds[RANDOM % ${#fault_kinds[@]}]}
+  drawn=("$first")
   case $((RANDOM % 3)) in
-    0) echo "$first" ;;
-    1) if [ "$first" = "$second" ]; then echo "$first"; else echo "$first $second"; fi ;;
-    2) if [ "$first" = data_centre ]; then echo "$first"; else echo "data_centre $first"; fi ;;
+    1) if [ "$first" != "$second" ]; then drawn+=("$second"); fi ;;
+    2) if [ "$first" != data_centre ]; then drawn=(data_centre "$first"); fi ;;
   esac
 }
 
@@ -81,11 +82,8 @@
 else
   end=$((SECONDS + seconds))
   while [ "$SECONDS" -lt "$end" ]; do
-    drawn=$(draw_faults)
-    # The draw ran in a subshell, which left the generator of this shell where it was.
-    : "$RANDOM" "$RANDOM" "$RANDOM"
-    read -ra faults <<<"$drawn"
-    inject "${faults[@]}"
+    draw_faults
+    inject "${drawn[@]}"
   done
 fi
 echo "all faults are lifted; waiting for the load"
