--- a/src/process/agent_tasks.h
+++ b/src/process/agent_tasks.h
@@ -28,7 +28,8 @@
   const Decision* Find(const TaskKey& task) const;
 
  private:
-  // About 10 MB when full; a worker that starts 10 tasks a second forgets after almost 2 hours.
+  // 15 MiB when full, with ids of 30 characters. A worker that starts 10 tasks a second forgets
+  // after almost 2 hours.
   static constexpr std::size_t kMaxDecisions = 65536;
   std::map<TaskKey, Decision> decisions_;
   std::deque<TaskKey> order_;
@@ -125,7 +126,9 @@
   /// kNone when the task may start now.
   ErrorKind CheckStart(const Step& step, const AgentTask& task, const Start& start,
                        ErrorKind admission) const;
-  bool MembersUsable(const AgentTask& task, const Start& start) const;
+  static bool MembersComplete(const AgentTask& task, const Start& start, const WorkerId& self);
+  /// Whether no rank of the gang is known to be missing.
+  bool GangCanBeWhole(const Start& start) const;
   void BeginTask(const Step& step, const TaskKey& key, AgentTask& task, const Start& start,
                  const Address& backend);
   void AnswerRepeatedStart(const Step& step, const Address& from, const TaskKey& key);
--- a/src/process/cell_core.cc
+++ b/src/process/cell_core.cc
@@ -26,7 +26,12 @@
 const CellCounters& CellCore::counters() const { return impl_->counters_; }
 
 CellCore::Impl::Impl(CellIdentity identity, const Timings& timings, TimePoint acquired)
-    : identity_(std::move(identity)), timings_(timings), acquired_(acquired), now_(acquired) {
+    : identity_(std::move(identity)),
+      timings_(timings),
+      acquired_(acquired),
+      now_(acquired),
+      run_times_(Duration()),
+      health_(HealthSettings()) {
   predecessor_ = identity_.last_epoch.value() > 0;
   ApplyNumbers();
 }
@@ -72,13 +77,28 @@
 }
 
 void CellCore::Impl::OnTick() {
-  TickWorkers();
   TickRecovery();
+  if (now_ >= next_scan_) {
+    next_scan_ = now_ + internal::kScanInterval;
+    Scan();
+  }
+  if (WantsPermit() && now_ >= next_permit_request_) RequestPermit();
+  TickSummary();
+}
+
+void CellCore::Impl::Scan() {
+  if (queue_.size() > 0 && now_ - no_room_since_ >= internal::kForgetNoRoom) {
+    no_room_since_ = now_;
+    NoteRoomChange();
+  }
+  TickWorkers();
   TickDataCentreOut();
   TickAttempts();
   TickJobs();
-  if (WantsPermit() && now_ >= next_permit_request_) RequestPermit();
-  TickSummary();
+  for (std::size_t i = 0; i < kJobClassCount; ++i) {
+    counters_.queued[i] = queue_.Count(static_cast<JobClass>(i));
+  }
+  counters_.running_attempts = attempts_.size();
 }
 
 void CellCore::Impl::OnHandOver() {
--- a/src/process/entry_core_messages.cc
+++ b/src/process/entry_core_messages.cc
@@ -7,8 +7,8 @@
 
 namespace basilspring {
 
+using internal::EntryRequest;
 using internal::KnownCell;
-using internal::Request;
 using internal::RequestPhase;
 
 namespace {
@@ -40,7 +40,7 @@
 }
 
 void EntryCore::Impl::OnMessage(const Address& from, const JobAccepted& message) {
-  Request* const request = Find(message.job);
+  EntryRequest* const request = Find(message.job);
   if (request == nullptr || request->phase != RequestPhase::kSubmitted) return;
   if (from != request->scheduler) return;
   request->accepted = true;
@@ -49,24 +49,24 @@
 }
 
 void EntryCore::Impl::OnMessage(const Address& from, const JobProgress& message) {
-  Request* const request = Find(message.job);
+  EntryRequest* const request = Find(message.job);
   if (request == nullptr || request->phase == RequestPhase::kFinished) return;
   if (!request->scheduler.empty() && from != request->scheduler) return;
   UpdateState(*request, message.state, message.attempts);
 }
 
-void EntryCore::Impl::UpdateState(Request& request, JobState state, std::uint32_t attempts) {
+void EntryCore::Impl::UpdateState(EntryRequest& request, JobState state, std::uint32_t attempts) {
   const bool changed = request.state != state || request.attempts != attempts;
   request.state = state;
   request.attempts = attempts;
   if (!changed || Ended(state)) return;
-  for (const internal::Waiter& waiter : request.waiters) {
+  for (const internal::RequestWaiter& waiter : request.waiters) {
     if (waiter.streams_progress) Reply(waiter.caller, StateOf(request), false);
   }
 }
 
 void EntryCore::Impl::OnMessage(const Address& from, const JobFinished& message) {
-  Request* const request = Find(message.job);
+  EntryRequest* const request = Find(message.job);
   if (request == nullptr || request->phase == RequestPhase::kFinished) return;
   request->attempts = std::max(request->attempts, message.attempts);
   if (message.result.error == ErrorKind::kNone) {
@@ -79,12 +79,19 @@
     }
     return Finish(*request, message.result);
   }
+  // A scheduler that hands over drops a submission, so "unknown here" says nothing about the job;
+  // it is asked for again.
+  if (message.result.error == ErrorKind::kNotFound) return;
+  // The result goes to the entry that cancelled the job, also when another one submitted it.
+  const bool cancelled_here = request->phase == RequestPhase::kObserved && request->known &&
+                              request->cancel_requested && from == cells[request->cell].holder;
+  if (cancelled_here) return Finish(*request, message.result);
   // A deposed scheduler, or one that the job was moved away from, does not know what became of it.
   if (request->phase != RequestPhase::kSubmitted || from != request->scheduler) return;
   Refused(*request, message.result);
 }
 
-void EntryCore::Impl::DamagedAnswer(Request& request, const JobResult& result) {
+void EntryCore::Impl::DamagedAnswer(EntryRequest& request, const JobResult& result) {
   LogLine(
       EventId::kRequestRefused,
       fmt::format("job={} reason=\"damaged answer dropped\" outputs={} tasks={}",
@@ -112,7 +119,7 @@
     explains.erase(found);
     return ExplainWith(pending, &message);
   }
-  Request* const request = Find(message.job);
+  EntryRequest* const request = Find(message.job);
   if (request == nullptr) return;
   if (request->phase == RequestPhase::kSubmitted && from == request->scheduler) {
     if (message.known && !Ended(message.state)) {
--- a/src/process/entry_driver.h
+++ b/src/process/entry_driver.h
@@ -93,7 +93,7 @@
   JobId NewJobId();
 
   // entry_store.cc
-  void RunOperation(const StoreOperation& operation);
+  void RunOperation(const EntryStoreOperation& operation);
   void Synchronize();
   std::int64_t ListAll();
   void RefreshRegistry();
@@ -123,6 +123,7 @@
   std::mt19937_64 random_;
   bool synchronizing_ = false;
   bool vouching_ = false;
+  bool store_reachable_ = true;
   std::uint32_t lagging_reads_ = 0;
   TimePoint last_store_read_;
   TimePoint next_second_;
--- a/src/request/placement.cc
+++ b/src/request/placement.cc
@@ -67,7 +67,7 @@
     candidate.exclusion = FindExclusion(input, worker);
     candidate.avoided = Contains(input.avoid, id);
     candidate.free = {worker.free_cores.value(), worker.free_memory.value(),
-                      worker.free_slots.value(), worker.free_accelerators};
+                      internal::FreeSlots(worker, worker.tasks.size()), worker.free_accelerators};
     candidate.rack = racks.try_emplace(worker.rack.value(), racks.size()).first->second;
     if (candidate.rack == candidates.racks.size()) candidates.racks.emplace_back();
     candidates.racks[candidate.rack].push_back(candidates.list.size());
@@ -95,26 +95,27 @@
 // Free room comes before preemption: work that can start at once disturbs nobody, and its
 // workspace can still reclaim its guarantee later.
 std::optional<ScoredPlan> ScoreStages(const PlacementInput& input, const Candidates& candidates,
-                                      bool use_avoided) {
+                                      std::optional<internal::GangTable>& gangs, bool use_avoided) {
   const GangShape& shape = input.job->shape;
   const bool holds_guarantee =
       shape.accelerators.value() > 0 &&
       std::any_of(candidates.list.begin(), candidates.list.end(),
                   [](const Candidate& candidate) { return candidate.own != 0; });
-  std::optional<Plan> plan;
+  if (!gangs && (holds_guarantee || input.may_preempt)) {
+    gangs = internal::CollectGangs(candidates, input.now);
+  }
+  std::optional<Plan> guaranteed;
   if (holds_guarantee) {
-    plan = internal::PlanInFreeRoom(shape, candidates, Scope::kGuaranteed, use_avoided);
-    if (plan) return ScoredPlan{*std::move(plan), true};
+    guaranteed =
+        internal::PlanWithVictims(input, candidates, *gangs, Scope::kGuaranteed, use_avoided);
+    if (guaranteed && guaranteed->victims.empty()) return ScoredPlan{*std::move(guaranteed), true};
   }
-  plan = internal::PlanInFreeRoom(shape, candidates, Scope::kAnywhere, use_avoided);
+  std::optional<Plan> plan = internal::PlanInFreeRoom(shape, candidates, use_avoided);
   if (plan) return ScoredPlan{*std::move(plan), false};
   if (!input.may_preempt) return std::nullopt;
-  if (holds_guarantee) {
-    plan = internal::PlanWithVictims(input, candidates, Scope::kGuaranteed, use_avoided);
-    if (plan) return ScoredPlan{*std::move(plan), true};
-  }
+  if (guaranteed) return ScoredPlan{*std::move(guaranteed), true};
   if (input.job->job_class != JobClass::kUrgent) return std::nullopt;
-  plan = internal::PlanWithVictims(input, candidates, Scope::kAnywhere, use_avoided);
+  plan = internal::PlanWithVictims(input, candidates, *gangs, Scope::kAnywhere, use_avoided);
   if (plan) return ScoredPlan{*std::move(plan), false};
   return std::nullopt;
 }
@@ -137,8 +138,9 @@
 
 std::optional<ScoredPlan> ScoreWorkers(const PlacementInput& input, const Candidates& candidates) {
   if (input.policy == PlacementPolicy::kFirstFit) return PlanFirstFit(input, candidates);
-  std::optional<ScoredPlan> scored = ScoreStages(input, candidates, false);
-  if (!scored && !input.avoid.empty()) scored = ScoreStages(input, candidates, true);
+  std::optional<internal::GangTable> gangs;
+  std::optional<ScoredPlan> scored = ScoreStages(input, candidates, gangs, false);
+  if (!scored && !input.avoid.empty()) scored = ScoreStages(input, candidates, gangs, true);
   return scored;
 }
 
@@ -212,10 +214,8 @@
 using BlockCounts = std::array<std::uint32_t, kLevels>;
 
 void CountBlocks(AcceleratorMask mask, BlockCounts& blocks) {
-  while (mask != 0) {
-    const std::uint32_t size = internal::LargestFreeBlock(mask);
-    mask &= ~internal::BestAlignedBlock(mask, size);
-    ++blocks[static_cast<std::size_t>(std::countr_zero(size))];
+  for (const internal::FreeBlock& block : internal::FreeBlocks(mask)) {
+    ++blocks[static_cast<std::size_t>(std::countr_zero(block.size))];
   }
 }
 
@@ -274,7 +274,7 @@
   BlockCounts free_blocks{};
   BlockCounts all_blocks{};
   for (const auto& [id, worker] : cell.workers()) {
-    if (!worker.accepting || worker.quarantined) continue;
+    if (!InFullService(worker)) continue;
     result.free += CountBits(worker.free_accelerators);
     result.largest_run =
         std::max(result.largest_run, internal::LargestFreeBlock(worker.free_accelerators));
--- a/src/request/placement_plan.h
+++ b/src/request/placement_plan.h
@@ -22,6 +22,9 @@
   void Take(const GangShape& shape, AcceleratorMask mask);
 };
 
+/// Slots that are free on a worker with `used` tasks; a worker on probation has only one.
+std::uint32_t FreeSlots(const WorkerState& worker, std::uint64_t used);
+
 /// The part of a worker's cores, memory and slots that belongs to these of its accelerators,
 /// rounded down.
 Room ShareOf(const WorkerCapacity& capacity, AcceleratorMask accelerators);
@@ -87,19 +90,54 @@
 std::optional<Fit> FitTask(const GangShape& shape, const Room& room, const Candidate& candidate,
                            Scope scope);
 
+/// Splits of free blocks that taking the aligned block of `size` at `first` needs; none when a part
+/// of the block is in use already.
+std::uint32_t Splits(AcceleratorMask free, std::uint32_t first, std::uint32_t size);
+
 /// Whether the candidate may be used: workers kept for a larger job serve the guarantees that are
 /// bound to them, nothing else.
 bool Usable(const Candidate& candidate, Scope scope);
 
-/// Places the gang in free room, in few racks and at the least cost; nothing when it doesn't fit.
+/// Places the gang in any free room, in few racks and at the least cost; nothing when it doesn't
+/// fit.
 std::optional<Plan> PlanInFreeRoom(const GangShape& shape, const Candidates& candidates,
-                                   Scope scope, bool use_avoided);
+                                   bool use_avoided);
+
+/// The part of a gang that is on one worker.
+struct GangPart {
+  std::size_t gang = 0;
+  std::uint64_t cores = 0;
+  std::uint64_t memory = 0;
+  std::uint64_t slots = 0;
+  AcceleratorMask accelerators = 0;
+};
+
+/// An attempt with what its end would cost.
+struct Gang {
+  const PlacedTask* any_task = nullptr;
+  bool borrowed = false;
+  /// Accelerator milliseconds that it has run.
+  double work = 0;
+  /// Its rank among victims: work within a class, higher classes above all work of lower ones.
+  double cost = 0;
+  std::vector<std::size_t> workers;
+};
+
+/// The gangs that run in the cell, and their parts by candidate. It is the same for all attempts of
+/// one decision.
+struct GangTable {
+  std::vector<Gang> gangs;
+  std::vector<std::vector<GangPart>> parts;
+};
+GangTable CollectGangs(const Candidates& candidates, TimePoint now);
 
 /// Places the gang in free room and the room of borrowed gangs, those with the least work lost
-/// first; nothing when it doesn't fit. Borrowers of any class yield to a guarantee; outside it,
-/// only batch and background work yields.
+/// first; nothing when it doesn't fit. Inside a guarantee, each task first takes the smallest of
+/// the workspace's runs that fits, even where a larger one is free, so that the rest of the
+/// guarantee keeps its shape. Borrowers of any class yield to a guarantee; outside it, only batch
+/// and background work yields.
 std::optional<Plan> PlanWithVictims(const PlacementInput& input, const Candidates& candidates,
-                                    Scope scope, bool use_avoided);
+                                    const GangTable& gangs, Scope scope, bool use_avoided);
 
 }  // namespace basilspring::internal
 
--- a/src/version/guarantee_packer.cc
+++ b/src/version/guarantee_packer.cc
@@ -47,20 +47,22 @@
 
 GuaranteePacker::GuaranteePacker(std::vector<PackedWorker> workers, std::vector<PackedRack> racks,
                                  std::vector<OldRun> old_runs, PackOrder order)
-    : workers_(std::move(workers)),
-      racks_(std::move(racks)),
-      old_runs_(std::move(old_runs)),
-      order_(order) {
-  for (PackedWorker& worker : workers_) worker.unbound = worker.all;
-  std::stable_sort(old_runs_.begin(), old_runs_.end(),
+    : workers_(std::move(workers)), racks_(std::move(racks)), order_(order) {
+  free_blocks_.reserve(workers_.size());
+  for (PackedWorker& worker : workers_) {
+    worker.unbound = worker.all;
+    free_blocks_.push_back(FreeBlocks(worker.all));
+  }
+  std::stable_sort(old_runs.begin(), old_runs.end(),
                    [](const OldRun& a, const OldRun& b) { return a.in_use && !b.in_use; });
-  for (const OldRun& run : old_runs_) {
+  for (const OldRun& run : old_runs) {
     PackedWorker& worker = workers_[run.worker];
     worker.old_runs |= run.accelerators;
     if (run.in_use) worker.old_in_use |= run.accelerators;
-    std::vector<AcceleratorMask>& own = own_old_runs_[run.workspace];
-    own.resize(workers_.size());
-    own[run.worker] |= run.accelerators;
+    OwnOldRuns& own = old_runs_[run.workspace];
+    own.runs.push_back(run);
+    own.by_worker.resize(workers_.size());
+    own.by_worker[run.worker] |= run.accelerators;
   }
 }
 
@@ -78,6 +80,9 @@
   AddShortfalls(guarantees, "rack",
                 TakeShapes(guarantees, &Guarantee::rack,
                            [this](const WorkspaceId& workspace, bool only_old) {
+                             // An old rack may be larger than needed, so it goes first only where
+                             // room isn't tight.
+                             if (only_old && order_ == PackOrder::kTightest) return false;
                              return BindBestRack(workspace, only_old);
                            }),
                 result_);
@@ -87,6 +92,7 @@
   AddShortfalls(guarantees, "worker",
                 TakeShapes(guarantees, &Guarantee::worker,
                            [this](const WorkspaceId& workspace, bool only_old) {
+                             if (only_old && order_ == PackOrder::kTightest) return false;
                              return BindBestWorker(workspace, only_old);
                            }),
                 result_);
@@ -104,7 +110,7 @@
 }
 
 bool GuaranteePacker::BindBestRack(const WorkspaceId& workspace, bool only_old) {
-  const std::vector<AcceleratorMask>* own = OwnOldRuns(workspace);
+  const std::vector<AcceleratorMask>* own = OldByWorker(workspace);
   if (only_old && own == nullptr) return false;
   const PackedRack* best = nullptr;
   Rank best_rank;
@@ -127,7 +133,7 @@
 }
 
 bool GuaranteePacker::BindBestWorker(const WorkspaceId& workspace, bool only_old) {
-  const std::vector<AcceleratorMask>* own = OwnOldRuns(workspace);
+  const std::vector<AcceleratorMask>* own = OldByWorker(workspace);
   if (only_old && own == nullptr) return false;
   std::optional<std::size_t> best;
   Rank best_rank;
@@ -143,8 +149,10 @@
 }
 
 bool GuaranteePacker::BindOldRun(const WorkspaceId& workspace, std::uint32_t size) {
-  for (const OldRun& run : old_runs_) {
-    if (run.workspace != workspace || CountBits(run.accelerators) != size) continue;
+  const auto own = old_runs_.find(workspace);
+  if (own == old_runs_.end()) return false;
+  for (const OldRun& run : own->second.runs) {
+    if (CountBits(run.accelerators) != size) continue;
     const AcceleratorMask unbound = workers_[run.worker].unbound;
     if ((unbound & run.accelerators) != run.accelerators) continue;
     const auto first = static_cast<std::uint32_t>(std::countr_zero(run.accelerators));
@@ -156,20 +164,24 @@
 }
 
 bool GuaranteePacker::BindBestRun(const WorkspaceId& workspace, std::uint32_t size) {
-  const std::vector<AcceleratorMask>* own = OwnOldRuns(workspace);
+  const std::vector<AcceleratorMask>* own = OldByWorker(workspace);
   std::optional<std::pair<std::size_t, AcceleratorMask>> best;
   Rank best_rank;
   for (std::size_t i = 0; i < workers_.size(); ++i) {
-    const AcceleratorMask unbound = workers_[i].unbound;
-    for (std::uint32_t first = 0; first < kMaxAcceleratorsPerWorker; first += size) {
-      if ((unbound >> first) == 0) break;
-      const std::uint32_t enclosing = EnclosingFreeBlock(unbound, first, size);
-      if (enclosing == 0) continue;
-      const AcceleratorMask mask = RunMask(first, size);
-      const Rank rank = RankOf(order_, Displacement(own, i, mask), enclosing);
-      if (best && rank >= best_rank) continue;
-      best = std::pair(i, mask);
-      best_rank = rank;
+    if (workers_[i].unbound == 0) continue;
+    for (const FreeBlock& block : free_blocks_[i]) {
+      if (block.size < size) continue;
+      // Parts of one block differ only in the old runs that they displace.
+      const bool uniform = (workers_[i].old_runs & RunMask(block.first, block.size)) == 0;
+      for (std::uint32_t at = 0; at < block.size; at += size) {
+        const AcceleratorMask mask = RunMask(block.first + at, size);
+        const Rank rank = RankOf(order_, Displacement(own, i, mask), block.size);
+        if (!best || rank < best_rank) {
+          best = std::pair(i, mask);
+          best_rank = rank;
+        }
+        if (uniform) break;
+      }
     }
   }
   if (!best) return false;
@@ -179,18 +191,19 @@
 
 int GuaranteePacker::Displacement(const std::vector<AcceleratorMask>* own, std::size_t worker,
                                   AcceleratorMask mask) const {
-  const AcceleratorMask mine = own == nullptr ? 0 : (*own)[worker];
   const AcceleratorMask old = workers_[worker].old_runs & mask;
+  if (old == 0) return 0;
+  const AcceleratorMask mine = own == nullptr ? 0 : (*own)[worker];
   const AcceleratorMask in_use = workers_[worker].old_in_use & mask;
   const auto bits = [](AcceleratorMask m) { return static_cast<int>(CountBits(m)); };
   // An old run in use counts four times an idle one: its tasks would become borrowers.
   return bits(old & ~mine) + 3 * bits(in_use & ~mine) - bits(old & mine) - 3 * bits(in_use & mine);
 }
 
-const std::vector<AcceleratorMask>* GuaranteePacker::OwnOldRuns(
+const std::vector<AcceleratorMask>* GuaranteePacker::OldByWorker(
     const WorkspaceId& workspace) const {
-  const auto it = own_old_runs_.find(workspace);
-  return it == own_old_runs_.end() ? nullptr : &it->second;
+  const auto it = old_runs_.find(workspace);
+  return it == old_runs_.end() ? nullptr : &it->second.by_worker;
 }
 
 bool GuaranteePacker::Untouched(std::size_t worker) const {
@@ -200,6 +213,7 @@
 void GuaranteePacker::Bind(const WorkspaceId& workspace, std::size_t worker, AcceleratorMask mask) {
   if (mask == 0) return;
   workers_[worker].unbound &= ~mask;
+  free_blocks_[worker] = FreeBlocks(workers_[worker].unbound);
   result_.runs.push_back({workspace, workers_[worker].id, mask});
 }
 
--- a/tests/process/agent_core_test.cc
+++ b/tests/process/agent_core_test.cc
@@ -146,6 +146,7 @@
 TEST_F(AgentCoreTest, FailedStartsSayWhetherTheTaskMayHaveStarted) {
   Ready();
   const auto outcome = [this](const std::string& attempt, BackendStatus status) {
+    Handle(Announcement());
     Receive(PrepareOf(attempt));
     Receive(StartOf(attempt));
     Answer(attempt, BackendCallKind::kStart, status);
@@ -203,6 +204,94 @@
   EXPECT_TRUE(Only<TaskDone>().started);
 }
 
+/// A gang of two ranks; rank 1 runs on the given worker.
+struct AgentGangTest : public AgentFixture {
+  void StartRank(std::uint32_t rank, const WorkerId& second_worker, const Address& second_agent) {
+    Start start = StartOf("j1#5.1", rank);
+    start.members = {{0, WorkerId("w1"), kAgentAddress}, {1, second_worker, second_agent}};
+    Receive(start);
+    if (!out.calls.empty()) {
+      Answer("j1#5.1", BackendCallKind::kStart, BackendStatus::kRunning, "", rank);
+    }
+  }
+};
+
+// Guards against a partial gang that goes on although no scheduler is there to stop it.
+TEST_F(AgentGangTest, StopsItsPartWhenAMemberIsNotHeardForTheTaskLease) {
+  Ready();
+  Receive(PrepareOf("j1#5.1", 0, 2));
+  StartRank(0, WorkerId("w2"), {"127.0.0.1", 7001});
+  Pass(9900);
+  EXPECT_EQ(Calls(BackendCallKind::kCheckpoint), 0U);
+  Pass(200);
+  EXPECT_EQ(Calls(BackendCallKind::kCheckpoint), 1U);
+  Answer("j1#5.1", BackendCallKind::kCheckpoint, BackendStatus::kDone);
+  Answer("j1#5.1", BackendCallKind::kStop, BackendStatus::kDone);
+  EXPECT_TRUE(Only<TaskStopped>().checkpointed);
+}
+
+// Guards against stopping a gang that is whole on one worker, where nothing is sent.
+TEST_F(AgentGangTest, GangOnOneWorkerNeedsNoHeartbeats) {
+  Ready();
+  Receive(PrepareOf("j1#5.1", 0, 2));
+  Receive(PrepareOf("j1#5.1", 1, 2));
+  StartRank(0, WorkerId("w1"), kAgentAddress);
+  StartRank(1, WorkerId("w1"), kAgentAddress);
+  Pass(30000);
+  EXPECT_EQ(core.counts().running, 2U);
+  EXPECT_TRUE(Sent<GangHeartbeat>().empty());
+}
+
+// Guards against a partial gang when the scheduler dies between two starts on the same worker.
+TEST_F(AgentGangTest, LapsedReservationOfAnotherRankStopsTheGang) {
+  Ready();
+  Receive(PrepareOf("j1#5.1", 0, 2));
+  Receive(PrepareOf("j1#5.1", 1, 2));
+  StartRank(0, WorkerId("w1"), kAgentAddress);
+  Pass(5100);
+  EXPECT_EQ(core.counts().stopping, 1U);
+}
+
+// Guards against a checkpoint that is cut short because another rank has stopped sooner.
+TEST_F(AgentGangTest, StopOfTheSchedulerKeepsItsGrace) {
+  Ready();
+  Receive(PrepareOf("j1#5.1", 0, 2));
+  StartRank(0, WorkerId("w2"), {"127.0.0.1", 7001});
+  Receive(StopOf("j1#5.1", Duration(5000)));
+  GangHeartbeat ended;
+  ended.attempt = AttemptId("j1#5.1");
+  ended.rank = 1;
+  ended.worker = WorkerId("w2");
+  Receive(ended, {"127.0.0.1", 7001});
+  Pass(4900);
+  EXPECT_EQ(Calls(BackendCallKind::kStop), 0U);
+  Pass(200);
+  EXPECT_EQ(Calls(BackendCallKind::kStop), 1U);
+}
+
+// Guards against starting a rank whose fellow on this worker can't start any more.
+TEST_F(AgentGangTest, RefusesAStartWhenAnotherLocalRankHasNoReservation) {
+  Ready();
+  Receive(PrepareOf("j1#5.1", 0, 2));
+  StartRank(0, WorkerId("w1"), kAgentAddress);
+  EXPECT_TRUE(out.calls.empty());
+  EXPECT_FALSE(Only<TaskDone>().started);
+  EXPECT_EQ(Only<TaskDone>().error, ErrorKind::kReservationMissing);
+}
+
+// Guards against attempts that are used up on a backend server that has died a moment ago.
+TEST_F(AgentCoreTest, RefusedConnectionStopsNewWorkUntilTheNextAnnouncement) {
+  Ready();
+  Receive(PrepareOf("j1#5.1"));
+  Receive(StartOf("j1#5.1"));
+  Answer("j1#5.1", BackendCallKind::kStart, BackendStatus::kUnreachable);
+  EXPECT_FALSE(Only<Heartbeat>().accepting);
+  Receive(PrepareOf("j2#5.1"));
+  EXPECT_EQ(Only<Prepared>().error, ErrorKind::kBackendUnavailable);
+  Handle(Announcement());
+  EXPECT_TRUE(Only<Heartbeat>().accepting);
+}
+
 // Guards against a stop of the process that cuts off running tasks or takes new ones.
 TEST_F(AgentCoreTest, DrainFinishesRunningTasksAndRefusesNewOnes) {
   Ready();
