Send urgent requests again when their entry is gone

The load asked other entries for an urgent idempotent job whose entry had been killed after a 202, and gave up after 60 s. The rule on delivered work is unchanged.

--- a/standin/load_run.cc
+++ b/standin/load_run.cc
@@ -229,6 +229,18 @@
       --open_;
       return;
     }
+    const bool kept_by_entry = sending->plan.job_class == "urgent" && sending->plan.idempotent;
+    if (silent && kept_by_entry) {
+      // Such a job is gone with the entry that accepted it; its caller sends it again.
+      HttpResult lost = result;
+      if (lost.error == ErrorKind::kNone) {
+        lost.error = ErrorKind::kConnectionLost;
+        lost.message = "the entry no longer knows the job";
+      }
+      OnLost(sending, lost);
+      --open_;
+      return;
+    }
     if (silent) ++sending->entry;
     io_.PostAfter(kRetryDelay, [this, sending] { Follow(sending); });
   });
