Wait until another deployment's entries are gone as well

A run began while another deployment on this machine was stopping: its store had ended, an entry still held 127.1.1.1:7400, and the run gave up after 60 s.

--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -58,7 +58,14 @@
 }
 
 store_address=$(sed -nE 's/^servers = \["([^"]*)".*/\1/p' "deploy/$deployment"/entry-*.toml | head -n 1)
-port_free() { ! curl -s -m 1 -o /dev/null "http://${store_address%:*}:2380/stats"; }
+# Another deployment's processes don't end at the same moment, so its entries are asked too.
+port_free() {
+  local file
+  for file in "deploy/$deployment"/entry-*.toml; do
+    if curl -s -m 1 -o /dev/null "http://$(setting "$file" http)/readyz"; then return 1; fi
+  done
+  ! curl -s -m 1 -o /dev/null "http://${store_address%:*}:2380/stats"
+}
 wait_until "another deployment on this machine ends" port_free
 echo "seed $seed, records are in $run_dir"
 RANDOM=$seed
