--- a/include/basilspring/process/permit_authority.h
+++ b/include/basilspring/process/permit_authority.h
@@ -28,6 +28,9 @@
  public:
   PermitAuthority(ProcessId self, Address address, const Timings& timings);
 
+  /// Without vouching, no permits are issued while the store is away.
+  void SetFailClosed(bool fail_closed) { fail_closed_ = fail_closed; }
+
   /// The configuration that this entry has applied.
   void OnConfiguration(ConfigRevision revision, std::set<DataCentreId> out_of_service);
   /// A linearizable read of the guard key that began at `started` found this revision.
@@ -96,6 +99,7 @@
   std::map<DataCentreId, int> changing_;
   std::set<ProcessId> removing_;
   std::uint64_t next_request_ = 1;
+  bool fail_closed_ = false;
   TimePoint next_tick_;
   TimePoint next_registration_;
 };
--- a/include/basilspring/process/process_settings.h
+++ b/include/basilspring/process/process_settings.h
@@ -43,6 +43,8 @@
   std::size_t max_connections = 4096;
   /// "guarantees" or "first-fit", the baseline that the policy is measured against.
   std::string placement_policy = "guarantees";
+  /// Entries only: "vouching", or "fail-closed", which issues no permits while the store is away.
+  std::string permit_policy = "vouching";
 };
 
 /// One fault of a settings file, ready to print: "file:line: key: value; allowed: ...".
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Measures the system on real processes with the stand-ins, beside the baseline (first-fit, first-come, no
 # reservation) in the same run: measure.sh [--seed N] [--runs N] [--seconds N] [--rate N] PART...
-# Parts: latency, idle, saturation, datacentre, cell. Prints tables; figures of different runs of this script are
+# Parts: latency, idle, saturation, datacentre, outage, cell. Prints tables; figures of different runs of this script are
 # only comparable on the same quiet machine.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -12,13 +12,13 @@
     --runs) runs=$2; shift ;;
     --seconds) seconds=$2; shift ;;
     --rate) rate=$2; shift ;;
-    latency | idle | saturation | datacentre | cell) parts+=("$1") ;;
-    *) echo "usage: measure.sh [--seed N] [--runs N] [--seconds N] [--rate N] latency|idle|saturation|datacentre|cell ..." >&2
+    latency | idle | saturation | datacentre | outage | cell) parts+=("$1") ;;
+    *) echo "usage: measure.sh [--seed N] [--runs N] [--seconds N] [--rate N] latency|idle|saturation|datacentre|outage|cell ..." >&2
        exit 2 ;;
   esac
   shift
 done
-if [ "${#parts[@]}" -eq 0 ]; then parts=(latency idle saturation datacentre cell); fi
+if [ "${#parts[@]}" -eq 0 ]; then parts=(latency idle saturation datacentre outage cell); fi
 build_dir=${BUILD_DIR:-build}
 deployment=${DEPLOYMENT:-plamenna}
 work_dir=$(mktemp -d)
@@ -98,7 +98,7 @@
   begin "$name" "$policy" >&2
   calls=$(curl -fsS "http://$store_control/stats" | jq '[to_entries[] | select(.key | startswith("/v3")) | .value] | add')
   "$build_dir/basilspring-standin" load --entries "$BASILSPRING_ENTRY" --workspaces "$workspaces" --seed "$load_seed" \
-    --seconds "$length" --rate "$load_rate" --cancel 0 --repeat 0 --non-idempotent 0 \
+    --seconds "$length" --rate "$load_rate" --mix 10,60,30 --cancel 0 --repeat 0 --non-idempotent 0 \
     --record "$run_dir/load.jsonl" >"$run_dir/load.out" 2>&1 &
   local load_id=$!
   sample_fragmentation "$run_dir/fragmentation.jsonl" &
@@ -238,6 +238,50 @@
   done
 }
 
+# Urgent idempotent work that is answered while the store is down, with and without vouching.
+measure_outage() {
+  local permits run file begun down up
+  echo
+  echo "## outage: urgent requests, 20 a second for $seconds s, the store down in the middle half"
+  printf '| permits | sent while down | answered while down | refused | median ms | p99 ms |\n| --- | --- | --- | --- | --- | --- |\n'
+  for ((run = 0; run < runs; run++)); do
+    for permits in fail-closed vouching; do
+      use_policy guarantees
+      for file in "$deployment_dir"/entry-*.toml; do
+        sed -i "s/^placement = .*/&\npermits = \"$permits\"/" "$file"
+      done
+      run_dir=$work_dir/outage-$permits-$run
+      start_cluster >&2
+      BASILSPRING_ENTRY=$(all_entries)
+      export BASILSPRING_ENTRY
+      BASILSPRING=$build_dir/basilspring "$deployment_dir/operator-setup.sh" >"$run_dir/setup.out"
+      workspaces=$("$build_dir/basilspring" workspace list | paste -sd,)
+      "$build_dir/basilspring-standin" load --entries "$BASILSPRING_ENTRY" --workspaces "$workspaces" \
+        --seed "$((seed + run))" --seconds "$seconds" --rate 20 --mix 100,0,0 --gang 0 --cancel 0 --repeat 0 \
+        --non-idempotent 0 --record "$run_dir/load.jsonl" >"$run_dir/load.out" 2>&1 &
+      load_id=$!
+      sleep "$((seconds / 4))"
+      curl -fsS -X POST -d '{"mode":"down"}' "http://$store_control/fault" >/dev/null
+      down=$("$build_dir/basilspring-standin" record-event "$run_dir/times.jsonl" down >/dev/null && tail -n 1 "$run_dir/times.jsonl" | jq .ms)
+      sleep "$((seconds / 2))"
+      up=$("$build_dir/basilspring-standin" record-event "$run_dir/times.jsonl" up >/dev/null && tail -n 1 "$run_dir/times.jsonl" | jq .ms)
+      curl -fsS -X POST -d '{"mode":"none"}' "http://$store_control/fault" >/dev/null
+      wait "$load_id" || true
+      # The first 2 s are left out: permits from before the outage still hold then.
+      jq -rs --argjson from "$((down + 2000))" --argjson to "$up" --arg permits "$permits" '
+        def quantile(q): sort | if length == 0 then 0 else .[((length - 1) * q) | floor] end;
+        (map(select(.event == "submitted")) | INDEX(.request | tostring)) as $sent
+        | [.[] | select(.event == "submitted" and .ms >= $from and .ms < $to)] as $in
+        | [.[] | select(.event == "answered" and .ms >= $from and .ms < $to)] as $done
+        | [.[] | select(.event == "refused" and .ms >= $from and .ms < $to)] as $refused
+        | [$done[] | .ms - $sent[.request | tostring].ms] as $times
+        | "| \($permits) | \($in | length) | \($done | length) | \($refused | length) | \($times | quantile(0.5)) | \($times | quantile(0.99)) |"' \
+        "$run_dir/load.jsonl"
+      stop_cluster
+    done
+  done
+}
+
 first_data_centre=$(basename "$(find "deploy/$deployment" -name 'entry-*.toml' | sort | head -n 1)" .toml)
 first_data_centre=${first_data_centre#entry-}
 for part in "${parts[@]}"; do
@@ -246,6 +290,7 @@
     idle) measure_idle ;;
     saturation) if [ "$rate" -gt 0 ]; then compare saturation "$rate"; else compare saturation 80; fi ;;
     datacentre) if [ "$rate" -gt 0 ]; then compare datacentre "$rate" out; else compare datacentre 25 out; fi ;;
+    outage) measure_outage ;;
     cell) measure_cell ;;
   esac
 done
--- a/src/process/command_support.cc
+++ b/src/process/command_support.cc
@@ -159,6 +159,23 @@
   return query;
 }
 
+std::string OperatorName() {
+  const char* const user = std::getenv("USER");
+  return user == nullptr ? "operator" : user;
+}
+
+void PrintChange(const json::value& body) {
+  fmt::print("revision {}{}\n", Field(body, "revision"),
+             Field(body, "in_force") == "true" ? ", in force everywhere"
+                                               : ", not in force everywhere yet");
+}
+
+int SendChange(const OperatorOptions& options, json::array changes) {
+  const json::object body{{"changes", std::move(changes)}, {"author", OperatorName()}};
+  return CallAndPrint(options, "POST", "/v1/operator/settings", json::serialize(body),
+                      &PrintChange);
+}
+
 int RunSubcommand(std::string_view command, const std::vector<Subcommand>& subcommands,
                   const Arguments& arguments) {
   const std::string name = arguments.size() > 1 ? arguments[1] : "";
--- a/src/process/command_support.h
+++ b/src/process/command_support.h
@@ -80,6 +80,15 @@
 /// "a=1&b=x%2Fy" of the parameters that are not empty.
 std::string EncodeQuery(const std::map<std::string, std::string>& parameters);
 
+/// Name of the user who runs the command, for the history of changes.
+std::string OperatorName();
+
+/// Prints the answer to a change: its revision and whether it is in force everywhere.
+void PrintChange(const boost::json::value& body);
+
+/// Sends assignments {"path", "key", "value"} that take effect together, and prints the answer.
+int SendChange(const OperatorOptions& options, boost::json::array changes);
+
 /// Runs the subcommand named by arguments[1]; prints the allowed ones otherwise.
 struct Subcommand {
   std::string_view name;
--- a/src/process/entry.cc
+++ b/src/process/entry.cc
@@ -52,6 +52,7 @@
       directory_(settings.name, settings.listen, settings.region),
       permits_(settings.name, settings.listen, settings.timings),
       random_(RandomSeed()) {
+  permits_.SetFailClosed(settings_.permit_policy == "fail-closed");
   registration_value_ = fmt::format("{}#{:016x}", settings_.listen.ToString(), RandomSeed());
   transport_ = std::make_unique<Transport>(
       io_, settings_.name, settings_.listen,
--- a/src/process/operator_commands.cc
+++ b/src/process/operator_commands.cc
@@ -1,7 +1,6 @@
 #include <fmt/format.h>
 
 #include <array>
-#include <cstdlib>
 #include <map>
 #include <memory>
 #include <string>
@@ -18,26 +17,10 @@
 
 constexpr const char* kSettingsTarget = "/v1/operator/settings";
 
-std::string Author() {
-  const char* const user = std::getenv("USER");
-  return user == nullptr ? "operator" : user;
-}
-
 json::object Assignment(const std::string& path, const std::string& key, json::value value) {
   return {{"path", path}, {"key", key}, {"value", std::move(value)}};
 }
 
-void PrintChange(const json::value& body) {
-  fmt::print("revision {}{}\n", Field(body, "revision"),
-             Field(body, "in_force") == "true" ? ", in force everywhere"
-                                               : ", not in force everywhere yet");
-}
-
-int SendChange(const OperatorOptions& options, json::array changes) {
-  const json::object body{{"changes", std::move(changes)}, {"author", Author()}};
-  return CallAndPrint(options, "POST", kSettingsTarget, json::serialize(body), &PrintChange);
-}
-
 std::string WorkspacePath(const std::string& workspace) { return "/*/*/" + workspace; }
 
 void PrintStatus(const json::value& body) {
@@ -159,7 +142,7 @@
   TCLAP::UnlabeledValueArg<std::string> path("path", "Data centre", true, "", "/REGION/DATA-CENTRE",
                                              command_line);
   if (const int code = ParseArguments(command_line, arguments); code >= 0) return code;
-  const json::object body{{"path", path.getValue()}, {"state", state}, {"author", Author()}};
+  const json::object body{{"path", path.getValue()}, {"state", state}, {"author", OperatorName()}};
   return CallAndPrint(options, "POST", "/v1/operator/datacentre", json::serialize(body),
                       &PrintChange);
 }
--- a/src/process/permit_authority.cc
+++ b/src/process/permit_authority.cc
@@ -136,6 +136,7 @@
 
 std::optional<TimePoint> PermitAuthority::ProofFromVouches(TimePoint now,
                                                            const DataCentreId& data_centre) const {
+  if (fail_closed_) return std::nullopt;
   if (!registered_since_.has_value() || !last_registry_read_.has_value()) return std::nullopt;
   if (now - *last_registry_read_ >= timings_.vouching_limit) return std::nullopt;
   if (guard_ > revision_) return std::nullopt;
--- a/src/process/process_settings.cc
+++ b/src/process/process_settings.cc
@@ -91,6 +91,10 @@
           reader.Choice("policy.placement", Presence::kOptional, "guarantees|first-fit")) {
     settings.placement_policy = *policy;
   }
+  if (const auto policy =
+          reader.Choice("policy.permits", Presence::kOptional, "vouching|fail-closed")) {
+    settings.permit_policy = *policy;
+  }
 }
 
 }  // namespace
--- a/src/process/settings_commands.cc
+++ b/src/process/settings_commands.cc
@@ -1,6 +1,5 @@
 #include <fmt/format.h>
 
-#include <cstdlib>
 #include <map>
 #include <string>
 #include <utility>
@@ -46,19 +45,10 @@
   });
 }
 
-void PrintChange(const json::value& body) {
-  fmt::print("revision {}{}\n", Field(body, "revision"),
-             Field(body, "in_force") == "true" ? ", in force everywhere"
-                                               : ", not in force everywhere yet");
-}
-
 int SendAssignment(const OperatorOptions& options, const std::string& path, const std::string& key,
                    json::value value) {
-  const char* const user = std::getenv("USER");
-  const json::object change{{"path", path}, {"key", key}, {"value", std::move(value)}};
-  const json::object body{{"changes", json::array{change}},
-                          {"author", user == nullptr ? "operator" : user}};
-  return CallAndPrint(options, "POST", kTarget, json::serialize(body), &PrintChange);
+  json::array changes = {json::object{{"path", path}, {"key", key}, {"value", std::move(value)}}};
+  return SendChange(options, std::move(changes));
 }
 
 int Set(const Arguments& arguments) {
