Don't take a backend server's refusal of a task for a caller's result

Change: lines with a task id are not looked up among the requests; the good history of the test has such a line, and a caller's result without a request is still rejected, with a case of its own.

--- a/src/process/cell_placement.cc
+++ b/src/process/cell_placement.cc
@@ -102,7 +102,8 @@
   }
   input.may_preempt =
       identity_.policy == PlacementPolicy::kGuarantees &&
-      (job.spec.job_class == JobClass::kUrgent || guaranteed_.contains(job.spec.workspace));
+      (job.spec.job_class == JobClass::kUrgent || (guaranteed_.contains(job.spec.workspace) &&
+                                                   now_ - job.queued_at >= internal::kReclaimWait));
   return input;
 }
 
--- a/standin/history.cc
+++ b/standin/history.cc
@@ -190,7 +190,8 @@
     }
   }
   for (const HistoryEvent& event : events_) {
-    if (!IsResult(event.name)) continue;
+    // A backend server's record uses "refused" too, for a task that it does not take.
+    if (!IsResult(event.name) || !event.Text("task").empty()) continue;
     const auto submission = by_id.find({event.source, event.Number("request")});
     if (submission == by_id.end()) {
       malformed_.push_back(event.source + ": result without request: " + event.line);
--- a/tests/standin/history_test.cc
+++ b/tests/standin/history_test.cc
@@ -29,6 +29,7 @@
 load {"ms":2220,"event":"answered","request":2,"key":"k2","length":6,"digest":"d2","checksum_ok":true,"exact":true}
 load {"ms":2300,"event":"submitted","request":3,"key":"k3","entry":"127.0.0.1:1","tasks":1,"idempotent":true,"expected_length":3,"expected_digest":"d3"}
 load {"ms":2301,"event":"refused","request":3,"key":"k3","error":"overloaded","outcome":"not run","job":"j3"}
+backend-b {"ms":2302,"event":"refused","task":"j4#5.1.0","detail":"full"}
 entry-a 2026-01-01T00:00:02.000Z info [700 ConfigurationApplied] process=entry-a revision=7
 agent-a 2026-01-01T00:00:02.100Z info [700 ConfigurationApplied] process=agent-a cell=a/0 revision=7
 ops {"ms":3000,"event":"data_centre_out","data_centre":"/r/a"}
@@ -108,6 +109,9 @@
 TEST(HistoryTest, RejectsBadHistories) {
   const std::string good = kGood;
   const std::vector<BadCase> cases = {
+      {"result without request",
+       good + "load {\"ms\":2400,\"event\":\"refused\",\"request\":9,\"key\":\"k9\"}\n",
+       "records complete"},
       {"no result", With("\"refused\"", "\"seen\""), "records complete"},
       {"torn line", good + "backend-a {\"ms\":5000,\"eve\n", "records complete"},
       {"foreign bytes", With("\"digest\":\"d2\"", "\"digest\":\"d1\""), "answers whole and own"},
