--- a/include/basilspring/connection/cell_messages.h
+++ b/include/basilspring/connection/cell_messages.h
@@ -13,13 +13,15 @@
 /// Between entry and cell scheduler about the cell: summaries and configuration.
 namespace basilspring {
 
-/// Workers of one rack, as far as guarantees need them.
+/// Racks that are equal as far as guarantees need them. One line stands for all of them, because a
+/// line for each rack of 128 workers would make the summary five times as long.
 struct RackCapacity {
-  RackId rack;
+  std::uint32_t racks = 1;
+  /// Workers of each rack.
   std::uint32_t workers = 0;
   /// Accelerators of the smallest worker of the rack.
   std::uint32_t accelerators_per_worker = 0;
-  BASILSPRING_SERIALIZE(rack, workers, accelerators_per_worker)
+  BASILSPRING_SERIALIZE(racks, workers, accelerators_per_worker)
 };
 
 /// State of one cell, once a second, to the entries of its region.
--- a/src/process/cell_model.h
+++ b/src/process/cell_model.h
@@ -49,10 +49,6 @@
 inline constexpr std::size_t kEarlyCancels = 4096;
 /// Workers that a job failed on, remembered for its next placement.
 inline constexpr std::size_t kAvoidedWorkers = 16;
-/// How long a job that isn't urgent waits before it takes its guarantee back from borrowers. Most
-/// tasks end by themselves meanwhile; without the wait, short jobs stopped each other's work again
-/// and again.
-inline constexpr Duration kReclaimWait = Duration(2000);
 /// Permits are kept up for this long after the last placement.
 inline constexpr Duration kKeepPermit = Duration(5000);
 inline constexpr std::size_t kPermitRequests = 16;
--- a/src/process/cell_placement.cc
+++ b/src/process/cell_placement.cc
@@ -102,8 +102,7 @@
   }
   input.may_preempt =
       identity_.policy == PlacementPolicy::kGuarantees &&
-      (job.spec.job_class == JobClass::kUrgent || (guaranteed_.contains(job.spec.workspace) &&
-                                                   now_ - job.queued_at >= internal::kReclaimWait));
+      (job.spec.job_class == JobClass::kUrgent || guaranteed_.contains(job.spec.workspace));
   return input;
 }
 
--- a/src/process/cell_summary.cc
+++ b/src/process/cell_summary.cc
@@ -1,5 +1,7 @@
 #include <algorithm>
 #include <bit>
+#include <map>
+#include <utility>
 
 #include "process/cell_core_internal.h"
 
@@ -18,6 +20,15 @@
   return count;
 }
 
+std::vector<RackCapacity> MergeEqualRacks(const std::map<RackId, RackCapacity>& racks) {
+  std::map<std::pair<std::uint32_t, std::uint32_t>, std::uint32_t> counts;
+  for (const auto& [id, rack] : racks) ++counts[{rack.workers, rack.accelerators_per_worker}];
+  std::vector<RackCapacity> merged;
+  merged.reserve(counts.size());
+  for (const auto& [shape, count] : counts) merged.push_back({count, shape.first, shape.second});
+  return merged;
+}
+
 }  // namespace
 
 void CellCore::Impl::OnEntryHello(const EntryHello& hello) {
@@ -63,7 +74,6 @@
     rack.accelerators_per_worker =
         rack.workers == 0 ? accelerators : std::min(rack.accelerators_per_worker, accelerators);
     ++rack.workers;
-    rack.rack = worker.rack;
     ++summary.workers;
     summary.total_accelerators += accelerators;
     summary.running_tasks += static_cast<std::uint32_t>(worker.tasks.size());
@@ -75,7 +85,7 @@
       summary.free_runs[i] += FreeRuns(worker.free_accelerators, kRunLevels[i]);
     }
   }
-  for (auto& [id, rack] : racks) summary.racks.push_back(rack);
+  summary.racks = MergeEqualRacks(racks);
   for (std::size_t i = 0; i < kJobClassCount; ++i) {
     summary.queued.push_back(static_cast<std::uint32_t>(queue_.Count(static_cast<JobClass>(i))));
   }
--- a/src/process/operator_change.cc
+++ b/src/process/operator_change.cc
@@ -28,19 +28,26 @@
   boost::this_fiber::sleep_for(std::chrono::milliseconds(span.milliseconds()));
 }
 
+// Names don't matter for packing; they only have to differ.
+RackInventory RackOf(const RackCapacity& capacity, const std::string& name) {
+  RackInventory rack;
+  rack.rack = RackId(name);
+  for (std::uint32_t i = 0; i < capacity.workers; ++i) {
+    rack.workers.push_back(
+        {WorkerId(fmt::format("{}/{}", name, i)), capacity.accelerators_per_worker});
+  }
+  return rack;
+}
+
 // Racks of each data centre, as the cell schedulers last reported them.
 std::map<DataCentreId, std::vector<RackInventory>> Inventory(const OperatorContext& context) {
   std::map<DataCentreId, std::vector<RackInventory>> inventory;
   for (const CellSummary& summary : context.summaries()) {
     std::vector<RackInventory>& racks = inventory[summary.data_centre];
     for (const RackCapacity& capacity : summary.racks) {
-      RackInventory rack;
-      rack.rack = capacity.rack;
-      for (std::uint32_t i = 0; i < capacity.workers; ++i) {
-        rack.workers.push_back({WorkerId(fmt::format("{}/{}", capacity.rack.value(), i)),
-                                capacity.accelerators_per_worker});
+      for (std::uint32_t number = 0; number < capacity.racks; ++number) {
+        racks.push_back(RackOf(capacity, fmt::format("{}/{}", summary.cell.value(), racks.size())));
       }
-      racks.push_back(std::move(rack));
     }
   }
   return inventory;
--- a/src/request/routing.cc
+++ b/src/request/routing.cc
@@ -200,8 +200,9 @@
   std::uint64_t tasks = 0;
   std::uint32_t largest = 0;
   for (const RackCapacity& rack : summary.racks) {
-    described += std::uint64_t{rack.workers} * rack.accelerators_per_worker;
-    tasks += std::uint64_t{rack.workers} * (rack.accelerators_per_worker / needed);
+    const std::uint64_t workers = std::uint64_t{rack.racks} * rack.workers;
+    described += workers * rack.accelerators_per_worker;
+    tasks += workers * (rack.accelerators_per_worker / needed);
     largest = std::max(largest, rack.accelerators_per_worker);
   }
   if (described >= summary.total_accelerators) return tasks < shape.tasks;
--- a/tests/connection/frame_test.cc
+++ b/tests/connection/frame_test.cc
@@ -28,7 +28,7 @@
   CellSummary summary;
   summary.free_runs = {9, 4, 2, 1};
   summary.estimated_wait = {Duration(-5), Duration(1LL << 40)};
-  summary.racks = {{RackId("r1"), 3, 8}, {RackId("r2"), 2, 8}};
+  summary.racks = {{1, 3, 8}, {1, 2, 8}};
   messages.emplace_back(summary);
   Start start;
   start.members = {{0, WorkerId("w1"), {"127.0.0.1", 4000}}, {1, WorkerId("w2"), {"127.0.0.2", 1}}};
--- a/tests/process/cell_operations_test.cc
+++ b/tests/process/cell_operations_test.cc
@@ -56,6 +56,17 @@
   EXPECT_EQ(Logged(EventId::kWorkerQuarantined), 1U);
 }
 
+// Guards against a summary that grows with the racks of the cell: 43 lines exceeded the bytes that
+// a node may send.
+TEST_F(CellOperations, EqualRacksAreOneLineOfTheSummary) {
+  cell.Run(3000);
+  const std::vector<CellSummary> summaries = cell.Sent<CellSummary>();
+  ASSERT_FALSE(summaries.empty());
+  const CellSummary& last = summaries.back();
+  ASSERT_EQ(last.racks.size(), 1U);
+  EXPECT_EQ(last.racks[0].racks * last.racks[0].workers, last.workers);
+}
+
 // Guards against a configuration that goes back: operators' changes never revert.
 TEST_F(CellOperations, IgnoresALowerConfigurationRevision) {
   const std::vector<ConfigNode> none_queued = {{"/", R"({"queue.limit.urgent":0})"}};
--- a/tests/request/routing_test.cc
+++ b/tests/request/routing_test.cc
@@ -21,7 +21,7 @@
   summary.free_slots = 80;
   summary.free_runs = {80, 40, 20, 10};
   summary.estimated_wait = std::vector<Duration>(kJobClassCount, Duration(wait_ms));
-  summary.racks = {{RackId("r1"), 10, 8}};
+  summary.racks = {{1, 10, 8}};
   summary.ready = true;
   return cell;
 }
@@ -87,12 +87,12 @@
   job_.shape.accelerators = Accelerators(16);
   EXPECT_EQ(Refusal({Cell("a/0", "south"), Cell("b/0", "north")}), ErrorKind::kNeverFits);
   CellCandidate large = Cell("b/0", "south");
-  large.summary.racks = {{RackId("r1"), 5, 16}};
+  large.summary.racks = {{1, 5, 16}};
   large.in_service = false;
   EXPECT_EQ(Refusal({Cell("a/0", "south"), large}), ErrorKind::kDataCentreOut);
   // The racks describe the smallest worker of each: one larger worker may stand beside.
   CellCandidate mixed = Cell("c/0", "south");
-  mixed.summary.racks = {{RackId("r1"), 10, 4}};
+  mixed.summary.racks = {{1, 10, 4}};
   EXPECT_EQ(Chosen({mixed}), "c/0");
 }
 
