--- a/standin/history.cc
+++ b/standin/history.cc
@@ -105,7 +105,8 @@
 void History::AddLogLine(const std::string& source, const std::string& line) {
   HistoryEvent event;
   event.name = LogEventName(line);
-  if (event.name != "ConfigurationApplied" && event.name != "CellAcquired") return;
+  static const std::set<std::string> used = {"ConfigurationApplied", "CellAcquired", "GangAborted"};
+  if (!used.contains(event.name)) return;
   const auto time = ParseWallTime(line);
   if (!time) {
     malformed_.push_back(source + ": " + line);
--- a/standin/history_process_rules.cc
+++ b/standin/history_process_rules.cc
@@ -70,11 +70,20 @@
   }
 }
 
-// Whether something else than the stop can have ended the run: its caller cancelled it, or another
-// rank of the attempt had failed or been stopped before.
+// Whether the cell scheduler preempted the attempt, by its own log. The stop of an agent doesn't
+// stop preemptions.
+bool Preempted(const History& history, const TaskRun& run) {
+  const std::vector<const HistoryEvent*> aborted = history.Named("GangAborted");
+  return std::any_of(aborted.begin(), aborted.end(), [&run](const HistoryEvent* event) {
+    return event->Text("attempt") == run.attempt && event->Text("reason") == "preempted";
+  });
+}
+
+// Whether something else than the stop can have ended the run: its caller cancelled it, the attempt
+// was preempted, or another rank of the attempt had failed or been stopped before.
 bool EndedForOtherReason(const History& history, const TaskRun& run,
                          const std::set<std::string>& cancelled) {
-  if (cancelled.contains(run.key)) return true;
+  if (cancelled.contains(run.key) || Preempted(history, run)) return true;
   return std::any_of(history.runs().begin(), history.runs().end(), [&run](const TaskRun& other) {
     return other.attempt == run.attempt && other.rank != run.rank && other.end != nullptr &&
            other.end->ms <= run.end->ms && other.start->source != run.start->source &&
--- a/tests/standin/history_test.cc
+++ b/tests/standin/history_test.cc
@@ -1,5 +1,7 @@
 #include "standin/history.h"
 
+#include <fmt/format.h>
+
 #include <sstream>
 
 #include "standin/history_rules.h"
@@ -99,6 +101,22 @@
   EXPECT_EQ(Broken(lines), "");
 }
 
+// Guards against a rule that blames an agent's graceful stop for a task that the cell scheduler
+// preempted meanwhile.
+TEST(HistoryTest, APreemptionDuringAStopIsNotItsFault) {
+  std::string stopped = kGood;
+  stopped.append("ops {\"ms\":10000,\"event\":\"stop_begun\",\"process\":\"agent-a\"}\n");
+  stopped.append(
+      "backend-a {\"ms\":9999,\"event\":\"start\",\"task\":\"j4#5.1.0\",\"detail\":\"k4|\"}\n");
+  stopped.append(
+      "backend-a {\"ms\":10100,\"event\":\"end\",\"task\":\"j4#5.1.0\",\"detail\":\"stopped\"}\n");
+  const std::string aborted =
+      "agent-b 2026-01-01T00:00:10.090Z info [314 GangAborted] process=agent-b job=j4 "
+      "attempt=j4#5.1 started=true reason=";
+  EXPECT_EQ(Broken(fmt::format("{}{}preempted error=none\n", stopped, aborted)), "");
+  EXPECT_NE(Broken(fmt::format("{}{}deadline error=none\n", stopped, aborted)), "");
+}
+
 struct BadCase {
   const char* what;
   std::string lines;
