Check names of jobs, settings nodes and settings files with one function

Cause: the same rule for names stood in job.cc, settings_tree.cc and settings_reader.cc; all three become parts of store keys, so a change of one alone would let a name in that another refuses. Change: internal::IsName in src/names.h; the settings file still allows '/' in the cell. Behaviour and error texts stay as they are. Ruled out: merging the repeated frames of messages, of pure cores and of poll failures in agent_task_run.cc: they are alike in shape only, and each row says something of its own.

--- a/src/process/settings_reader.cc
+++ b/src/process/settings_reader.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "basilspring/error.h"
+#include "names.h"
 
 namespace basilspring::internal {
 namespace {
@@ -33,14 +34,6 @@
   }
 }
 
-bool IsName(const std::string& text, bool allow_slash) {
-  return !text.empty() && text.size() <= 128 &&
-         std::all_of(text.begin(), text.end(), [allow_slash](char c) {
-           return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
-                  c == '-' || c == '_' || c == '.' || (allow_slash && c == '/');
-         });
-}
-
 }  // namespace
 
 void SettingsReader::Fault(const toml::node* node, std::string_view key, std::string_view message) {
@@ -71,7 +64,7 @@
 std::optional<std::string> SettingsReader::Name(std::string_view key, Presence presence,
                                                 bool allow_slash) {
   std::optional<std::string> value = Text(key, presence);
-  if (value.has_value() && !IsName(*value, allow_slash)) {
+  if (value.has_value() && !IsName(*value, allow_slash ? "/" : "")) {
     Fault(root_.at_path(key).node(), key,
           fmt::format("\"{}\" is not a name; allowed: 1 to 128 letters, digits, '-', '_' or '.'",
                       *value));
--- a/src/request/job.cc
+++ b/src/request/job.cc
@@ -7,6 +7,8 @@
 #include <memory>
 #include <utility>
 
+#include "names.h"
+
 namespace basilspring {
 namespace {
 
@@ -14,7 +16,6 @@
                                                                       "background"};
 constexpr std::array<std::string_view, 8> kStateNames = {
     "queued", "preparing", "running", "stopping", "done", "failed", "cancelled", "unknown"};
-constexpr std::size_t kMaxNameBytes = 128;
 constexpr std::uint32_t kMaxCoresPerTask = 4096;
 
 [[noreturn]] void Reject(std::string_view field, const std::string& value,
@@ -26,14 +27,8 @@
 // Names become parts of store keys and URL paths, so separators and control characters are
 // excluded.
 void CheckName(std::string_view field, const std::string& name) {
-  bool valid = !name.empty() && name.size() <= kMaxNameBytes;
-  for (const char c : name) {
-    const bool letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
-    const bool digit = c >= '0' && c <= '9';
-    valid = valid && (letter || digit || c == '-' || c == '_' || c == '.');
-  }
-  if (!valid) {
-    Reject(field, fmt::format("\"{}\"", name.substr(0, kMaxNameBytes)),
+  if (!internal::IsName(name)) {
+    Reject(field, fmt::format("\"{}\"", name.substr(0, internal::kMaxNameBytes)),
            "1 to 128 letters, digits, '-', '_' or '.'");
   }
 }
--- a/src/version/settings_tree.cc
+++ b/src/version/settings_tree.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "basilspring/error.h"
+#include "names.h"
 
 namespace basilspring {
 namespace {
@@ -98,13 +99,6 @@
   return parts;
 }
 
-bool IsName(const std::string& part) {
-  return !part.empty() && part.size() <= 128 && std::all_of(part.begin(), part.end(), [](char c) {
-    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' ||
-           c == '_' || c == '.';
-  });
-}
-
 // From the lowest node, which wins, to the highest.
 std::vector<std::string> LookupOrder(const SettingScope& scope) {
   std::vector<std::string> order;
@@ -170,7 +164,7 @@
   valid = valid && parts.size() <= 3;
   const bool everywhere = parts.size() == 3 && parts[0] == "*" && parts[1] == "*";
   for (std::size_t i = 0; valid && i < parts.size(); ++i) {
-    valid = IsName(parts[i]) || (everywhere && i < 2);
+    valid = internal::IsName(parts[i]) || (everywhere && i < 2);
   }
   if (!valid) {
     throw Error(ErrorKind::kInvalidArgument,
