--- a/include/basilspring/clock.h
+++ b/include/basilspring/clock.h
@@ -37,8 +37,9 @@
   std::int64_t milliseconds_ = 0;
 };
 
-/// A moment on this host's monotonic clock (CLOCK_MONOTONIC), in milliseconds. Comparable only
-/// between processes of the same host; between hosts, remaining durations are sent instead.
+/// A moment on this host's clock since boot, suspensions included (CLOCK_BOOTTIME), in
+/// milliseconds. Comparable only between processes of the same host; between hosts, remaining
+/// durations are sent instead.
 class TimePoint {
  public:
   constexpr TimePoint() = default;
--- a/include/basilspring/error.h
+++ b/include/basilspring/error.h
@@ -42,6 +42,9 @@
   kBadFrame,
   kInternal,
   kKeyUnverified,
+  kUnauthorized,
+  kJobUnknown,
+  kNoConfiguration,
   kCount,
 };
 
--- /dev/null
+++ b/include/basilspring/fleet/peer_client.h
@@ -0,0 +1,41 @@
+#ifndef BASILSPRING_FLEET_PEER_CLIENT_H_
+#define BASILSPRING_FLEET_PEER_CLIENT_H_
+
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "basilspring/clock.h"
+#include "basilspring/connection/address.h"
+#include "basilspring/connection/http_client.h"
+
+namespace basilspring::fleet {
+
+/// Runs a function on the thread that owns the process's state.
+using Executor = std::function<void(std::function<void()>)>;
+
+/// Outcome of a request to another process of the system.
+struct PeerResult {
+  /// The body of the answer; none when no answer came or it was refused.
+  std::optional<std::string> body;
+  /// The request may have been carried out.
+  bool sent = false;
+  std::string message;
+};
+
+/// Sends requests to other processes of the system. The handler runs on the executor.
+class PeerClient {
+ public:
+  PeerClient(HttpClient& http, Executor executor);
+
+  void Send(const Address& to, const char* path, std::string body, Duration timeout,
+            std::function<void(PeerResult)> handler);
+
+ private:
+  HttpClient& http_;
+  Executor executor_;
+};
+
+}  // namespace basilspring::fleet
+
+#endif  // BASILSPRING_FLEET_PEER_CLIENT_H_
--- /dev/null
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -0,0 +1,321 @@
+#ifndef BASILSPRING_FLEET_SCHEDULER_CORE_H_
+#define BASILSPRING_FLEET_SCHEDULER_CORE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "basilspring/clock.h"
+#include "basilspring/fleet/fleet_config.h"
+#include "basilspring/fleet/job_model.h"
+#include "basilspring/fleet/peer_messages.h"
+#include "basilspring/fleet/run_time_model.h"
+
+namespace basilspring::fleet {
+
+/// Times of the scheduler's decisions. Those that the platform promises are settings.
+struct SchedulerOptions {
+  /// How long a backend server's runs may go on after an agent's report was answered. Longer than a
+  /// change of the scheduler takes, so that no work is lost by it.
+  Duration lease = Duration(5000);
+  /// Longest time that a backend server takes to stop a run.
+  Duration stop_time = Duration(900);
+  /// A task takes this many times as long away from its data's rack, or with its step spread.
+  std::int64_t far_factor = 3;
+  /// An agent that has not reported for this long gets no new work.
+  Duration silence_limit = Duration(1500);
+  /// An unanswered stop is sent again after this time.
+  Duration stop_retry = Duration(500);
+  /// A run whose progress stands still for this long is stopped and started elsewhere.
+  Duration stall_limit = Duration(3000);
+  /// First time that a backend server which fails what it starts gets nothing new; doubles.
+  Duration first_probation = Duration(4000);
+  /// How long before a draining backend server leaves its runs are stopped to save their state.
+  Duration drain_margin = Duration(600);
+  /// How long a finished job is kept for its callers.
+  Duration keep_finished = Duration(120000);
+  /// A job of the first priority that is beyond its workspace's guarantee stops other work only
+  /// after waiting this long.
+  Duration borrow_wait = Duration(300);
+};
+
+/// Something that the scheduler decided, for the log.
+struct Decision {
+  std::string text;
+};
+
+/// Orders for one agent, with the number under which their answer is handed back.
+struct OutgoingOrders {
+  std::uint64_t batch = 0;
+  Address agent;
+  OrderBatch message;
+};
+
+/// A job's record to write; `version` is handed back when it is stored.
+struct ProgressSave {
+  JobId job;
+  std::uint64_t version = 0;
+  std::string bytes;
+  /// The job was kept long enough: remove all that the store has of it.
+  bool remove = false;
+};
+
+struct SchedulerOutput {
+  std::vector<OutgoingOrders> orders;
+  std::vector<ProgressSave> saves;
+  std::vector<Decision> decisions;
+};
+
+/// Numbers for the metrics address.
+struct SchedulerCounts {
+  std::uint64_t runs_started = 0;
+  std::uint64_t starts_refused = 0;
+  std::uint64_t runs_done = 0;
+  std::uint64_t runs_failed = 0;
+  std::uint64_t runs_lost = 0;
+  std::uint64_t runs_preempted = 0;
+  std::uint64_t runs_stalled = 0;
+  std::uint64_t jobs_completed = 0;
+  std::uint64_t jobs_failed = 0;
+  std::uint64_t jobs_cancelled = 0;
+  /// Core-milliseconds of run time that were thrown away.
+  std::uint64_t wasted_core_ms = 0;
+};
+
+/// Decides which task runs where, under one term of the scheduler's lease. Pure: time, reports and
+/// answers are arguments, and what is to be done is returned. A run holds its room until its end is
+/// listed, its stop is confirmed or its lease has provably run out, so no task runs twice.
+class SchedulerCore {
+ public:
+  SchedulerCore(SchedulerOptions options, Term term, TimePoint now);
+
+  void SetOperatorState(std::shared_ptr<const OperatorState> state);
+
+  /// Adds a job from the store; `progress` is what an earlier scheduler recorded of it.
+  /// `inherited` says that runs of an earlier term may exist.
+  void AddJob(TimePoint now, std::int64_t wall_ms, JobSpec spec,
+              const std::optional<JobProgress>& progress, bool inherited);
+  /// The caller has cancelled the job. Remembered also when the job comes later.
+  void CancelJob(const JobId& job);
+  /// An agent that may have runs of an earlier term.
+  void ExpectAgent(const NodeId& node, const Address& address);
+
+  /// Takes an agent's report and returns the answer.
+  AgentReportReply OnReport(TimePoint now, const AgentReport& report);
+  /// The answer to a batch of orders; none when it was lost.
+  void OnOrdersAnswered(TimePoint now, std::uint64_t batch,
+                        const std::optional<OrderBatchReply>& reply);
+  /// The record of a job is stored.
+  void OnSaved(const JobId& job, std::uint64_t version);
+
+  /// Decides. With `may_start` false (the lease is in doubt) nothing is started.
+  SchedulerOutput Tick(TimePoint now, std::int64_t wall_ms, bool may_start);
+
+  /// The phase that callers may be shown, or nothing when the job is not known here. A final phase
+  /// is shown once it is stored.
+  std::optional<JobPhase> PhaseOf(const JobId& job) const;
+  std::vector<QueueSummary> Summaries() const;
+  /// The number up to which the ends of this agent's backend server are stored.
+  std::int64_t AcknowledgedEnd(const NodeId& node) const;
+  /// Whether an answer to the agent's report should wait, because ends in it are being stored.
+  bool HasUnsavedEnds(const NodeId& node) const;
+  const SchedulerCounts& counts() const { return counts_; }
+  std::size_t worker_count() const { return workers_.size(); }
+
+ private:
+  struct RunKey {
+    TaskId task;
+    RunNumber run;
+    auto operator<=>(const RunKey&) const = default;
+  };
+
+  /// A run that may be going on at a worker and holds room there.
+  struct Allocation {
+    Resources needs;
+    TimePoint ordered_at;
+    bool confirmed = false;
+    bool stopping = false;
+    bool preempted = false;
+    /// The next time to send its stop.
+    TimePoint stop_due;
+    /// From this poll on the worker's rows are authoritative for the run; 0 while unknown.
+    std::uint64_t visible_from = 0;
+    std::string checkpoint;
+    std::int32_t percent = 0;
+    TimePoint progressed_at;
+    TimePoint working_since;
+    /// Its run time tells how long such tasks take: started here, from the beginning, near its data.
+    bool measured = false;
+  };
+
+  struct Worker {
+    NodeId node;
+    Address address;
+    std::uint64_t incarnation = 0;
+    std::uint64_t report_number = 0;
+    /// Whether the agent has reported in this term.
+    bool reported = false;
+    TimePoint last_report;
+    /// The last report that showed that runs may still be extended.
+    TimePoint last_alive;
+    std::optional<BackendAnnouncement> backend;
+    Duration poll_age;
+    TimePoint drain_deadline;
+    std::map<RunKey, Allocation> runs;
+    /// Last end that was taken in, and for each end not yet stored the job version it needs.
+    std::int64_t last_end = 0;
+    std::map<std::int64_t, std::pair<JobId, std::uint64_t>> unsaved_ends;
+    /// Failures since the last success, by job; grounds for suspicion.
+    std::set<JobId> failed_jobs;
+    TimePoint probation_until;
+    Duration next_probation;
+    TimePoint refused_until;
+  };
+
+  enum class TaskPhase : std::uint8_t { kWaiting, kActive, kDone };
+
+  struct Task {
+    TaskPhase phase = TaskPhase::kWaiting;
+    std::set<RunNumber> failed_runs;
+    /// Starts in this term.
+    std::uint64_t runs = 0;
+    /// The run in force while active.
+    RunNumber run;
+    NodeId worker;
+    std::string checkpoint;
+    std::int32_t saved_percent = 0;
+    /// Workers where a run of the task has failed.
+    std::set<NodeId> failed_on;
+    /// Runs that still hold room, also ones that were given up.
+    std::int32_t live_runs = 0;
+    TimePoint not_before;
+    bool ever_started = false;
+  };
+
+  struct Step {
+    std::vector<Task> tasks;
+    std::int32_t done = 0;
+    std::optional<TimePoint> ready_at;
+    /// Workers held for the step while what runs there is being stopped.
+    std::vector<NodeId> reserved;
+    TimePoint reserved_at;
+    std::uint32_t preemptions = 0;
+  };
+
+  struct Job {
+    JobSpec spec;
+    Queue queue;
+    TimePoint accepted_at;
+    JobPhase phase = JobPhase::kQueued;
+    bool phase_stored = false;
+    bool cancelled = false;
+    std::int64_t finished_unix_ms = 0;
+    std::vector<Step> steps;
+    std::uint64_t version = 0;
+    std::uint64_t saving = 0;
+    std::uint64_t saved = 0;
+    /// Read from the store when the term began, so runs of earlier terms may exist.
+    bool inherited = false;
+    bool started = false;
+  };
+
+  /// A step that could start now.
+  struct ReadyStep {
+    Job* job = nullptr;
+    std::size_t step = 0;
+    std::int32_t tier = 0;
+    TimePoint latest_start;
+  };
+
+  // scheduler_core.cc
+  static std::size_t StepIndex(const Job& job, const TaskId& task);
+  static const StepSpec& SpecOf(const Job& job, std::size_t step);
+  static TaskId IdOf(const Job& job, std::size_t step, std::size_t index);
+  /// The job and step of a task, or nullptr when there is no such task.
+  Job* FindJob(const TaskId& task);
+  static Task& TaskOf(Job& job, const TaskId& task);
+  void RefreshQueue(Job& job);
+  void Finish(Job& job, JobPhase phase, const std::string& reason);
+  static JobProgress ProgressOf(const Job& job);
+  void CollectSaves(SchedulerOutput& out);
+  void RemoveOldJobs(SchedulerOutput& out);
+
+  // scheduler_runs.cc
+  void AdoptRow(TimePoint now, Worker& worker, const RunningRow& row, std::uint64_t poll);
+  void TakeEnd(TimePoint now, Worker& worker, const EndedRow& end);
+  void ApplyEnd(TimePoint now, Worker& worker, const RunKey& key, RunEnd end,
+                const std::string& checkpoint);
+  void CountFailure(TimePoint now, Worker& worker, Job& job, const RunKey& key);
+  void CountWorkerFailure(TimePoint now, Worker& worker, const JobId& job);
+  void MarkDone(Job& job, const TaskId& task);
+  void DropVanishedRuns(TimePoint now, Worker& worker, const AgentReport& report);
+  void TakeLife(TimePoint now, Worker& worker, const AgentReport& report);
+  void LoseWorker(TimePoint now, Worker& worker, const std::string& reason);
+  void RequestStop(TimePoint now, Worker& worker, const RunKey& key, Allocation& run);
+  void StopStep(TimePoint now, Job& job, std::size_t step, bool preempted);
+  void Release(TimePoint now, Worker& worker, const RunKey& key, bool lost);
+  void StopUnwanted(TimePoint now);
+  void CheckSilentWorkers(TimePoint now);
+  void CheckStalls(TimePoint now);
+  void CheckDrains(TimePoint now);
+  void EmitOrders(TimePoint now, SchedulerOutput& out);
+
+  // scheduler_queue.cc
+  std::vector<ReadyStep> ReadySteps(TimePoint now, const std::set<JobId>& guaranteed);
+  bool StepIsReady(const Job& job, std::size_t step) const;
+  static std::vector<std::int32_t> WaitingTasks(const Job& job, std::size_t step, TimePoint now);
+  std::set<JobId> GuaranteedJobs() const;
+  Duration Chain(const Job& job) const;
+  bool IsUsable(TimePoint now, const Worker& worker, const ServiceId& service) const;
+  bool RecoveryPending(TimePoint now) const;
+  TimePoint LeaseHorizon(TimePoint granted) const;
+  void Schedule(TimePoint now);
+  void TryStart(TimePoint now, const ReadyStep& ready, const std::set<JobId>& guaranteed);
+  bool TryReserved(TimePoint now, const ReadyStep& ready, const std::vector<std::int32_t>& waiting);
+  struct View;
+  View BuildView(TimePoint now, const ReadyStep& ready) const;
+  void AddVictims(TimePoint now, const ReadyStep& ready, const std::set<JobId>& guaranteed,
+                  View& view) const;
+  void Start(TimePoint now, Job& job, std::size_t step, const std::vector<std::int32_t>& tasks,
+             const std::vector<NodeId>& workers);
+  void Preempt(TimePoint now, const View& view, const std::vector<std::size_t>& victims);
+  double LostWork(const Job& job, const RunKey& key, const Allocation& run, TimePoint now) const;
+  Resources ReservedByOthers(const NodeId& node, const Step* own) const;
+  Resources FreeRoom(const Worker& worker) const;
+
+  void Say(std::string text) { decisions_.push_back({std::move(text)}); }
+
+  SchedulerOptions options_;
+  Term term_;
+  TimePoint term_began_;
+  std::int64_t wall_ms_ = 0;
+  std::shared_ptr<const OperatorState> operators_;
+  std::map<JobId, Job> jobs_;
+  std::set<JobId> cancelled_early_;
+  std::map<NodeId, Worker> workers_;
+  RunTimeModel run_times_;
+  struct BatchInFlight {
+    NodeId node;
+    std::uint64_t incarnation = 0;
+    BackendId backend;
+    std::int64_t born_unix_ms = 0;
+    std::vector<std::pair<RunKey, bool>> orders;
+  };
+  std::map<std::uint64_t, BatchInFlight> batches_;
+  std::uint64_t next_batch_ = 1;
+  struct PendingOrder {
+    NodeId worker;
+    Order order;
+  };
+  std::vector<PendingOrder> pending_orders_;
+  std::vector<Decision> decisions_;
+  SchedulerCounts counts_;
+};
+
+}  // namespace basilspring::fleet
+
+#endif  // BASILSPRING_FLEET_SCHEDULER_CORE_H_
--- /dev/null
+++ b/include/basilspring/fleet/store.h
@@ -0,0 +1,128 @@
+#ifndef BASILSPRING_FLEET_STORE_H_
+#define BASILSPRING_FLEET_STORE_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "basilspring/clock.h"
+#include "basilspring/connection/serialize.h"
+
+/// The key-value store that keeps what must outlive every process, as the product needs it.
+namespace basilspring::fleet {
+
+struct StoreItem {
+  std::string key;
+  std::string value;
+  /// Revision of the last change.
+  std::int64_t revision = 0;
+  /// The key was removed; only in the events of a watch.
+  bool removed = false;
+  BASILSPRING_SERIALIZE(key, value, revision, removed)
+};
+
+enum class StoreStatus : std::uint8_t {
+  kOk,
+  /// The key or lease does not exist.
+  kNotFound,
+  /// A condition of the transaction does not hold.
+  kConflict,
+  /// The history that a watch asked for is gone.
+  kHistoryLost,
+  /// Nothing was done.
+  kUnavailable,
+  /// The call may have been carried out, or may still be.
+  kUnknown,
+};
+
+std::string_view StoreStatusName(StoreStatus status);
+
+struct StoreReply {
+  StoreStatus status = StoreStatus::kUnknown;
+  std::vector<StoreItem> items;
+  /// Revision of the store at the answer; for a transaction that of the change.
+  std::int64_t revision = 0;
+  /// More keys follow the last item.
+  bool more = false;
+  std::int64_t lease = 0;
+  Duration lease_time;
+  std::string message;
+};
+
+struct StoreCondition {
+  std::string key;
+  /// Revision that the key must have; 0 when it must not exist.
+  std::int64_t revision = 0;
+  BASILSPRING_SERIALIZE(key, revision)
+};
+
+struct StoreWrite {
+  std::string key;
+  std::string value;
+  /// The key goes when this lease ends; 0 for none.
+  std::int64_t lease = 0;
+  BASILSPRING_SERIALIZE(key, value, lease)
+};
+
+enum class StoreOperation : std::uint8_t {
+  kGet,
+  kRange,
+  kWatch,
+  kTransaction,
+  kGrantLease,
+  kRenewLease,
+  kEndLease,
+};
+
+/// One call of the store. Which members count depends on the operation.
+struct StoreCall {
+  std::uint8_t operation = 0;
+  /// Get: the key. Range and watch: the prefix.
+  std::string key;
+  /// Range: the last key of the page before.
+  std::string after_key;
+  /// Watch: events after this revision.
+  std::int64_t after_revision = 0;
+  /// Range and get: an answer that is seconds old will do.
+  bool stale_allowed = false;
+  std::vector<StoreCondition> conditions;
+  std::vector<StoreWrite> writes;
+  std::vector<std::string> removals;
+  std::int64_t lease = 0;
+  Duration lease_time;
+  /// Watch: how long the store may wait for an event.
+  Duration wait;
+  /// Time after which the outcome counts as unknown; for a watch in addition to `wait`.
+  Duration timeout = Duration(1000);
+
+  BASILSPRING_SERIALIZE(operation, key, after_key, after_revision, stale_allowed, conditions,
+                        writes, removals, lease, lease_time, wait, timeout)
+
+  StoreOperation kind() const { return static_cast<StoreOperation>(operation); }
+  static StoreCall Get(std::string key);
+  static StoreCall Range(std::string prefix, std::string after_key = "");
+  static StoreCall Watch(std::string prefix, std::int64_t after_revision, Duration wait);
+  static StoreCall Transaction();
+  static StoreCall GrantLease(Duration time);
+  static StoreCall RenewLease(std::int64_t lease);
+  static StoreCall EndLease(std::int64_t lease);
+
+  StoreCall& If(std::string key, std::int64_t revision);
+  StoreCall& Set(std::string key, std::string value, std::int64_t lease = 0);
+  StoreCall& Remove(std::string key);
+};
+
+using StoreHandler = std::function<void(StoreReply)>;
+
+/// Carries calls to the store. Thread-safe; the handler is called once, on any thread.
+class Store {
+ public:
+  virtual ~Store() = default;
+  virtual void Call(const StoreCall& call, StoreHandler handler) = 0;
+};
+
+}  // namespace basilspring::fleet
+
+#endif  // BASILSPRING_FLEET_STORE_H_
--- /dev/null
+++ b/include/basilspring/fleet/store_access.h
@@ -0,0 +1,60 @@
+#ifndef BASILSPRING_FLEET_STORE_ACCESS_H_
+#define BASILSPRING_FLEET_STORE_ACCESS_H_
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+#include "basilspring/clock.h"
+#include "basilspring/connection/address.h"
+#include "basilspring/fleet/peer_client.h"
+#include "basilspring/fleet/store.h"
+
+namespace basilspring::fleet {
+
+struct StoreAccessCounts {
+  std::uint64_t direct_calls = 0;
+  std::uint64_t relayed_calls = 0;
+  std::uint64_t failures = 0;
+};
+
+/// Reaches the store directly, or through a peer while the store refuses this host or can't be
+/// reached from it. Used on the process's own thread only; handlers run there.
+class StoreAccess {
+ public:
+  StoreAccess(Store& store, PeerClient& peers, Executor executor);
+  ~StoreAccess();
+  StoreAccess(const StoreAccess&) = delete;
+  StoreAccess& operator=(const StoreAccess&) = delete;
+
+  void Call(const StoreCall& call, StoreHandler handler);
+  /// Makes a call for a peer: directly only, so that calls don't go round.
+  void CallForPeer(const StoreCall& call, StoreHandler handler);
+  /// Processes to relay through.
+  void SetPeers(std::vector<Address> peers);
+
+  /// When the store last answered, by any way.
+  TimePoint last_answer() const { return last_answer_; }
+  const StoreAccessCounts& counts() const { return counts_; }
+
+ private:
+  void Direct(const StoreCall& call, StoreHandler handler, bool may_relay);
+  void Relay(const StoreCall& call, StoreHandler handler, std::size_t attempt, bool may_go_direct);
+  void MarkDirect(const StoreReply& reply);
+
+  Store& store_;
+  PeerClient& peers_client_;
+  Executor executor_;
+  std::vector<Address> peers_;
+  std::size_t next_peer_ = 0;
+  TimePoint direct_bad_until_;
+  Duration direct_pause_;
+  bool direct_good_ = true;
+  TimePoint last_answer_;
+  StoreAccessCounts counts_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace basilspring::fleet
+
+#endif  // BASILSPRING_FLEET_STORE_ACCESS_H_
--- a/include/basilspring/process/agent_events.h
+++ b/include/basilspring/process/agent_events.h
@@ -43,7 +43,7 @@
   Duration timeout;
   /// Set after a call without an answer, whose connection may be silent for good.
   bool fresh_connection = false;
-  /// The rest is for start only. `not_after` is on CLOCK_MONOTONIC of this host.
+  /// The rest is for start only. `not_after` is on CLOCK_BOOTTIME of this host.
   TimePoint not_after;
   std::uint32_t tasks = 1;
   AcceleratorMask accelerators = 0;
--- a/include/basilspring/process/command_line.h
+++ b/include/basilspring/process/command_line.h
@@ -1,6 +1,8 @@
 #ifndef BASILSPRING_PROCESS_COMMAND_LINE_H_
 #define BASILSPRING_PROCESS_COMMAND_LINE_H_
 
+#include "basilspring/fleet/node.h"
+
 namespace basilspring {
 
 /// Exit codes of all commands.
@@ -13,7 +15,7 @@
 };
 
 /// Runs `basilspring COMMAND ...` and returns the exit code.
-int RunCommandLine(int argc, char** argv);
+int RunCommandLine(int argc, char** argv, const fleet::CarrierFactory& make_carriers);
 
 }  // namespace basilspring
 
--- a/include/basilspring/process/io_thread.h
+++ b/include/basilspring/process/io_thread.h
@@ -25,6 +25,8 @@
   void PostAfter(Duration delay, std::function<void()> function);
   /// Calls the handler on the I/O thread for the first SIGTERM or SIGINT.
   void OnStopSignal(std::function<void()> handler);
+  /// Calls the handler on the I/O thread for each SIGHUP, which then no longer ends the process.
+  void OnReloadSignal(std::function<void()> handler);
 
   struct Impl;
   Impl& impl() { return *impl_; }
--- a/include/basilspring/process/log_events.h
+++ b/include/basilspring/process/log_events.h
@@ -7,8 +7,8 @@
 namespace basilspring {
 
 /// Numbers of the log events: 1xx process, 2xx entry, 3xx cell scheduler, 4xx agent, 5xx store,
-/// 6xx connections, 7xx configuration. Each has its row in src/process/log_events.cc and in
-/// docs/events.md. A number is never used again for another event.
+/// 6xx connections, 7xx configuration, 8xx scheduling over the whole fleet. Each has its row in
+/// src/process/log_events.cc and in docs/events.md. A number is never used again for another event.
 enum class EventId : std::uint16_t {
   kProcessStarted = 100,
   kProcessStopping = 101,
@@ -72,6 +72,15 @@
   kConfigurationApplied = 700,
   kConfigurationIgnored = 701,
   kConfigurationConflict = 702,
+  kSettingsReloaded = 703,
+  kFleetDecision = 800,
+  kFleetScheduler = 801,
+  kFleetStore = 802,
+  kFleetRequest = 803,
+  kFleetAgent = 804,
+  kFleetConfiguration = 805,
+  kFleetPeer = 806,
+  kLogLinesLeftOut = 807,
 };
 
 std::string_view EventName(EventId event);
--- a/src/clock.cc
+++ b/src/clock.cc
@@ -1,14 +1,17 @@
 #include "basilspring/clock.h"
 
 #include <chrono>
+#include <ctime>
 
 namespace basilspring {
 
 TimePoint Clock::Now() {
-  // libstdc++'s steady_clock is CLOCK_MONOTONIC, the clock that backend servers compare not_after
-  // with.
-  const auto since_boot = std::chrono::steady_clock::now().time_since_epoch();
-  return TimePoint(std::chrono::duration_cast<std::chrono::milliseconds>(since_boot).count());
+  // The monotonic clock stands still while a host is suspended, and leases must not outlive that.
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  constexpr std::int64_t kMillisecondsPerSecond = 1000;
+  constexpr std::int64_t kNanosecondsPerMillisecond = 1000000;
+  return TimePoint(now.tv_sec * kMillisecondsPerSecond + now.tv_nsec / kNanosecondsPerMillisecond);
 }
 
 std::int64_t Clock::WallMilliseconds() {
--- a/src/error.cc
+++ b/src/error.cc
@@ -59,6 +59,10 @@
     {kInternal, "internal", 500, kUnknown, false, 4, "internal error"},
     {kKeyUnverified, "key_unverified", 503, kUnknown, true, 4,
      "it is not known whether an earlier request with this key has run; repeat with the same key"},
+    {kUnauthorized, "unauthorized", 401, kNotRun, false, 1, "no workspace has this key"},
+    {kJobUnknown, "job_unknown", 410, kNotApplicable, false, 1, "no such job was accepted"},
+    {kNoConfiguration, "no_configuration", 503, kNotRun, true, 1,
+     "the operators' configuration has not been read yet"},
 }};
 
 constexpr bool RowsMatchTheirKinds() {
--- /dev/null
+++ b/src/fleet/agent_core.cc
@@ -0,0 +1,318 @@
+#include "basilspring/fleet/agent_core.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace basilspring::fleet {
+namespace {
+
+// A start or stop without an answer is repeated this often. The backend server knows the run by its
+// number, so a repeat does no harm.
+constexpr int kStartAttempts = 3;
+constexpr int kStopAttempts = 4;
+// A run whose lease ends sooner than this is not started.
+constexpr Duration kLeastLease(700);
+// Reports whose send time is remembered; more than are sent within `order_freshness`.
+constexpr std::size_t kRememberedReports = 64;
+constexpr int kMaxReportsInFlight = 2;
+// Pause between look-ups of the scheduler.
+constexpr Duration kSearchInterval(400);
+// A poll that failed is repeated after this time.
+constexpr Duration kPollRetry(150);
+
+}  // namespace
+
+FleetAgentCore::FleetAgentCore(FleetAgentOptions options) : options_(std::move(options)) {}
+
+bool FleetAgentCore::SameLife(const BackendAnnouncement& other) const {
+  return backend_ && backend_->id == other.id && backend_->born_unix_ms == other.born_unix_ms;
+}
+
+void FleetAgentCore::Forget() {
+  running_.clear();
+  ended_.clear();
+  acknowledged_ = 0;
+  poll_answered_ = 0;
+  clock_known_ = false;
+  poll_not_before_ = TimePoint();
+}
+
+bool FleetAgentCore::OnAnnouncement(TimePoint /*now*/, const BackendAnnouncement& announcement) {
+  if (backend_) {
+    // A late announcement of a former life must not replace the present one.
+    if (announcement.born_unix_ms < backend_->born_unix_ms) return false;
+    if (SameLife(announcement) && announcement.sequence <= backend_->sequence) return false;
+  }
+  const bool same = SameLife(announcement);
+  const bool changed = !same || announcement.draining != backend_->draining;
+  if (!same) {
+    Forget();
+    Say(fmt::format("backend={} born={} service={} accelerators={} announced itself",
+                    announcement.id.value(), announcement.born_unix_ms,
+                    announcement.service.value(), announcement.capacity.accelerators));
+  } else if (changed) {
+    Say(fmt::format("backend={} draining={} remaining_ms={}", announcement.id.value(),
+                    announcement.draining, announcement.drain_remaining.milliseconds()));
+  }
+  backend_ = announcement;
+  if (changed) report_due_ = true;
+  return true;
+}
+
+void FleetAgentCore::OnLeave(TimePoint /*now*/, const BackendId& id) {
+  if (!backend_ || backend_->id != id) return;
+  Say(fmt::format("backend={} has left", id.value()));
+  // It stays known as draining until another life announces itself, so that a late announcement
+  // does not bring it back.
+  backend_->draining = true;
+  backend_->drain_remaining = Duration(0);
+  report_due_ = true;
+}
+
+void FleetAgentCore::OnScheduler(TimePoint /*now*/, Term term, const Address& scheduler) {
+  if (term < term_ || scheduler.empty()) return;
+  if (term > term_ || scheduler != scheduler_) {
+    Say(fmt::format("scheduler={} term={} former_term={}", scheduler.ToString(), term.value(),
+                    term_.value()));
+    report_due_ = true;
+    report_not_before_ = TimePoint();
+  }
+  term_ = term;
+  scheduler_ = scheduler;
+}
+
+void FleetAgentCore::OnReportAnswered(TimePoint now, std::uint64_t number,
+                                      const std::optional<AgentReportReply>& reply) {
+  --reports_in_flight_;
+  if (!reply) {
+    report_due_ = true;
+    report_not_before_ = now + options_.report_retry;
+    return;
+  }
+  if (!reply->accepted) {
+    report_due_ = true;
+    report_not_before_ = now + options_.report_retry;
+    OnScheduler(now, reply->term, reply->scheduler);
+    return;
+  }
+  // The answer of a deposed scheduler extends nothing.
+  if (reply->term < term_) return;
+  term_ = reply->term;
+  last_contact_ = now;
+  const auto sent = std::find_if(reports_sent_.begin(), reports_sent_.end(),
+                                 [&](const auto& row) { return row.first == number; });
+  if (sent != reports_sent_.end()) {
+    lease_until_ = std::max(lease_until_, sent->second + reply->lease);
+  }
+  if (backend_ && reply->born_unix_ms == backend_->born_unix_ms &&
+      reply->acknowledged > acknowledged_) {
+    acknowledged_ = reply->acknowledged;
+    std::erase_if(ended_, [&](const EndedRow& row) { return row.number <= acknowledged_; });
+    poll_not_before_ = now;
+  }
+}
+
+std::int64_t FleetAgentCore::BackendClock(TimePoint moment) const {
+  // The clock was read before its answer arrived, so this never lies in the future of what the
+  // backend server shows at that moment.
+  return clock_ms_ + (moment - clock_read_at_).milliseconds();
+}
+
+BackendStatus FleetAgentCore::Refusal(TimePoint now, const OrderBatch& batch, bool start) const {
+  if (batch.term < term_) return BackendStatus::kStaleTerm;
+  if (batch.incarnation != options_.incarnation) return BackendStatus::kRefused;
+  if (!backend_ || backend_->id != batch.backend || backend_->born_unix_ms != batch.born_unix_ms) {
+    return BackendStatus::kOtherLife;
+  }
+  if (!start) return BackendStatus::kOk;
+  const auto sent = std::find_if(reports_sent_.begin(), reports_sent_.end(),
+                                 [&](const auto& row) { return row.first == batch.report; });
+  if (sent == reports_sent_.end() || now - sent->second > options_.order_freshness) {
+    return BackendStatus::kTooLate;
+  }
+  if (backend_->draining || !clock_known_ || lease_until_ - now < kLeastLease) {
+    return BackendStatus::kRefused;
+  }
+  return BackendStatus::kOk;
+}
+
+void FleetAgentCore::OnOrders(TimePoint now, std::uint64_t token, const OrderBatch& batch) {
+  OnScheduler(now, batch.term, batch.scheduler);
+  Batch& row = batches_[token];
+  row.statuses.resize(batch.orders.size(), static_cast<std::uint8_t>(BackendStatus::kOk));
+  for (std::size_t i = 0; i < batch.orders.size(); ++i) {
+    const Order& order = batch.orders[i];
+    const BackendStatus refusal = Refusal(now, batch, order.start);
+    if (refusal != BackendStatus::kOk) {
+      row.statuses[i] = static_cast<std::uint8_t>(refusal);
+      Say(fmt::format("task={} run={} order={} term={} own_term={} report={} refused: {}",
+                      order.task.ToString(), order.run.value(), order.start ? "start" : "stop",
+                      batch.term.value(), term_.value(), batch.report, BackendStatusName(refusal)));
+      continue;
+    }
+    Call call;
+    call.batch = token;
+    call.index = i;
+    call.order.start = order.start;
+    call.order.start_run = {order.task,       order.run, order.payload,
+                            order.checkpoint, term_,     BackendClock(lease_until_)};
+    call.order.stop_run = {order.task, order.run, term_};
+    ++row.open;
+    Issue(std::move(call));
+  }
+  if (row.open > 0) return;
+  effects_.answers.emplace_back(token, OrderBatchReply{term_, row.statuses, polls_sent_ + 1});
+  batches_.erase(token);
+}
+
+void FleetAgentCore::Issue(Call call) {
+  const std::uint64_t token = next_call_++;
+  call.order.token = token;
+  call.order.repeated = call.attempts > 0;
+  ++call.attempts;
+  effects_.orders.push_back(call.order);
+  calls_[token] = std::move(call);
+}
+
+void FleetAgentCore::OnOrderDone(TimePoint now, std::uint64_t token, const BackendReply& reply) {
+  const auto found = calls_.find(token);
+  if (found == calls_.end()) return;
+  Call call = std::move(found->second);
+  calls_.erase(found);
+  const bool unknown = reply.status == BackendStatus::kUnknown;
+  if (call.order.start) {
+    Say(fmt::format("task={} run={} attempt={} order=start status={} {}",
+                    call.order.start_run.task.ToString(), call.order.start_run.run.value(),
+                    call.attempts, BackendStatusName(reply.status), reply.message));
+    call.in_doubt = call.in_doubt || unknown;
+    if (unknown && call.attempts < kStartAttempts) {
+      call.order.start_run.lease_until_ms = BackendClock(lease_until_);
+      Issue(std::move(call));
+    } else if (!call.in_doubt || reply.status == BackendStatus::kOk) {
+      Resolve(call, reply.status);
+    } else if (reply.status == BackendStatus::kStaleRun) {
+      // The attempt in doubt was carried out, and the run has ended already: the poll lists it.
+      Resolve(call, BackendStatus::kOk);
+    } else {
+      call.order.start = false;
+      call.fencing = true;
+      call.attempts = 0;
+      Issue(std::move(call));
+    }
+    return;
+  }
+  if (unknown && call.attempts < kStopAttempts) {
+    Issue(std::move(call));
+    return;
+  }
+  Say(fmt::format("task={} run={} attempts={} order=stop status={} {}",
+                  call.order.stop_run.task.ToString(), call.order.stop_run.run.value(),
+                  call.attempts, BackendStatusName(reply.status), reply.message));
+  const bool stopped = reply.status == BackendStatus::kOk;
+  poll_not_before_ = now;
+  if (call.fencing) {
+    // Stopped before it could start: as if the start had been refused.
+    Resolve(call, stopped ? BackendStatus::kRefused : BackendStatus::kUnknown);
+  } else {
+    Resolve(call, reply.status);
+  }
+}
+
+void FleetAgentCore::Resolve(const Call& call, BackendStatus status) {
+  const auto found = batches_.find(call.batch);
+  if (found == batches_.end()) return;
+  Batch& batch = found->second;
+  batch.statuses[call.index] = static_cast<std::uint8_t>(status);
+  if (--batch.open > 0) return;
+  effects_.answers.emplace_back(call.batch,
+                                OrderBatchReply{term_, batch.statuses, polls_sent_ + 1});
+  batches_.erase(found);
+}
+
+void FleetAgentCore::OnPolled(TimePoint now, const BackendReply& reply) {
+  poll_in_flight_ = false;
+  if (reply.status != BackendStatus::kOk) {
+    poll_not_before_ = now + kPollRetry;
+    if (reply.status != BackendStatus::kUnknown) {
+      Say(fmt::format("poll={} status={} {}", polls_sent_, BackendStatusName(reply.status),
+                      reply.message));
+    }
+    return;
+  }
+  if (!backend_) return;
+  if (reply.born_unix_ms != 0 && reply.born_unix_ms != backend_->born_unix_ms) {
+    // The backend server was started anew under its id; what it was is told by its announcement.
+    Say(fmt::format("backend={} answers for another life: born={} instead of {}",
+                    backend_->id.value(), reply.born_unix_ms, backend_->born_unix_ms));
+    poll_not_before_ = now + kPollRetry;
+    return;
+  }
+  poll_answered_ = polls_sent_;
+  last_polled_ = now;
+  clock_ms_ = reply.clock_ms;
+  clock_read_at_ = now;
+  clock_known_ = true;
+  const bool rows_changed = reply.running.size() != running_.size();
+  running_ = reply.running;
+  ended_.clear();
+  for (const EndedRow& row : reply.ended) {
+    if (row.number > acknowledged_) ended_.push_back(row);
+  }
+  if (!ended_.empty()) {
+    poll_not_before_ = now + options_.unacknowledged_pause;
+    report_due_ = true;
+  } else if (rows_changed) {
+    report_due_ = true;
+  }
+}
+
+AgentReport FleetAgentCore::MakeReport(TimePoint now) {
+  AgentReport report;
+  report.node = options_.node;
+  report.address = options_.address;
+  report.incarnation = options_.incarnation;
+  report.number = ++report_number_;
+  report.term = term_;
+  if (backend_) report.backend.push_back(*backend_);
+  report.poll = poll_answered_;
+  report.poll_age = poll_answered_ == 0 ? Duration::Seconds(3600) : now - last_polled_;
+  report.running = running_;
+  report.ended = ended_;
+  reports_sent_.emplace_back(report.number, now);
+  if (reports_sent_.size() > kRememberedReports) reports_sent_.pop_front();
+  ++reports_in_flight_;
+  report_due_ = false;
+  last_report_ = now;
+  return report;
+}
+
+AgentEffects FleetAgentCore::Tick(TimePoint now) {
+  if (backend_ && !poll_in_flight_ && now >= poll_not_before_) {
+    PollRuns poll;
+    poll.term = term_;
+    if (clock_known_ && lease_until_ > now) poll.lease_until_ms = BackendClock(lease_until_);
+    poll.acknowledged = acknowledged_;
+    // The first poll only reads the clock, and ends that wait to be recorded would end any wait.
+    const bool wait = clock_known_ && ended_.empty();
+    poll.wait = wait ? options_.poll_wait : Duration(0);
+    poll_in_flight_ = true;
+    ++polls_sent_;
+    effects_.poll = poll;
+  }
+  const bool silent = now - last_contact_ > options_.report_interval * 2;
+  if ((scheduler_.empty() || silent) && now - last_search_ >= kSearchInterval) {
+    last_search_ = now;
+    effects_.find_scheduler = true;
+  }
+  const bool due = report_due_ || now - last_report_ >= options_.report_interval;
+  if (due && !scheduler_.empty() && now >= report_not_before_ &&
+      reports_in_flight_ < kMaxReportsInFlight) {
+    effects_.report_to = scheduler_;
+    effects_.reports.push_back(MakeReport(now));
+  }
+  return std::exchange(effects_, {});
+}
+
+}  // namespace basilspring::fleet
--- /dev/null
+++ b/src/fleet/agent_driver.cc
@@ -0,0 +1,108 @@
+#include "fleet/agent_driver.h"
+
+#include <utility>
+
+#include "basilspring/process/log.h"
+#include "fleet/peer_call.h"
+
+namespace basilspring::fleet {
+namespace {
+
+// A report may wait until its ends are recorded.
+constexpr Duration kReportTimeout(900);
+
+}  // namespace
+
+AgentDriver::AgentDriver(Context context, FleetAgentOptions options)
+    : context_(std::move(context)), core_(std::move(options)) {}
+
+AgentDriver::~AgentDriver() { *alive_ = false; }
+
+void AgentDriver::OnAnnouncement(const BackendAnnouncement& announcement) {
+  const TimePoint now = Clock::Now();
+  if (core_.OnAnnouncement(now, announcement)) {
+    life_ = announcement;
+  } else {
+    Log(EventId::kFleetAgent, "backend={} born={} sequence={} ignored: older than what is known",
+        announcement.id.value(), announcement.born_unix_ms, announcement.sequence);
+  }
+  Execute(core_.Tick(now));
+}
+
+void AgentDriver::OnLeave(const BackendId& id) {
+  core_.OnLeave(Clock::Now(), id);
+  Execute(core_.Tick(Clock::Now()));
+}
+
+void AgentDriver::OnScheduler(Term term, const Address& scheduler) {
+  core_.OnScheduler(Clock::Now(), term, scheduler);
+  Execute(core_.Tick(Clock::Now()));
+}
+
+void AgentDriver::OnOrders(const OrderBatch& batch, std::function<void(OrderBatchReply)> answer) {
+  const std::uint64_t token = next_batch_++;
+  answers_[token] = std::move(answer);
+  core_.OnOrders(Clock::Now(), token, batch);
+  Execute(core_.Tick(Clock::Now()));
+}
+
+void AgentDriver::Tick(TimePoint now) { Execute(core_.Tick(now)); }
+
+void AgentDriver::Execute(AgentEffects effects) {
+  for (const std::string& decision : effects.decisions) {
+    Log(EventId::kFleetAgent, "term={} {}", core_.term().value(), decision);
+  }
+  for (auto& [token, reply] : effects.answers) {
+    const auto found = answers_.find(token);
+    if (found == answers_.end()) continue;
+    found->second(reply);
+    answers_.erase(found);
+  }
+  if (effects.poll && life_) {
+    context_.backend.Poll(*life_, *effects.poll,
+                          [this, alive = alive_, executor = context_.executor](BackendReply reply) {
+                            executor([this, alive, reply = std::move(reply)] {
+                              if (!*alive) return;
+                              core_.OnPolled(Clock::Now(), reply);
+                              Execute(core_.Tick(Clock::Now()));
+                            });
+                          });
+  }
+  for (const BackendOrder& order : effects.orders) {
+    const auto done = [this, alive = alive_, executor = context_.executor,
+                       token = order.token](BackendReply reply) {
+      executor([this, alive, token, reply = std::move(reply)] {
+        if (!*alive) return;
+        core_.OnOrderDone(Clock::Now(), token, reply);
+        Execute(core_.Tick(Clock::Now()));
+      });
+    };
+    if (order.start) {
+      context_.backend.Start(*life_, order.start_run, done);
+    } else {
+      context_.backend.Stop(*life_, order.stop_run, done);
+    }
+  }
+  for (const AgentReport& report : effects.reports) SendReport(effects.report_to, report);
+  if (effects.find_scheduler) context_.find_scheduler();
+}
+
+void AgentDriver::SendReport(const Address& to, const AgentReport& report) {
+  const auto answered = [this, alive = alive_,
+                         number = report.number](const std::optional<AgentReportReply>& reply) {
+    if (!*alive) return;
+    core_.OnReportAnswered(Clock::Now(), number, reply);
+    Execute(core_.Tick(Clock::Now()));
+  };
+  SchedulerDuty* local = context_.local_scheduler();
+  if (local != nullptr && to == report.address) {
+    // Posted: the scheduler may answer at once, while this agent is still carrying out its effects.
+    local->OnReport(report, [executor = context_.executor, answered](const AgentReportReply& reply) {
+      executor([answered, reply] { answered(reply); });
+    });
+    return;
+  }
+  internal::CallPeer<AgentReportReply>(context_.peers, to, report, kReportTimeout, answered);
+}
+
+}  // namespace basilspring::fleet
--- /dev/null
+++ b/src/fleet/agent_driver.h
@@ -0,0 +1,56 @@
+#ifndef BASILSPRING_SRC_FLEET_AGENT_DRIVER_H_
+#define BASILSPRING_SRC_FLEET_AGENT_DRIVER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+#include "basilspring/fleet/agent_core.h"
+#include "basilspring/fleet/peer_client.h"
+#include "basilspring/fleet/scheduler_duty.h"
+
+namespace basilspring::fleet {
+
+/// Carries out what FleetAgentCore decides. Lives on the process's own thread.
+class AgentDriver {
+ public:
+  struct Context {
+    Backend& backend;
+    PeerClient& peers;
+    Executor executor;
+    /// Looks up who the scheduler is.
+    std::function<void()> find_scheduler;
+    /// The scheduler in this process, or nullptr.
+    std::function<SchedulerDuty*()> local_scheduler;
+  };
+
+  AgentDriver(Context context, FleetAgentOptions options);
+  ~AgentDriver();
+  AgentDriver(const AgentDriver&) = delete;
+  AgentDriver& operator=(const AgentDriver&) = delete;
+
+  void OnAnnouncement(const BackendAnnouncement& announcement);
+  void OnLeave(const BackendId& id);
+  void OnScheduler(Term term, const Address& scheduler);
+  void OnOrders(const OrderBatch& batch, std::function<void(OrderBatchReply)> answer);
+  void Tick(TimePoint now);
+
+  TimePoint last_contact() const { return core_.last_contact(); }
+  bool busy() const { return core_.busy(); }
+
+ private:
+  void Execute(AgentEffects effects);
+  void SendReport(const Address& to, const AgentReport& report);
+
+  Context context_;
+  FleetAgentCore core_;
+  std::optional<BackendAnnouncement> life_;
+  std::uint64_t next_batch_ = 1;
+  std::map<std::uint64_t, std::function<void(OrderBatchReply)>> answers_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace basilspring::fleet
+
+#endif  // BASILSPRING_SRC_FLEET_AGENT_DRIVER_H_
--- /dev/null
+++ b/src/fleet/backend.cc
@@ -0,0 +1,17 @@
+#include "basilspring/fleet/backend.h"
+
+#include <array>
+
+namespace basilspring::fleet {
+namespace {
+
+constexpr std::array<std::string_view, 8> kStatusNames = {
+    "ok", "stale-term", "stale-run", "too-late", "no-room", "other-life", "refused", "unknown"};
+
+}  // namespace
+
+std::string_view BackendStatusName(BackendStatus status) {
+  return kStatusNames.at(static_cast<std::size_t>(status));
+}
+
+}  // namespace basilspring::fleet
--- /dev/null
+++ b/src/fleet/entry_duty.cc
@@ -0,0 +1,349 @@
+#include "basilspring/fleet/entry_duty.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+#include "basilspring/process/log.h"
+#include "fleet/peer_call.h"
+
+namespace basilspring::fleet {
+namespace {
+
+constexpr std::size_t kJobIdLength = 16;
+// Time that a caller is taken to wait when it does not say.
+constexpr Duration kDefaultPatience(3000);
+// Kept of a caller's time for the way back.
+constexpr Duration kAnswerMargin(200);
+// One write of a job; the rest of the caller's time is for repeats.
+constexpr Duration kStoreTimeout(900);
+constexpr Duration kStoreRetry(60);
+// The scheduler answers from memory.
+constexpr Duration kSchedulerTimeout(450);
+constexpr Duration kSummaryInterval(700);
+constexpr Duration kSummaryRetry(200);
+constexpr Duration kSummaryTimeout(600);
+// Counts that callers are shown may be this old.
+constexpr Duration kSummaryAge(1900);
+// A caller that was refused because the store or the scheduler is away comes back after this time:
+// a new scheduler takes over within about three seconds.
+constexpr Duration kComeBack(1000);
+
+bool IsJobId(const std::string& text) {
+  return text.size() == kJobIdLength &&
+         std::all_of(text.begin(), text.end(),
+                     [](unsigned char c) { return std::isxdigit(c) != 0; });
+}
+
+}  // namespace
+
+EntryDuty::Exchange::~Exchange() = default;
+
+EntryDuty::EntryDuty(Context context) : context_(std::move(context)) {}
+
+EntryDuty::~EntryDuty() { *alive_ = false; }
+
+void EntryDuty::SetOperatorState(std::shared_ptr<const OperatorState> state) {
+  state_ = std::move(state);
+}
+
+void EntryDuty::OnScheduler(Term term, const Address& scheduler) {
+  if (term < term_ || (term == term_ && scheduler == scheduler_)) return;
+  Log(EventId::kFleetScheduler, "scheduler={} term={} former_term={}", scheduler.ToString(),
+      term.value(), term_.value());
+  term_ = term;
+  scheduler_ = scheduler;
+  next_summary_ = TimePoint();
+}
+
+void EntryDuty::OnSummary(TimePoint now, const SummaryReply& reply) {
+  if (!reply.accepted) {
+    if (reply.term > term_) OnScheduler(reply.term, reply.scheduler);
+    next_summary_ = now + kSummaryRetry;
+    return;
+  }
+  last_contact_ = now;
+  summary_ = reply;
+  summary_at_ = now;
+  known_peers_ = reply.peers;
+}
+
+void EntryDuty::Tick(TimePoint now) {
+  if (now < next_summary_ || summary_in_flight_) return;
+  const SummaryQuery query{context_.node, context_.own_address, term_};
+  next_summary_ = now + kSummaryInterval;
+  if (SchedulerDuty* local = context_.local_scheduler()) {
+    OnSummary(now, local->OnSummary(query));
+    return;
+  }
+  if (scheduler_.empty()) return;
+  summary_in_flight_ = true;
+  internal::CallPeer<SummaryReply>(
+      context_.peers, scheduler_, query, kSummaryTimeout,
+      [this, alive = alive_](const std::optional<SummaryReply>& reply) {
+        if (!*alive) return;
+        summary_in_flight_ = false;
+        if (reply) {
+          OnSummary(Clock::Now(), *reply);
+        } else {
+          next_summary_ = Clock::Now() + kSummaryRetry;
+        }
+      });
+}
+
+Duration EntryDuty::TimeLeft(const Exchange& exchange) const {
+  const Duration patience =
+      exchange.request.patience > Duration(0) ? exchange.request.patience : kDefaultPatience;
+  return exchange.begun + patience - kAnswerMargin - Clock::Now();
+}
+
+void EntryDuty::Answer(const ExchangePtr& exchange, const CallerAnswer& answer) {
+  if (exchange->responder == nullptr) return;
+  HttpResponse response = context_.format.Encode(answer);
+  const Duration took = Clock::Now() - exchange->begun;
+  const auto* refusal = std::get_if<RefusalAnswer>(&answer);
+  const auto* phase = std::get_if<JobPhaseAnswer>(&answer);
+  Log(EventId::kFleetRequest,
+      "job={} action={} queue={} workspace={} config={} status={} phase={} attempts={} took_ms={} "
+      "reason=\"{}\"",
+      exchange->job.value(), static_cast<int>(exchange->request.action), exchange->queue.value(),
+      exchange->workspace.value(), exchange->config_version, response.status,
+      phase == nullptr ? std::string_view("-") : JobPhaseName(phase->phase), exchange->attempts,
+      took.milliseconds(), refusal == nullptr ? "" : refusal->message);
+  context_.metrics
+      .GetCounter("basilspring_caller_requests_total",
+                  fmt::format("action=\"{}\",status=\"{}\"",
+                              static_cast<int>(exchange->request.action), response.status),
+                  "Callers' requests by action and status.")
+      .Add();
+  exchange->responder->Respond(std::move(response));
+  exchange->responder = nullptr;
+  --open_requests_;
+}
+
+void EntryDuty::Refuse(const ExchangePtr& exchange, ErrorKind kind, const std::string& reason,
+                       Duration retry_after) {
+  Answer(exchange, RefusalAnswer{kind, reason, retry_after});
+}
+
+void EntryDuty::OnCaller(HttpRequest http, std::shared_ptr<HttpResponder> responder) {
+  auto exchange = std::make_shared<Exchange>();
+  exchange->request = context_.format.DecodeRequest(std::move(http));
+  exchange->responder = std::move(responder);
+  exchange->begun = Clock::Now();
+  ++open_requests_;
+  const CallerRequest& request = exchange->request;
+  if (state_ == nullptr) {
+    Refuse(exchange, ErrorKind::kNoConfiguration, "no configuration has been read yet", kComeBack);
+    return;
+  }
+  const FleetConfig& config = state_->config;
+  exchange->config_version = config.version;
+  const Queue* queue = config.FindQueue(request.host, request.path);
+  if (queue == nullptr) {
+    Refuse(exchange, ErrorKind::kNotFound, "no queue has this host and path");
+    return;
+  }
+  exchange->queue = queue->id;
+  const Workspace* workspace = config.FindWorkspaceByKey(request.api_key);
+  if (workspace != nullptr) {
+    exchange->workspace = workspace->id;
+  } else if (!queue->open_to_all) {
+    Refuse(exchange, ErrorKind::kUnauthorized, "no workspace has this key");
+    return;
+  }
+  const std::string rest = request.path.substr(queue->path_prefix.size());
+  if (rest.empty() && request.action == CallerAction::kLook) {
+    Count(exchange);
+    return;
+  }
+  if (!IsJobId(rest)) {
+    Refuse(exchange, ErrorKind::kInvalidArgument, "the path does not end with the id of a job");
+    return;
+  }
+  exchange->job = JobId(rest);
+  switch (request.action) {
+    case CallerAction::kSubmit:
+      Submit(exchange, *queue);
+      break;
+    case CallerAction::kLook:
+      Look(exchange);
+      break;
+    case CallerAction::kCancel:
+      Cancel(exchange);
+      break;
+    case CallerAction::kOther:
+      Refuse(exchange, ErrorKind::kInvalidArgument, "no such method");
+      break;
+  }
+}
+
+void EntryDuty::Submit(const ExchangePtr& exchange, const Queue& queue) {
+  if (stopping_) {
+    Refuse(exchange, ErrorKind::kShuttingDown, "this entry is stopping", kComeBack);
+    return;
+  }
+  JobSpec job;
+  try {
+    job = context_.format.DecodeJob(exchange->request.body);
+  } catch (const Error& error) {
+    Refuse(exchange, ErrorKind::kInvalidArgument, error.what());
+    return;
+  }
+  job.id = exchange->job;
+  job.queue = queue.id;
+  job.workspace = exchange->workspace;
+  job.accepted_unix_ms = Clock::WallMilliseconds();
+  StoreJob(exchange, EncodeJobSpec(job));
+}
+
+void EntryDuty::StoreJob(const ExchangePtr& exchange, const std::string& bytes) {
+  const std::string key = StoreKeys::Job(exchange->job);
+  StoreCall call = StoreCall::Transaction().If(key, 0).Set(key, bytes);
+  call.timeout = std::min(kStoreTimeout, std::max(TimeLeft(*exchange), Duration(100)));
+  ++exchange->attempts;
+  context_.store.Call(call, [this, alive = alive_, exchange, bytes](const StoreReply& reply) {
+    if (!*alive) return;
+    // A key that exists was written by an earlier attempt of the same request: it is one job.
+    if (reply.status == StoreStatus::kOk || reply.status == StoreStatus::kConflict) {
+      Answer(exchange, JobAcceptedAnswer{});
+      return;
+    }
+    exchange->in_doubt = exchange->in_doubt || reply.status == StoreStatus::kUnknown;
+    if (TimeLeft(*exchange) > kStoreTimeout / 2) {
+      // Writing again is harmless: the key can be created once.
+      context_.executor([this, alive, exchange, bytes] {
+        if (*alive) StoreJob(exchange, bytes);
+      });
+      return;
+    }
+    // Only when no attempt can still be carried out does the refusal say that the job never runs.
+    if (exchange->in_doubt) {
+      Refuse(exchange, ErrorKind::kStoreOutcomeUnknown,
+             "the store did not say whether the job was stored: " + reply.message);
+    } else {
+      Refuse(exchange, ErrorKind::kStoreUnavailable, "the store is away: " + reply.message,
+             kComeBack);
+    }
+  });
+}
+
+void EntryDuty::Look(const ExchangePtr& exchange) {
+  const JobQuery query{exchange->job};
+  const auto use = [this, exchange](const JobQueryReply& reply) {
+    const bool usable = reply.accepted && reply.known &&
+                        reply.phase <= static_cast<std::uint8_t>(JobPhase::kCancelled);
+    if (usable) {
+      Answer(exchange, JobPhaseAnswer{static_cast<JobPhase>(reply.phase)});
+    } else {
+      LookInStore(exchange);
+    }
+  };
+  if (const SchedulerDuty* local = context_.local_scheduler()) {
+    use(local->OnQuery(query));
+    return;
+  }
+  if (scheduler_.empty()) {
+    LookInStore(exchange);
+    return;
+  }
+  internal::CallPeer<JobQueryReply>(
+      context_.peers, scheduler_, query, kSchedulerTimeout,
+      [this, alive = alive_, exchange, use](const std::optional<JobQueryReply>& reply) {
+        if (!*alive) return;
+        if (reply) {
+          use(*reply);
+        } else {
+          LookInStore(exchange);
+        }
+      });
+}
+
+void EntryDuty::LookInStore(const ExchangePtr& exchange) {
+  StoreCall call = StoreCall::Get(StoreKeys::Progress(exchange->job));
+  call.timeout = std::max(std::min(kStoreTimeout, TimeLeft(*exchange)), Duration(100));
+  context_.store.Call(call, [this, alive = alive_, exchange](const StoreReply& reply) {
+    if (!*alive) return;
+    if (reply.status == StoreStatus::kOk && !reply.items.empty()) {
+      try {
+        const auto phase =
+            static_cast<JobPhase>(DecodeJobProgress(reply.items.front().value).phase);
+        Answer(exchange, JobPhaseAnswer{IsFinal(phase) ? phase : JobPhase::kRunning});
+      } catch (const Error& error) {
+        Refuse(exchange, ErrorKind::kInternal, error.what());
+      }
+      return;
+    }
+    if (reply.status != StoreStatus::kNotFound) {
+      Refuse(exchange, ErrorKind::kTimeout, "neither scheduler nor store answers");
+      return;
+    }
+    StoreCall next = StoreCall::Get(StoreKeys::Job(exchange->job));
+    next.timeout = std::max(std::min(kStoreTimeout, TimeLeft(*exchange)), Duration(100));
+    context_.store.Call(next, [this, alive, exchange](const StoreReply& job) {
+      if (!*alive) return;
+      if (job.status == StoreStatus::kOk) {
+        Answer(exchange, JobPhaseAnswer{JobPhase::kQueued});
+      } else if (job.status == StoreStatus::kNotFound) {
+        Refuse(exchange, ErrorKind::kJobUnknown, "no such job was accepted");
+      } else {
+        Refuse(exchange, ErrorKind::kTimeout, "neither scheduler nor store answers");
+      }
+    });
+  });
+}
+
+void EntryDuty::Cancel(const ExchangePtr& exchange) {
+  StoreCall call = StoreCall::Get(StoreKeys::Job(exchange->job));
+  call.timeout = std::max(std::min(kStoreTimeout, TimeLeft(*exchange)), Duration(100));
+  context_.store.Call(call, [this, alive = alive_, exchange](const StoreReply& reply) {
+    if (!*alive) return;
+    if (reply.status == StoreStatus::kNotFound) {
+      Refuse(exchange, ErrorKind::kJobUnknown, "no such job was accepted");
+    } else if (reply.status == StoreStatus::kOk) {
+      StoreCancel(exchange);
+    } else if (TimeLeft(*exchange) > kStoreTimeout / 2) {
+      Cancel(exchange);
+    } else {
+      Refuse(exchange, ErrorKind::kTimeout, "the store is away: " + reply.message);
+    }
+  });
+}
+
+void EntryDuty::StoreCancel(const ExchangePtr& exchange) {
+  const std::string key = StoreKeys::Cancel(exchange->job);
+  StoreCall call = StoreCall::Transaction().If(key, 0).Set(key, "");
+  call.timeout = std::max(std::min(kStoreTimeout, TimeLeft(*exchange)), Duration(100));
+  ++exchange->attempts;
+  context_.store.Call(call, [this, alive = alive_, exchange](const StoreReply& reply) {
+    if (!*alive) return;
+    if (reply.status == StoreStatus::kOk || reply.status == StoreStatus::kConflict) {
+      Answer(exchange, JobPhaseAnswer{JobPhase::kCancelled});
+    } else if (TimeLeft(*exchange) > kStoreTimeout / 2) {
+      StoreCancel(exchange);
+    } else {
+      Refuse(exchange, ErrorKind::kTimeout, "the cancellation may not be stored: " + reply.message);
+    }
+  });
+}
+
+void EntryDuty::Count(const ExchangePtr& exchange) {
+  const TimePoint now = Clock::Now();
+  if (const SchedulerDuty* local = context_.local_scheduler(); local != nullptr && local->ready()) {
+    summary_.queues = local->core().Summaries();
+    summary_at_ = now;
+  }
+  if (now - summary_at_ > kSummaryAge) {
+    Refuse(exchange, ErrorKind::kNoScheduler, "the scheduler has not answered lately", kComeBack);
+    return;
+  }
+  std::int64_t pending = 0;
+  for (const QueueSummary& row : summary_.queues) {
+    if (row.queue == exchange->queue) pending = row.pending;
+  }
+  Answer(exchange, PendingAnswer{pending});
+}
+
+}  // namespace basilspring::fleet
--- /dev/null
+++ b/src/fleet/leadership.cc
@@ -0,0 +1,175 @@
+#include "basilspring/fleet/leadership.h"
+
+#include <charconv>
+#include <utility>
+
+#include "basilspring/process/log.h"
+#include "fleet/peer_call.h"
+
+namespace basilspring::fleet {
+namespace {
+
+constexpr const char* kLeaderKey = "basilspring/leader";
+// Counts the holders of the lease; outlives all of them.
+constexpr const char* kTermKey = "basilspring/term";
+
+// Between two looks at the leader key while there is no contact.
+constexpr Duration kLookInterval(300);
+// Spreads the looks of several processes.
+constexpr std::int64_t kLookJitterMs = 150;
+constexpr Duration kCallTimeout(800);
+constexpr Duration kRenewalRetry(200);
+
+Term ParseTerm(const std::string& text) {
+  std::uint64_t value = 0;
+  std::from_chars(text.data(), text.data() + text.size(), value);
+  return Term(value);
+}
+
+}  // namespace
+
+const char* Leadership::LeaderKey() { return kLeaderKey; }
+
+Leadership::Leadership(StoreAccess& store, LeadershipOptions options, Handlers handlers)
+    : store_(store), options_(std::move(options)), handlers_(std::move(handlers)) {}
+
+Leadership::~Leadership() { *alive_ = false; }
+
+void Leadership::Tick(TimePoint now, TimePoint last_contact) {
+  if (leading()) {
+    if (now >= next_renewal_ && !renewing_) Renew(now);
+    return;
+  }
+  if (busy_ || resigned_ || now < next_look_ || now - last_contact < options_.patience) return;
+  Look();
+}
+
+void Leadership::LookNow() {
+  if (!busy_ && !leading() && !resigned_) Look();
+}
+
+void Leadership::Look() {
+  busy_ = true;
+  next_look_ = Clock::Now() + kLookInterval +
+               Duration(static_cast<std::int64_t>(random_() % kLookJitterMs));
+  StoreCall call = StoreCall::Get(kLeaderKey);
+  call.timeout = kCallTimeout;
+  store_.Call(call, [this, alive = alive_](const StoreReply& reply) {
+    if (!*alive) return;
+    busy_ = false;
+    if (reply.status == StoreStatus::kNotFound) {
+      Contend(std::nullopt);
+      return;
+    }
+    if (reply.status != StoreStatus::kOk || reply.items.empty()) return;
+    try {
+      const auto record = internal::DecodePeerBody<LeaderRecord>(reply.items.front().value);
+      if (record.node == options_.node && record.address == options_.address) {
+        // This process has lost the lease by a restart; nobody else can be using it.
+        Contend(reply.items.front().revision);
+      } else {
+        handlers_.found(record);
+      }
+    } catch (const Error& error) {
+      Log(EventId::kFleetScheduler, "the leader key can't be read: {}", error.what());
+    }
+  });
+}
+
+void Leadership::Contend(std::optional<std::int64_t> own_old_revision) {
+  if (busy_ || resigned_) return;
+  busy_ = true;
+  StoreCall call = StoreCall::Get(kTermKey);
+  call.timeout = kCallTimeout;
+  store_.Call(call, [this, alive = alive_, own_old_revision](const StoreReply& reply) {
+    if (!*alive) return;
+    if (reply.status == StoreStatus::kOk && !reply.items.empty()) {
+      const StoreItem& item = reply.items.front();
+      TakeLease(Term(ParseTerm(item.value).value() + 1), item.revision,
+                own_old_revision.value_or(0));
+    } else if (reply.status == StoreStatus::kNotFound) {
+      TakeLease(Term(1), 0, own_old_revision.value_or(0));
+    } else {
+      busy_ = false;
+    }
+  });
+}
+
+void Leadership::TakeLease(Term term, std::int64_t term_revision, std::int64_t leader_revision) {
+  StoreCall grant = StoreCall::GrantLease(options_.lease);
+  grant.timeout = kCallTimeout;
+  const TimePoint sent = Clock::Now();
+  store_.Call(grant, [this, alive = alive_, term, term_revision, leader_revision,
+                      sent](const StoreReply& granted) {
+    if (!*alive) return;
+    if (granted.status != StoreStatus::kOk) {
+      busy_ = false;
+      return;
+    }
+    const std::int64_t lease = granted.lease;
+    const TimePoint valid_until = sent + granted.lease_time;
+    const LeaderRecord record{term, options_.node, options_.address};
+    StoreCall take = StoreCall::Transaction()
+                         .If(kLeaderKey, leader_revision)
+                         .If(kTermKey, term_revision)
+                         .Set(kLeaderKey, internal::EncodePeerBody(record), lease)
+                         .Set(kTermKey, std::to_string(term.value()));
+    take.timeout = kCallTimeout;
+    store_.Call(take, [this, alive, term, lease, valid_until](const StoreReply& reply) {
+      if (!*alive) return;
+      busy_ = false;
+      if (reply.status != StoreStatus::kOk) {
+        Log(EventId::kFleetScheduler, "term={} not gained: {} {}", term.value(),
+            StoreStatusName(reply.status), reply.message);
+        // If the write still takes effect, the lease must not keep the key.
+        store_.Call(StoreCall::EndLease(lease), [](const StoreReply&) {});
+        return;
+      }
+      lease_ = lease;
+      valid_until_ = valid_until;
+      next_renewal_ = Clock::Now() + options_.renewal;
+      Log(EventId::kFleetScheduler, "term={} lease={} gained revision={}", term.value(), lease,
+          reply.revision);
+      handlers_.elected(term, reply.revision);
+    });
+  });
+}
+
+void Leadership::Renew(TimePoint now) {
+  renewing_ = true;
+  StoreCall call = StoreCall::RenewLease(lease_);
+  call.timeout = kCallTimeout;
+  store_.Call(call, [this, alive = alive_, now, lease = lease_](const StoreReply& reply) {
+    if (!*alive || lease != lease_) return;
+    renewing_ = false;
+    if (reply.status == StoreStatus::kOk) {
+      valid_until_ = std::max(valid_until_, now + options_.lease);
+      next_renewal_ = now + options_.renewal;
+    } else if (reply.status == StoreStatus::kNotFound) {
+      Depose("the lease has ended in the store");
+    } else {
+      Log(EventId::kFleetScheduler, "lease={} not renewed: {} valid_ms={}", lease_,
+          StoreStatusName(reply.status), (valid_until_ - Clock::Now()).milliseconds());
+      next_renewal_ = Clock::Now() + kRenewalRetry;
+    }
+  });
+}
+
+void Leadership::Depose(const std::string& reason) {
+  if (!leading()) return;
+  Log(EventId::kFleetScheduler, "lease={} lost: {}", lease_, reason);
+  lease_ = 0;
+  renewing_ = false;
+  valid_until_ = TimePoint();
+  handlers_.deposed();
+}
+
+void Leadership::Resign() {
+  resigned_ = true;
+  if (!leading()) return;
+  const std::int64_t lease = lease_;
+  Depose("the process stops");
+  store_.Call(StoreCall::EndLease(lease), [](const StoreReply&) {});
+}
+
+}  // namespace basilspring::fleet
--- /dev/null
+++ b/src/fleet/node_settings.cc
@@ -0,0 +1,102 @@
+#include "basilspring/fleet/node_settings.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+
+#include "process/settings_reader.h"
+
+namespace basilspring::fleet {
+namespace {
+
+using basilspring::internal::Presence;
+using basilspring::internal::SettingsReader;
+
+// Runs are extended at least this long before the longest lease that backend servers grant.
+constexpr Duration kLeaseReserve(400);
+constexpr Duration kShortestLease(2000);
+// Of the time between SIGTERM and the forced end.
+constexpr Duration kDrainReserve(500);
+
+Duration ReadDuration(SettingsReader& reader, std::string_view key, std::int64_t minimum,
+                      std::int64_t maximum, Duration fallback) {
+  const auto value = reader.Number(key, Presence::kOptional, minimum, maximum);
+  return value ? Duration(*value) : fallback;
+}
+
+void ReadNetwork(SettingsReader& reader, NodeSettings& settings) {
+  const bool entry = settings.role == NodeRole::kEntry;
+  const Presence for_entry = entry ? Presence::kRequired : Presence::kOptional;
+  const Presence for_agent = entry ? Presence::kOptional : Presence::kRequired;
+  settings.peers = reader.IpAddress("network.peers", Presence::kRequired).value_or(Address());
+  settings.callers = reader.IpAddress("network.callers", for_entry).value_or(Address());
+  settings.readiness = reader.IpAddress("network.readiness", for_entry).value_or(Address());
+  settings.announcements = reader.IpAddress("network.announcements", for_agent).value_or(Address());
+  settings.backend = reader.IpAddress("network.backend", for_agent).value_or(Address());
+  settings.metrics = reader.IpAddress("network.metrics", Presence::kOptional).value_or(Address());
+  settings.store = reader.IpAddress("network.store", Presence::kRequired).value_or(Address());
+  settings.seeds = reader.IpAddresses("network.seeds", Presence::kOptional);
+}
+
+void ReadLimits(SettingsReader& reader, NodeSettings& settings) {
+  SchedulerOptions& options = settings.scheduler;
+  const Duration longest_lease =
+      ReadDuration(reader, "limits.longest_lease_ms", 2500, 600000, Duration(10000));
+  options.lease =
+      std::max(kShortestLease, std::min(options.lease, longest_lease - kLeaseReserve));
+  options.stop_time = ReadDuration(reader, "limits.stop_time_ms", 1, 60000, options.stop_time);
+  options.keep_finished = ReadDuration(reader, "limits.keep_finished_s", 1, 86400,
+                                       options.keep_finished / 1000) *
+                          1000;
+  if (const auto factor = reader.Number("limits.far_factor", Presence::kOptional, 1, 1000)) {
+    options.far_factor = *factor;
+  }
+  const Duration grace = ReadDuration(reader, "limits.stop_grace_ms", 1000, 3600000,
+                                      settings.drain_limit + kDrainReserve);
+  settings.drain_limit = grace - kDrainReserve;
+}
+
+}  // namespace
+
+NodeSettingsOutcome ParseNodeSettings(const std::string& text, const std::string& name) {
+  NodeSettingsOutcome outcome;
+  toml::table root;
+  try {
+    root = toml::parse(text, name);
+  } catch (const toml::parse_error& error) {
+    outcome.faults.push_back(
+        {fmt::format("{}:{}: syntax: {}", name, error.source().begin.line, error.description())});
+    return outcome;
+  }
+  SettingsReader reader(root, name, &outcome.faults);
+  NodeSettings& settings = outcome.settings;
+  const auto role = reader.Choice("process.role", Presence::kRequired, "entry|agent");
+  settings.role = role == "entry" ? NodeRole::kEntry : NodeRole::kAgent;
+  settings.name = NodeId(reader.Name("process.name", Presence::kRequired).value_or(""));
+  settings.data_centre =
+      DataCentreId(reader.Name("process.data_centre", Presence::kRequired).value_or(""));
+  ReadNetwork(reader, settings);
+  ReadLimits(reader, settings);
+  if (const auto level =
+          reader.Choice("log.level", Presence::kOptional, "debug|info|warning|error")) {
+    settings.log_level = LogLevelFromName(*level);
+  }
+  reader.RejectUnknownKeys();
+  return outcome;
+}
+
+NodeSettingsOutcome LoadNodeSettings(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream text;
+  text << file.rdbuf();
+  if (!file) {
+    NodeSettingsOutcome outcome;
+    outcome.faults.push_back({fmt::format("{}:1: the file can't be read", path)});
+    return outcome;
+  }
+  return ParseNodeSettings(text.str(), path);
+}
+
+}  // namespace basilspring::fleet
--- /dev/null
+++ b/src/fleet/placement.cc
@@ -0,0 +1,208 @@
+#include "basilspring/fleet/placement.h"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <set>
+#include <tuple>
+
+namespace basilspring::fleet {
+namespace {
+
+std::int64_t PerWorkerLimit(const StepSpec& step, const Candidate& candidate) {
+  if (step.max_per_worker <= 0) return std::numeric_limits<std::int64_t>::max();
+  return std::max(0, step.max_per_worker - candidate.same_step);
+}
+
+std::int64_t Slots(const StepSpec& step, const Candidate& candidate, const Resources& room) {
+  if (!IsEligible(step, candidate)) return 0;
+  return std::min(step.needs.CountIn(room), PerWorkerLimit(step, candidate));
+}
+
+/// Orders workers for one more task: trusted ones, then the rack of the data, then the tightest
+/// fit, so that whole workers stay free for wide tasks.
+auto Preference(const StepSpec& step, const Candidate& candidate, const Resources& room) {
+  const bool away = !step.data_rack.empty() && candidate.rack != step.data_rack;
+  Resources left = room;
+  left -= step.needs;
+  return std::make_tuple(candidate.suspect, away, left.accelerators, left.milli_cores);
+}
+
+using CandidateSet = std::vector<std::size_t>;
+
+/// Greedy: each task goes to the preferred worker that still has room.
+Placement Fill(const StepSpec& step, std::int32_t count, const std::vector<Candidate>& candidates,
+               const CandidateSet& allowed) {
+  Placement placement;
+  std::vector<Resources> room;
+  std::vector<std::int64_t> placed(candidates.size(), 0);
+  room.reserve(candidates.size());
+  for (const Candidate& candidate : candidates) room.push_back(candidate.room);
+  while (static_cast<std::int32_t>(placement.workers.size()) < count) {
+    std::optional<std::size_t> best;
+    for (const std::size_t i : allowed) {
+      if (!step.needs.FitsIn(room[i]) || !IsEligible(step, candidates[i]) ||
+          placed[i] >= PerWorkerLimit(step, candidates[i])) {
+        continue;
+      }
+      if (!best || Preference(step, candidates[i], room[i]) <
+                       Preference(step, candidates[*best], room[*best])) {
+        best = i;
+      }
+    }
+    if (!best) break;
+    room[*best] -= step.needs;
+    ++placed[*best];
+    placement.workers.push_back(*best);
+  }
+  return placement;
+}
+
+bool FitsSet(const StepSpec& step, std::int32_t count, const std::vector<Candidate>& candidates,
+             const CandidateSet& set) {
+  std::int64_t slots = 0;
+  for (const std::size_t i : set) {
+    slots += Slots(step, candidates[i], candidates[i].capacity);
+    if (slots >= count) return true;
+  }
+  return false;
+}
+
+std::int64_t FreeAccelerators(const std::vector<Candidate>& candidates, const CandidateSet& set) {
+  std::int64_t free = 0;
+  for (const std::size_t i : set) free += candidates[i].room.accelerators;
+  return free;
+}
+
+/// The sets of workers to try in turn. Tasks run several times as long away from the rack of their
+/// data, or spread over racks that they want to share, so a step waits for a rack that could hold
+/// it and takes others only when none could.
+std::vector<CandidateSet> SetsToTry(const StepSpec& step, std::int32_t count,
+                                    const std::vector<Candidate>& candidates) {
+  CandidateSet all;
+  std::map<std::string, CandidateSet> racks;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    all.push_back(i);
+    racks[candidates[i].rack].push_back(i);
+  }
+  const std::int32_t together = step.gang || step.same_rack ? count : 1;
+  const auto data = racks.find(step.data_rack);
+  if (!step.data_rack.empty() && data != racks.end() &&
+      FitsSet(step, together, candidates, data->second)) {
+    return {data->second};
+  }
+  std::vector<CandidateSet> sets;
+  if (step.same_rack && count > 1) {
+    for (auto& [rack, members] : racks) {
+      if (FitsSet(step, together, candidates, members)) sets.push_back(std::move(members));
+    }
+    std::stable_sort(sets.begin(), sets.end(), [&](const auto& left, const auto& right) {
+      return FreeAccelerators(candidates, left) < FreeAccelerators(candidates, right);
+    });
+  }
+  if (sets.empty()) sets.push_back(std::move(all));
+  return sets;
+}
+
+/// One worker's share of a plan with victims.
+struct WorkerPlan {
+  Resources room;
+  std::int64_t placed = 0;
+  std::size_t next_victim = 0;
+};
+
+/// Work lost by making room for one more task on the worker, and how many victims that takes.
+std::optional<std::pair<double, std::size_t>> CostOfNext(const StepSpec& step,
+                                                         const Candidate& candidate,
+                                                         const WorkerPlan& plan,
+                                                         const std::set<std::size_t>& chosen) {
+  if (!IsEligible(step, candidate) || plan.placed >= PerWorkerLimit(step, candidate)) {
+    return std::nullopt;
+  }
+  Resources room = plan.room;
+  double cost = 0;
+  std::size_t used = plan.next_victim;
+  while (!step.needs.FitsIn(room)) {
+    if (used == candidate.victims.size()) return std::nullopt;
+    const Victim& victim = candidate.victims[used++];
+    room += victim.room;
+    if (chosen.count(victim.handle) == 0) cost += victim.lost_work;
+  }
+  return std::make_pair(cost, used);
+}
+
+}  // namespace
+
+bool IsEligible(const StepSpec& step, const Candidate& candidate) {
+  if (!step.needs.FitsIn(candidate.capacity)) return false;
+  const auto& labels = candidate.labels;
+  return step.required_label.empty() ||
+         std::find(labels.begin(), labels.end(), step.required_label) != labels.end();
+}
+
+std::optional<Placement> PlaceNow(const StepSpec& step, std::int32_t count,
+                                  const std::vector<Candidate>& candidates) {
+  std::optional<Placement> best;
+  for (const CandidateSet& set : SetsToTry(step, count, candidates)) {
+    Placement placement = Fill(step, count, candidates, set);
+    if (static_cast<std::int32_t>(placement.workers.size()) == count) return placement;
+    if (step.gang || placement.workers.empty()) continue;
+    if (!best || placement.workers.size() > best->workers.size()) best = std::move(placement);
+  }
+  return best;
+}
+
+std::optional<Placement> PlaceWithVictims(const StepSpec& step, std::int32_t count,
+                                          const std::vector<Candidate>& candidates) {
+  std::optional<Placement> best;
+  for (const CandidateSet& set : SetsToTry(step, count, candidates)) {
+    Placement placement;
+    std::vector<WorkerPlan> plans(candidates.size());
+    for (std::size_t i = 0; i < candidates.size(); ++i) plans[i].room = candidates[i].room;
+    std::set<std::size_t> chosen;
+    while (static_cast<std::int32_t>(placement.workers.size()) < count) {
+      std::optional<std::size_t> cheapest;
+      std::pair<double, std::size_t> cost;
+      for (const std::size_t i : set) {
+        const auto next = CostOfNext(step, candidates[i], plans[i], chosen);
+        if (!next) continue;
+        const auto rank = [&](std::size_t k, double lost) {
+          return std::make_pair(lost, Preference(step, candidates[k], plans[k].room));
+        };
+        if (!cheapest || rank(i, next->first) < rank(*cheapest, cost.first)) {
+          cheapest = i;
+          cost = *next;
+        }
+      }
+      if (!cheapest) break;
+      WorkerPlan& plan = plans[*cheapest];
+      for (; plan.next_victim < cost.second; ++plan.next_victim) {
+        const Victim& victim = candidates[*cheapest].victims[plan.next_victim];
+        plan.room += victim.room;
+        if (chosen.insert(victim.handle).second) {
+          placement.victims.push_back(victim.handle);
+          placement.lost_work += victim.lost_work;
+        }
+      }
+      plan.room -= step.needs;
+      ++plan.placed;
+      placement.workers.push_back(*cheapest);
+    }
+    if (static_cast<std::int32_t>(placement.workers.size()) < count) continue;
+    if (!best || placement.lost_work < best->lost_work) best = std::move(placement);
+  }
+  return best;
+}
+
+bool FitsWhenEmpty(const StepSpec& step, std::int32_t count,
+                   const std::vector<Candidate>& candidates) {
+  if (!step.gang) count = 1;
+  std::int64_t slots = 0;
+  for (const Candidate& candidate : candidates) {
+    slots += Slots(step, candidate, candidate.capacity);
+    if (slots >= count) return true;
+  }
+  return false;
+}
+
+}  // namespace basilspring::fleet
--- /dev/null
+++ b/src/fleet/prefix_watch.cc
@@ -0,0 +1,99 @@
+#include "basilspring/fleet/prefix_watch.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "basilspring/process/log.h"
+
+namespace basilspring::fleet {
+namespace {
+
+// A connection can go silent for good, so a watch is asked again often enough to notice within the
+// time in which a change must be in force.
+constexpr Duration kWait(1200);
+constexpr Duration kAnswerTimeout(600);
+constexpr Duration kFirstPause(50);
+constexpr Duration kLongestPause(500);
+
+}  // namespace
+
+PrefixWatch::PrefixWatch(StoreAccess& store, Executor executor, std::string prefix, Handler handler)
+    : store_(store),
+      executor_(std::move(executor)),
+      prefix_(std::move(prefix)),
+      handler_(std::move(handler)) {}
+
+PrefixWatch::~PrefixWatch() { *alive_ = false; }
+
+void PrefixWatch::Start() { Load("", 0, {}); }
+
+void PrefixWatch::Tick(TimePoint now) {
+  if (!idle_ || now < retry_at_) return;
+  if (loaded_) {
+    Watch();
+  } else {
+    Load("", 0, {});
+  }
+}
+
+void PrefixWatch::Load(std::string after_key, std::int64_t revision,
+                       std::vector<StoreItem> items) {
+  idle_ = false;
+  store_.Call(StoreCall::Range(prefix_, std::move(after_key)),
+              [this, alive = alive_, revision, items = std::move(items)](StoreReply reply) mutable {
+                if (!*alive) return;
+                if (reply.status != StoreStatus::kOk) {
+                  Pause(reply);
+                  return;
+                }
+                // Pages are read at different revisions: watching from the first one repeats some
+                // changes and misses none.
+                const std::int64_t first = revision == 0 ? reply.revision : revision;
+                std::move(reply.items.begin(), reply.items.end(), std::back_inserter(items));
+                if (reply.more && !items.empty()) {
+                  std::string last = items.back().key;
+                  Load(std::move(last), first, std::move(items));
+                  return;
+                }
+                loaded_ = true;
+                revision_ = first;
+                current_at_ = Clock::Now();
+                pause_ = kFirstPause;
+                handler_(std::move(items), true);
+                if (*alive) Watch();
+              });
+}
+
+void PrefixWatch::Watch() {
+  idle_ = false;
+  StoreCall call = StoreCall::Watch(prefix_, revision_, kWait);
+  call.timeout = kAnswerTimeout;
+  store_.Call(call, [this, alive = alive_](StoreReply reply) {
+    if (!*alive) return;
+    if (reply.status == StoreStatus::kHistoryLost) {
+      Log(EventId::kFleetStore, "prefix={} revision={} history lost, reading all again", prefix_,
+          revision_);
+      Load("", 0, {});
+      return;
+    }
+    if (reply.status != StoreStatus::kOk) {
+      Pause(reply);
+      return;
+    }
+    revision_ = std::max(revision_, reply.revision);
+    current_at_ = Clock::Now();
+    pause_ = kFirstPause;
+    if (!reply.items.empty()) handler_(std::move(reply.items), false);
+    if (*alive) Watch();
+  });
+}
+
+void PrefixWatch::Pause(const StoreReply& reply) {
+  Log(EventId::kFleetStore, "prefix={} revision={} age_ms={} status={} {}", prefix_, revision_,
+      (Clock::Now() - current_at_).milliseconds(), StoreStatusName(reply.status), reply.message);
+  idle_ = true;
+  pause_ = std::min(std::max(pause_, kFirstPause) * 2, kLongestPause);
+  retry_at_ = Clock::Now() + pause_;
+}
+
+}  // namespace basilspring::fleet
--- /dev/null
+++ b/src/fleet/scheduler_core.cc
@@ -0,0 +1,250 @@
+#include "basilspring/fleet/scheduler_core.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace basilspring::fleet {
+namespace {
+
+// A job that is older than this when it is read was accepted by a clock that is wrong.
+constexpr Duration kMaxAge = Duration::Seconds(3600);
+
+}  // namespace
+
+SchedulerCore::SchedulerCore(SchedulerOptions options, Term term, TimePoint now)
+    : options_(options),
+      term_(term),
+      term_began_(now),
+      operators_(std::make_shared<OperatorState>()) {}
+
+std::size_t SchedulerCore::StepIndex(const Job& job, const TaskId& task) {
+  return static_cast<std::size_t>(task.occurrence) * job.spec.steps.size() +
+         static_cast<std::size_t>(task.step);
+}
+
+const StepSpec& SchedulerCore::SpecOf(const Job& job, std::size_t step) {
+  return job.spec.steps[step % job.spec.steps.size()];
+}
+
+TaskId SchedulerCore::IdOf(const Job& job, std::size_t step, std::size_t index) {
+  const std::size_t steps = job.spec.steps.size();
+  return {job.spec.id, static_cast<std::int32_t>(step / steps),
+          static_cast<std::int32_t>(step % steps), static_cast<std::int32_t>(index)};
+}
+
+SchedulerCore::Job* SchedulerCore::FindJob(const TaskId& task) {
+  const auto found = jobs_.find(task.job);
+  if (found == jobs_.end()) return nullptr;
+  Job& job = found->second;
+  const bool exists =
+      task.occurrence >= 0 && task.step >= 0 && task.index >= 0 &&
+      task.occurrence < job.spec.occurrence_count() &&
+      task.step < static_cast<std::int32_t>(job.spec.steps.size()) &&
+      task.index < job.spec.steps[static_cast<std::size_t>(task.step)].task_count;
+  return exists ? &job : nullptr;
+}
+
+SchedulerCore::Task& SchedulerCore::TaskOf(Job& job, const TaskId& task) {
+  return job.steps[StepIndex(job, task)].tasks[static_cast<std::size_t>(task.index)];
+}
+
+void SchedulerCore::SetOperatorState(std::shared_ptr<const OperatorState> state) {
+  operators_ = std::move(state);
+  for (auto& [id, job] : jobs_) RefreshQueue(job);
+}
+
+void SchedulerCore::RefreshQueue(Job& job) {
+  // A queue that was removed leaves its jobs with what it last said, except for a place to run.
+  if (const Queue* queue = operators_->config.FindQueue(job.spec.queue)) {
+    job.queue = *queue;
+  } else {
+    job.queue.id = job.spec.queue;
+    job.queue.service = ServiceId();
+  }
+}
+
+void SchedulerCore::AddJob(TimePoint now, std::int64_t wall_ms, JobSpec spec,
+                           const std::optional<JobProgress>& progress, bool inherited) {
+  if (jobs_.count(spec.id) != 0) return;
+  wall_ms_ = wall_ms;
+  Job job;
+  const Duration age(
+      std::clamp<std::int64_t>(wall_ms - spec.accepted_unix_ms, 0, kMaxAge.milliseconds()));
+  job.accepted_at = now - age;
+  job.inherited = inherited;
+  job.steps.resize(spec.steps.size() * static_cast<std::size_t>(spec.occurrence_count()));
+  job.spec = std::move(spec);
+  for (std::size_t i = 0; i < job.steps.size(); ++i) {
+    job.steps[i].tasks.resize(static_cast<std::size_t>(SpecOf(job, i).task_count));
+  }
+  if (progress) {
+    job.phase = static_cast<JobPhase>(progress->phase);
+    job.phase_stored = IsFinal(job.phase);
+    job.finished_unix_ms = progress->finished_unix_ms;
+    job.started = job.phase != JobPhase::kQueued;
+    for (std::size_t i = 0; i < std::min(job.steps.size(), progress->steps.size()); ++i) {
+      Step& step = job.steps[i];
+      const StepProgress& stored = progress->steps[i];
+      for (std::size_t k = 0; k < std::min(stored.done.size(), step.tasks.size()); ++k) {
+        if (stored.done[k] == 0) continue;
+        step.tasks[k].phase = TaskPhase::kDone;
+        ++step.done;
+        job.started = true;
+      }
+      for (const FailedRun& failed : stored.failed_runs) {
+        const auto index = static_cast<std::size_t>(failed.index);
+        if (index < step.tasks.size()) step.tasks[index].failed_runs.insert(failed.run);
+        job.started = true;
+      }
+    }
+  }
+  RefreshQueue(job);
+  job.cancelled = cancelled_early_.erase(job.spec.id) > 0;
+  Say(fmt::format("job={} queue={} workspace={} tasks={} age_ms={} inherited={} cancelled={} taken",
+                  job.spec.id.value(), job.spec.queue.value(), job.spec.workspace.value(),
+                  job.steps.empty() ? 0 : job.steps.front().tasks.size(), age.milliseconds(),
+                  inherited, job.cancelled));
+  const JobId id = job.spec.id;
+  Job& added = jobs_.emplace(id, std::move(job)).first->second;
+  if (added.cancelled && !IsFinal(added.phase)) {
+    Finish(added, JobPhase::kCancelled, "cancelled by its caller");
+  }
+}
+
+void SchedulerCore::CancelJob(const JobId& id) {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) {
+    cancelled_early_.insert(id);
+    return;
+  }
+  Job& job = found->second;
+  job.cancelled = true;
+  if (!IsFinal(job.phase)) Finish(job, JobPhase::kCancelled, "cancelled by its caller");
+}
+
+void SchedulerCore::ExpectAgent(const NodeId& node, const Address& address) {
+  Worker& worker = workers_[node];
+  worker.node = node;
+  worker.address = address;
+}
+
+void SchedulerCore::Finish(Job& job, JobPhase phase, const std::string& reason) {
+  job.phase = phase;
+  job.phase_stored = false;
+  job.finished_unix_ms = wall_ms_;
+  ++job.version;
+  if (phase == JobPhase::kCompleted) ++counts_.jobs_completed;
+  if (phase == JobPhase::kFailed) ++counts_.jobs_failed;
+  if (phase == JobPhase::kCancelled) ++counts_.jobs_cancelled;
+  Say(fmt::format("job={} queue={} age_ms={} phase={} reason=\"{}\"", job.spec.id.value(),
+                  job.spec.queue.value(), wall_ms_ - job.spec.accepted_unix_ms, JobPhaseName(phase),
+                  reason));
+}
+
+JobProgress SchedulerCore::ProgressOf(const Job& job) {
+  JobProgress progress;
+  progress.phase = static_cast<std::uint8_t>(job.phase);
+  progress.finished_unix_ms = job.finished_unix_ms;
+  if (IsFinal(job.phase)) return progress;
+  for (const Step& step : job.steps) {
+    StepProgress& row = progress.steps.emplace_back();
+    if (step.done > 0) row.done.resize(step.tasks.size(), 0);
+    for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+      if (step.tasks[i].phase == TaskPhase::kDone) row.done[i] = 1;
+      for (const RunNumber run : step.tasks[i].failed_runs) {
+        row.failed_runs.push_back({static_cast<std::int32_t>(i), run});
+      }
+    }
+  }
+  return progress;
+}
+
+void SchedulerCore::CollectSaves(SchedulerOutput& out) {
+  for (auto& [id, job] : jobs_) {
+    if (job.version == job.saved || job.saving != 0) continue;
+    job.saving = job.version;
+    out.saves.push_back({id, job.version, EncodeJobProgress(ProgressOf(job)), false});
+  }
+}
+
+void SchedulerCore::RemoveOldJobs(SchedulerOutput& out) {
+  for (auto it = jobs_.begin(); it != jobs_.end();) {
+    const Job& job = it->second;
+    const bool old = job.phase_stored && job.saving == 0 &&
+                     wall_ms_ - job.finished_unix_ms > options_.keep_finished.milliseconds();
+    if (!old) {
+      ++it;
+      continue;
+    }
+    out.saves.push_back({it->first, 0, "", true});
+    it = jobs_.erase(it);
+  }
+}
+
+void SchedulerCore::OnSaved(const JobId& id, std::uint64_t version) {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) return;
+  Job& job = found->second;
+  job.saving = 0;
+  job.saved = std::max(job.saved, version);
+  if (IsFinal(job.phase) && job.saved == job.version) job.phase_stored = true;
+  for (auto& [node, worker] : workers_) {
+    for (auto it = worker.unsaved_ends.begin(); it != worker.unsaved_ends.end();) {
+      const auto& [end_job, needed] = it->second;
+      it = end_job == id && needed <= job.saved ? worker.unsaved_ends.erase(it) : std::next(it);
+    }
+  }
+}
+
+SchedulerOutput SchedulerCore::Tick(TimePoint now, std::int64_t wall_ms, bool may_start) {
+  SchedulerOutput out;
+  wall_ms_ = wall_ms;
+  CheckSilentWorkers(now);
+  CheckDrains(now);
+  CheckStalls(now);
+  StopUnwanted(now);
+  if (may_start) Schedule(now);
+  EmitOrders(now, out);
+  CollectSaves(out);
+  RemoveOldJobs(out);
+  out.decisions = std::exchange(decisions_, {});
+  return out;
+}
+
+std::optional<JobPhase> SchedulerCore::PhaseOf(const JobId& id) const {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) return std::nullopt;
+  const Job& job = found->second;
+  if (!IsFinal(job.phase) || job.phase_stored) {
+    if (job.phase == JobPhase::kQueued && job.started) return JobPhase::kRunning;
+    return job.phase;
+  }
+  return job.started ? JobPhase::kRunning : JobPhase::kQueued;
+}
+
+std::vector<QueueSummary> SchedulerCore::Summaries() const {
+  std::map<QueueId, std::int64_t> pending;
+  for (const auto& [id, job] : jobs_) {
+    if (IsFinal(job.phase) || job.started || job.spec.occurrences > 0) continue;
+    ++pending[job.spec.queue];
+  }
+  std::vector<QueueSummary> rows;
+  for (const auto& [queue, count] : pending) rows.push_back({queue, count, Duration(0)});
+  return rows;
+}
+
+std::int64_t SchedulerCore::AcknowledgedEnd(const NodeId& node) const {
+  const auto found = workers_.find(node);
+  if (found == workers_.end()) return 0;
+  const Worker& worker = found->second;
+  return worker.unsaved_ends.empty() ? worker.last_end : worker.unsaved_ends.begin()->first - 1;
+}
+
+bool SchedulerCore::HasUnsavedEnds(const NodeId& node) const {
+  const auto found = workers_.find(node);
+  return found != workers_.end() && !found->second.unsaved_ends.empty();
+}
+
+}  // namespace basilspring::fleet
--- /dev/null
+++ b/src/fleet/scheduler_duty.cc
@@ -0,0 +1,325 @@
+#include "basilspring/fleet/scheduler_duty.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "basilspring/fleet/leadership.h"
+#include "basilspring/process/log.h"
+#include "fleet/peer_call.h"
+
+namespace basilspring::fleet {
+namespace {
+
+// Of one transaction of the store, which takes 32 entries; one is the leader key's condition.
+constexpr std::size_t kMaxSavesInOne = 30;
+constexpr std::size_t kMaxRemovalsInOne = 8;
+// Time before the lease's end in which nothing is started any more.
+constexpr Duration kStartMargin(400);
+// Longest time that an agent's report waits for its ends to be recorded.
+constexpr Duration kReportWait(300);
+// An order is answered once the backend server has answered all its attempts.
+constexpr Duration kOrderTimeout(2500);
+constexpr Duration kSaveTimeout(1000);
+constexpr Duration kSaveRetry(100);
+constexpr Duration kLoadRetry(100);
+
+}  // namespace
+
+SchedulerDuty::SchedulerDuty(Context context, Term term, std::int64_t leader_revision)
+    : context_(std::move(context)),
+      term_(term),
+      leader_revision_(leader_revision),
+      core_(context_.options, term, Clock::Now()) {
+  LoadProgress("");
+  LoadMembers();
+  inbox_ = std::make_unique<PrefixWatch>(
+      context_.store, context_.executor, StoreKeys::kInbox,
+      [this](const std::vector<StoreItem>& items, bool snapshot) { OnInbox(items, snapshot); });
+}
+
+SchedulerDuty::~SchedulerDuty() {
+  *alive_ = false;
+  for (WaitingAnswer& waiting : waiting_) waiting.answer(waiting.reply);
+}
+
+bool SchedulerDuty::Valid(TimePoint now) const { return now < context_.valid_until(); }
+
+void SchedulerDuty::SetOperatorState(std::shared_ptr<const OperatorState> state) {
+  core_.SetOperatorState(std::move(state));
+}
+
+void SchedulerDuty::LoadProgress(const std::string& after_key) {
+  context_.store.Call(
+      StoreCall::Range(StoreKeys::kProgress, after_key),
+      [this, alive = alive_, after_key](const StoreReply& reply) {
+        if (!*alive) return;
+        if (reply.status != StoreStatus::kOk) {
+          load_retry_ = Clock::Now() + kLoadRetry;
+          return;
+        }
+        for (const StoreItem& item : reply.items) {
+          try {
+            const JobId id(item.key.substr(std::string(StoreKeys::kProgress).size()));
+            loaded_progress_[id] = DecodeJobProgress(item.value);
+          } catch (const Error& error) {
+            Log(EventId::kFleetDecision, "key={} can't be read: {}", item.key, error.what());
+          }
+        }
+        if (reply.more && !reply.items.empty()) {
+          LoadProgress(reply.items.back().key);
+          return;
+        }
+        progress_loaded_ = true;
+        // Jobs are read after their progress: a job that is missing there has none.
+        inbox_->Start();
+      });
+}
+
+void SchedulerDuty::LoadMembers() {
+  context_.store.Call(StoreCall::Get(StoreKeys::kMembers),
+                      [this, alive = alive_](const StoreReply& reply) {
+                        if (!*alive) return;
+                        if (reply.status == StoreStatus::kOk && !reply.items.empty()) {
+                          try {
+                            const auto rows = internal::DecodePeerBody<std::vector<Member>>(
+                                reply.items.front().value);
+                            for (const Member& row : rows) {
+                              members_[row.node] = row.address;
+                              stored_members_.insert(row.node);
+                              core_.ExpectAgent(row.node, row.address);
+                            }
+                          } catch (const Error& error) {
+                            Log(EventId::kFleetDecision, "the members can't be read: {}",
+                                error.what());
+                          }
+                        } else if (reply.status != StoreStatus::kNotFound) {
+                          load_retry_ = Clock::Now() + kLoadRetry;
+                          return;
+                        }
+                        members_loaded_ = true;
+                        BecomeReady();
+                      });
+}
+
+void SchedulerDuty::BecomeReady() {
+  if (ready_ || !progress_loaded_ || !members_loaded_ || !inbox_loaded_) return;
+  ready_ = true;
+  loaded_progress_.clear();
+  Log(EventId::kFleetScheduler, "term={} ready members={} jobs_revision={}", term_.value(),
+      members_.size(), inbox_->revision());
+  // Agents that know of the new scheduler report to it at once and obey no older one.
+  for (const auto& [node, address] : members_) {
+    OrderBatch hello;
+    hello.term = term_;
+    hello.scheduler = context_.own_address;
+    internal::CallPeer<OrderBatchReply>(context_.peers, address, hello, kSaveTimeout,
+                                        [](const std::optional<OrderBatchReply>&) {});
+  }
+  Run(Clock::Now());
+}
+
+void SchedulerDuty::OnInbox(const std::vector<StoreItem>& items, bool snapshot) {
+  const TimePoint now = Clock::Now();
+  const std::int64_t wall_ms = Clock::WallMilliseconds();
+  const std::string jobs = StoreKeys::kJobs;
+  const std::string cancels = StoreKeys::kCancels;
+  const bool inherited = snapshot && !inbox_loaded_;
+  for (const StoreItem& item : items) {
+    if (item.removed) continue;
+    if (item.key.rfind(cancels, 0) == 0) {
+      core_.CancelJob(JobId(item.key.substr(cancels.size())));
+    } else if (item.key.rfind(jobs, 0) == 0) {
+      try {
+        JobSpec spec = DecodeJobSpec(item.value);
+        const auto found = loaded_progress_.find(spec.id);
+        std::optional<JobProgress> progress;
+        if (found != loaded_progress_.end()) progress = found->second;
+        core_.AddJob(now, wall_ms, std::move(spec), progress, inherited);
+      } catch (const Error& error) {
+        Log(EventId::kFleetDecision, "key={} can't be read: {}", item.key, error.what());
+      }
+    }
+  }
+  if (snapshot) inbox_loaded_ = true;
+  BecomeReady();
+  if (ready_) Run(now);
+}
+
+void SchedulerDuty::Tick(TimePoint now) {
+  if (inbox_ && progress_loaded_) inbox_->Tick(now);
+  if (!ready_) {
+    if (load_retry_ != TimePoint() && now >= load_retry_) {
+      load_retry_ = TimePoint();
+      if (!progress_loaded_) LoadProgress("");
+      if (!members_loaded_) LoadMembers();
+    }
+    return;
+  }
+  Run(now);
+}
+
+void SchedulerDuty::Run(TimePoint now) {
+  if (!ready_) return;
+  const bool may_start = now < context_.valid_until() - kStartMargin;
+  SchedulerOutput out = core_.Tick(now, Clock::WallMilliseconds(), may_start);
+  for (const Decision& decision : out.decisions) {
+    Log(EventId::kFleetDecision, "term={} {}", term_.value(), decision.text);
+  }
+  for (OutgoingOrders& orders : out.orders) SendOrders(std::move(orders));
+  std::move(out.saves.begin(), out.saves.end(), std::back_inserter(save_queue_));
+  Save();
+  SaveMembers();
+  AnswerWaiting(now);
+}
+
+void SchedulerDuty::SendOrders(OutgoingOrders orders) {
+  orders.message.scheduler = context_.own_address;
+  const std::uint64_t batch = orders.batch;
+  internal::CallPeer<OrderBatchReply>(
+      context_.peers, orders.agent, orders.message, kOrderTimeout,
+      [this, alive = alive_, batch](const std::optional<OrderBatchReply>& reply) {
+        if (!*alive) return;
+        const TimePoint now = Clock::Now();
+        if (reply && reply->term > term_) {
+          context_.deposed("an agent follows a newer scheduler");
+          return;
+        }
+        core_.OnOrdersAnswered(now, batch, reply);
+        Run(now);
+      });
+}
+
+void SchedulerDuty::Save() {
+  if (saving_ || save_queue_.empty() || Clock::Now() < save_not_before_) return;
+  StoreCall call = StoreCall::Transaction().If(Leadership::LeaderKey(), leader_revision_);
+  call.timeout = kSaveTimeout;
+  auto batch = std::make_shared<std::vector<ProgressSave>>();
+  std::size_t removals = 0;
+  while (!save_queue_.empty() && batch->size() < kMaxSavesInOne && removals < kMaxRemovalsInOne) {
+    ProgressSave save = std::move(save_queue_.front());
+    save_queue_.erase(save_queue_.begin());
+    if (save.remove) {
+      ++removals;
+      call.Remove(StoreKeys::Job(save.job));
+      call.Remove(StoreKeys::Cancel(save.job));
+      call.Remove(StoreKeys::Progress(save.job));
+    } else {
+      call.Set(StoreKeys::Progress(save.job), save.bytes);
+    }
+    batch->push_back(std::move(save));
+    // Removals take three entries each.
+    if (batch->size() + removals * 2 >= kMaxSavesInOne) break;
+  }
+  saving_ = true;
+  context_.store.Call(call, [this, alive = alive_, batch](const StoreReply& reply) {
+    if (!*alive) return;
+    saving_ = false;
+    if (reply.status == StoreStatus::kConflict) {
+      context_.deposed("the store has another leader");
+      return;
+    }
+    if (reply.status != StoreStatus::kOk) {
+      Log(EventId::kFleetStore, "records={} not saved: {} {}", batch->size(),
+          StoreStatusName(reply.status), reply.message);
+      // Writing the same again is harmless: only the holder of the lease writes these keys.
+      save_queue_.insert(save_queue_.begin(), batch->begin(), batch->end());
+      save_not_before_ = Clock::Now() + kSaveRetry;
+      return;
+    }
+    for (const ProgressSave& save : *batch) {
+      if (!save.remove) core_.OnSaved(save.job, save.version);
+    }
+    Run(Clock::Now());
+  });
+}
+
+void SchedulerDuty::SaveMembers() {
+  const bool missing =
+      std::any_of(members_.begin(), members_.end(),
+                  [&](const auto& row) { return stored_members_.count(row.first) == 0; });
+  if (!missing || saving_members_) return;
+  saving_members_ = true;
+  std::vector<Member> rows;
+  auto written = std::make_shared<std::set<NodeId>>();
+  for (const auto& [node, address] : members_) {
+    rows.push_back({node, address});
+    written->insert(node);
+  }
+  StoreCall call = StoreCall::Transaction()
+                       .If(Leadership::LeaderKey(), leader_revision_)
+                       .Set(StoreKeys::kMembers, internal::EncodePeerBody(rows));
+  call.timeout = kSaveTimeout;
+  context_.store.Call(call, [this, alive = alive_, written](const StoreReply& reply) {
+    if (!*alive) return;
+    saving_members_ = false;
+    if (reply.status == StoreStatus::kOk) stored_members_ = *written;
+    if (reply.status == StoreStatus::kConflict) context_.deposed("the store has another leader");
+  });
+}
+
+void SchedulerDuty::OnReport(const AgentReport& report,
+                             std::function<void(AgentReportReply)> answer) {
+  const TimePoint now = Clock::Now();
+  AgentReportReply refusal;
+  refusal.term = term_;
+  refusal.scheduler = context_.own_address;
+  if (report.term > term_) {
+    answer(refusal);
+    context_.deposed("an agent follows a newer scheduler");
+    return;
+  }
+  if (!ready_ || !Valid(now)) {
+    answer(refusal);
+    return;
+  }
+  members_[report.node] = report.address;
+  if (stored_members_.count(report.node) == 0) {
+    // Before an agent may have runs, a successor must be able to know of it.
+    SaveMembers();
+    answer(refusal);
+    return;
+  }
+  AgentReportReply reply = core_.OnReport(now, report);
+  reply.scheduler = context_.own_address;
+  if (report.ended.empty() || !core_.HasUnsavedEnds(report.node)) {
+    answer(reply);
+  } else {
+    waiting_.push_back({report.node, now + kReportWait, reply, std::move(answer)});
+  }
+  Run(now);
+}
+
+void SchedulerDuty::AnswerWaiting(TimePoint now) {
+  for (auto it = waiting_.begin(); it != waiting_.end();) {
+    if (core_.HasUnsavedEnds(it->node) && now < it->until) {
+      ++it;
+      continue;
+    }
+    it->reply.acknowledged = core_.AcknowledgedEnd(it->node);
+    it->answer(it->reply);
+    it = waiting_.erase(it);
+  }
+}
+
+JobQueryReply SchedulerDuty::OnQuery(const JobQuery& query) const {
+  JobQueryReply reply;
+  reply.accepted = ready_ && Valid(Clock::Now());
+  const auto phase = core_.PhaseOf(query.job);
+  reply.known = phase.has_value();
+  if (phase) reply.phase = static_cast<std::uint8_t>(*phase);
+  return reply;
+}
+
+SummaryReply SchedulerDuty::OnSummary(const SummaryQuery& query) {
+  SummaryReply reply;
+  reply.accepted = ready_ && Valid(Clock::Now());
+  reply.term = term_;
+  reply.scheduler = context_.own_address;
+  reply.queues = core_.Summaries();
+  entries_[query.node] = query.address;
+  for (const auto& [node, address] : entries_) reply.peers.push_back(address);
+  reply.peers.push_back(context_.own_address);
+  return reply;
+}
+
+}  // namespace basilspring::fleet
--- a/src/main.cc
+++ b/src/main.cc
@@ -1,3 +1,6 @@
 #include "basilspring/process/command_line.h"
+#include "carriers.h"
 
-int main(int argc, char** argv) { return basilspring::RunCommandLine(argc, argv); }
+int main(int argc, char** argv) {
+  return basilspring::RunCommandLine(argc, argv, &basilspring::platform::MakeCarriers);
+}
--- a/src/process/command_line.cc
+++ b/src/process/command_line.cc
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "basilspring/error.h"
+#include "basilspring/fleet/node_settings.h"
 #include "basilspring/process/agent.h"
 #include "basilspring/process/entry.h"
 #include "basilspring/process/process_settings.h"
@@ -46,6 +47,24 @@
   return RunDaemon(arguments, ProcessRole::kAgent, &RunAgent);
 }
 
+int RunNodeCommand(const Arguments& arguments, const fleet::CarrierFactory& make_carriers) {
+  TCLAP::CmdLine command_line("Runs until SIGTERM, then finishes what is in flight", ' ',
+                              internal::kVersion);
+  TCLAP::ValueArg<std::string> file("s", "settings", "Settings file (TOML)", true, "", "FILE",
+                                    command_line);
+  TCLAP::SwitchArg check("c", "check", "Only checks the settings file", command_line);
+  if (const int code = internal::ParseArguments(command_line, arguments); code >= 0) return code;
+  const fleet::NodeSettingsOutcome outcome = fleet::LoadNodeSettings(file.getValue());
+  for (const SettingsFault& fault : outcome.faults) fmt::print(stderr, "{}\n", fault.text);
+  if (!outcome.faults.empty()) return kExitUsage;
+  if (check.getValue()) {
+    fmt::print("{} is without faults\n", file.getValue());
+    return kExitDone;
+  }
+  ConfigureLog(outcome.settings.log_level, outcome.settings.name.value());
+  return fleet::RunNode(outcome.settings, make_carriers);
+}
+
 int RunCheckConfig(const Arguments& arguments) {
   TCLAP::CmdLine command_line("Checks settings files and lists all faults", ' ',
                               internal::kVersion);
@@ -78,8 +97,11 @@
     {"job", &internal::RunJob, "submit, list, show, cancel, explain"},
 }};
 
+constexpr std::string_view kNodeCommand = "node";
+
 void PrintUsage(std::FILE* out) {
   fmt::print(out, "usage: basilspring COMMAND ...\n");
+  fmt::print(out, "  {:<13} {}\n", kNodeCommand, "serves one host of a fleet: entry or agent");
   for (const Command& command : kCommands) {
     fmt::print(out, "  {:<13} {}\n", command.name, command.description);
   }
@@ -88,21 +110,22 @@
              "`basilspring COMMAND --help` describes a command.\n");
 }
 
-int RunCommand(const Command& command, const Arguments& arguments) {
+template <typename Run>
+int RunGuarded(std::string_view name, Run run) {
   try {
-    return command.run(arguments);
+    return run();
   } catch (const Error& error) {
-    fmt::print(stderr, "basilspring {}: {}\n", command.name, error.what());
+    fmt::print(stderr, "basilspring {}: {}\n", name, error.what());
     return ErrorInfo(error.kind()).exit_code;
   } catch (const std::exception& error) {
-    fmt::print(stderr, "basilspring {}: internal error: {}\n", command.name, error.what());
+    fmt::print(stderr, "basilspring {}: internal error: {}\n", name, error.what());
     return kExitUnknownOutcome;
   }
 }
 
 }  // namespace
 
-int RunCommandLine(int argc, char** argv) {
+int RunCommandLine(int argc, char** argv, const fleet::CarrierFactory& make_carriers) {
   const Arguments arguments(argv + 1, argv + argc);
   const std::string name = arguments.empty() ? "" : arguments.front();
   if (name == "--version") {
@@ -110,7 +133,10 @@
     return kExitDone;
   }
   for (const Command& command : kCommands) {
-    if (command.name == name) return RunCommand(command, arguments);
+    if (command.name == name) return RunGuarded(name, [&] { return command.run(arguments); });
+  }
+  if (name == kNodeCommand) {
+    return RunGuarded(name, [&] { return RunNodeCommand(arguments, make_carriers); });
   }
   const bool help = name == "--help" || name == "-h";
   PrintUsage(help ? stdout : stderr);
--- a/src/process/io_thread.cc
+++ b/src/process/io_thread.cc
@@ -41,4 +41,19 @@
   });
 }
 
+void IoThread::OnReloadSignal(std::function<void()> handler) {
+  Post([this, handler = std::move(handler)] {
+    impl_->reload_signals = std::make_unique<boost::asio::signal_set>(impl_->context, SIGHUP);
+    impl_->AwaitReload(handler);
+  });
+}
+
+void IoThread::Impl::AwaitReload(const std::function<void()>& handler) {
+  reload_signals->async_wait([this, handler](const boost::system::error_code& error, int) {
+    if (error) return;
+    handler();
+    AwaitReload(handler);
+  });
+}
+
 }  // namespace basilspring
--- a/src/process/io_thread_internal.h
+++ b/src/process/io_thread_internal.h
@@ -4,6 +4,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <functional>
 #include <memory>
 #include <thread>
 
@@ -16,6 +17,8 @@
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work{
       context.get_executor()};
   std::unique_ptr<boost::asio::signal_set> signals;
+  std::unique_ptr<boost::asio::signal_set> reload_signals;
+  void AwaitReload(const std::function<void()>& handler);
   std::thread thread;
 };
 
--- a/src/process/log_events.cc
+++ b/src/process/log_events.cc
@@ -14,7 +14,7 @@
 };
 
 // Sorted by number. Columns: event, number, name, level (0 debug, 1 info, 2 warning, 3 error).
-constexpr std::array<EventRow, 62> kEvents = {{
+constexpr std::array<EventRow, 71> kEvents = {{
     {EventId::kProcessStarted, 100, "ProcessStarted", 1},
     {EventId::kProcessStopping, 101, "ProcessStopping", 1},
     {EventId::kProcessStopped, 102, "ProcessStopped", 1},
@@ -77,6 +77,15 @@
     {EventId::kConfigurationApplied, 700, "ConfigurationApplied", 1},
     {EventId::kConfigurationIgnored, 701, "ConfigurationIgnored", 1},
     {EventId::kConfigurationConflict, 702, "ConfigurationConflict", 1},
+    {EventId::kSettingsReloaded, 703, "SettingsReloaded", 1},
+    {EventId::kFleetDecision, 800, "FleetDecision", 1},
+    {EventId::kFleetScheduler, 801, "FleetScheduler", 1},
+    {EventId::kFleetStore, 802, "FleetStore", 1},
+    {EventId::kFleetRequest, 803, "FleetRequest", 1},
+    {EventId::kFleetAgent, 804, "FleetAgent", 1},
+    {EventId::kFleetConfiguration, 805, "FleetConfiguration", 1},
+    {EventId::kFleetPeer, 806, "FleetPeer", 1},
+    {EventId::kLogLinesLeftOut, 807, "LogLinesLeftOut", 1},
 }};
 
 const EventRow& Row(EventId event) {
--- a/standin/history.h
+++ b/standin/history.h
@@ -14,7 +14,7 @@
 
 /// One line of a record or log.
 struct HistoryEvent {
-  /// CLOCK_MONOTONIC of the host that all processes share.
+  /// CLOCK_BOOTTIME of the host that all processes share.
   std::int64_t ms = 0;
   /// File name without folder and extension.
   std::string source;
--- a/standin/operators_record.h
+++ b/standin/operators_record.h
@@ -4,7 +4,7 @@
 namespace basilspring::standin {
 
 /// `basilspring-standin record-event FILE EVENT [FIELD=VALUE...]`: appends a JSON line with the
-/// times of both clocks, for scripts, which can't read CLOCK_MONOTONIC. Values of digits become
+/// times of both clocks, for scripts, which can't read CLOCK_BOOTTIME. Values of digits become
 /// numbers. Returns the exit code.
 int RunRecordEvent(int argc, char** argv);
 
