Keep the room of a stopping run until its end is listed; decide events together; thin hosts lead last

On the grown sites the scheduler ran on entries of 0.12 cores and was saturated: each event scanned all jobs and workers. Change: a stopping run counts as gone only when its end is listed or the stop time has passed. A pass over the queue shares what it knows of the workers; events within 12 ms are decided together; a host waits longer for the scheduler's lease the less processor time it has.

--- a/include/basilspring/fleet/leadership.h
+++ b/include/basilspring/fleet/leadership.h
@@ -30,6 +30,8 @@
   /// Without contact to a scheduler for this long, the process looks whether there is one, and
   /// takes the lease when there is none.
   Duration patience = Duration(1200);
+  /// No look before this time.
+  TimePoint start_at;
   /// Life of the lease without a renewal. A shorter one is taken over sooner and lost more often.
   Duration lease = Duration(3000);
   Duration renewal = Duration(700);
--- a/include/basilspring/fleet/node_settings.h
+++ b/include/basilspring/fleet/node_settings.h
@@ -34,6 +34,8 @@
   /// Processes to ask for a way to the store when the own one is cut.
   std::vector<Address> seeds;
   SchedulerOptions scheduler;
+  /// Share of a core that the process may use; those with more take the scheduler's lease first.
+  double processor_share = 1.0;
   /// Time for requests in flight to finish on a graceful stop.
   Duration drain_limit = Duration(5000);
   LogLevel log_level = LogLevel::kInfo;
--- a/include/basilspring/fleet/placement.h
+++ b/include/basilspring/fleet/placement.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "basilspring/fleet/job_model.h"
@@ -27,8 +28,9 @@
   /// What can be used now.
   Resources room;
   Resources capacity;
-  std::string rack;
-  std::vector<std::string> labels;
+  std::string_view rack;
+  /// Labels of the worker; outlives the candidate.
+  const std::vector<std::string>* labels = nullptr;
   /// Tasks of the same step that are there already.
   std::int32_t same_step = 0;
   /// Suspected of failing; used only when nothing else has room.
--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -25,7 +25,7 @@
   /// Longest time that a backend server takes to stop a run.
   Duration stop_time = Duration(900);
   /// A task takes this many times as long away from its data's rack, or with its step spread.
-  std::int64_t far_factor = 3;
+  double far_factor = 3;
   /// An agent that has not reported for this long gets no new work.
   Duration silence_limit = Duration(1500);
   /// An unanswered stop is sent again after this time.
@@ -142,6 +142,8 @@
     bool preempted = false;
     /// The next time to send its stop.
     TimePoint stop_due;
+    /// When the backend server first confirmed that it stops the run.
+    std::optional<TimePoint> stop_confirmed_at;
     /// From this poll on the worker's rows are authoritative for the run; 0 while unknown.
     std::uint64_t visible_from = 0;
     std::string checkpoint;
@@ -229,8 +231,12 @@
     std::size_t step = 0;
     std::int32_t tier = 0;
     TimePoint latest_start;
+    std::vector<std::int32_t> waiting;
   };
 
+  struct View;
+  struct Pass;
+
   // scheduler_core.cc
   static std::size_t StepIndex(const Job& job, const TaskId& task);
   static const StepSpec& SpecOf(const Job& job, std::size_t step);
@@ -265,7 +271,7 @@
   void EmitOrders(TimePoint now, SchedulerOutput& out);
 
   // scheduler_queue.cc
-  std::vector<ReadyStep> ReadySteps(TimePoint now, const std::set<JobId>& guaranteed);
+  std::vector<ReadyStep> ReadySteps(TimePoint now, const Pass& pass);
   bool StepIsReady(const Job& job, std::size_t step) const;
   static std::vector<std::int32_t> WaitingTasks(const Job& job, std::size_t step, TimePoint now);
   std::set<JobId> GuaranteedJobs() const;
@@ -274,17 +280,18 @@
   bool RecoveryPending(TimePoint now) const;
   TimePoint LeaseHorizon(TimePoint granted) const;
   void Schedule(TimePoint now);
-  void TryStart(TimePoint now, const ReadyStep& ready, const std::set<JobId>& guaranteed);
-  bool TryReserved(TimePoint now, const ReadyStep& ready, const std::vector<std::int32_t>& waiting);
-  struct View;
-  View BuildView(TimePoint now, const ReadyStep& ready) const;
-  void AddVictims(TimePoint now, const ReadyStep& ready, const std::set<JobId>& guaranteed,
-                  View& view) const;
-  void Start(TimePoint now, Job& job, std::size_t step, const std::vector<std::int32_t>& tasks,
-             const std::vector<NodeId>& workers);
-  void Preempt(TimePoint now, const View& view, const std::vector<std::size_t>& victims);
+  void TryStart(TimePoint now, Pass& pass, const ReadyStep& ready);
+  bool TryReserved(TimePoint now, Pass& pass, const ReadyStep& ready);
+  void BeginPass(TimePoint now, Pass& pass);
+  View BuildView(TimePoint now, const Pass& pass, const ReadyStep& ready) const;
+  void AddVictims(TimePoint now, const Pass& pass, const ReadyStep& ready, View& view) const;
+  void Start(TimePoint now, Pass& pass, Job& job, std::size_t step,
+             const std::vector<std::int32_t>& tasks, const std::vector<std::size_t>& rows);
+  void StartTask(TimePoint now, Job& job, const TaskId& id, Worker& worker,
+                 const std::string& checkpoint);
+  void Preempt(TimePoint now, Pass& pass, const View& view,
+               const std::vector<std::size_t>& victims);
   double LostWork(const Job& job, const RunKey& key, const Allocation& run, TimePoint now) const;
-  Resources ReservedByOthers(const NodeId& node, const Step* own) const;
   Resources FreeRoom(const Worker& worker) const;
 
   void Say(std::string text) { decisions_.push_back({std::move(text)}); }
@@ -295,6 +302,8 @@
   std::int64_t wall_ms_ = 0;
   std::shared_ptr<const OperatorState> operators_;
   std::map<JobId, Job> jobs_;
+  /// The jobs that have not ended.
+  std::set<JobId> active_;
   std::set<JobId> cancelled_early_;
   std::map<NodeId, Worker> workers_;
   RunTimeModel run_times_;
--- a/include/basilspring/fleet/scheduler_duty.h
+++ b/include/basilspring/fleet/scheduler_duty.h
@@ -48,6 +48,8 @@
     StoreAccess& store;
     PeerClient& peers;
     Executor executor;
+    /// Runs a function on the same thread after a delay.
+    std::function<void(Duration, std::function<void()>)> run_later;
     Address own_address;
     SchedulerOptions options;
     /// Until when the lease is valid.
@@ -86,6 +88,7 @@
   void BecomeReady();
   void OnInbox(const std::vector<StoreItem>& items, bool snapshot);
   void Run(TimePoint now);
+  void RunSoon();
   void SendOrders(OutgoingOrders orders);
   void Save();
   void SaveMembers();
@@ -103,6 +106,7 @@
   bool members_loaded_ = false;
   bool ready_ = false;
   bool run_scheduled_ = false;
+  TimePoint last_run_;
   TimePoint load_retry_;
   std::vector<std::vector<StoreItem>> early_inbox_;
   std::map<NodeId, Address> members_;
--- a/src/fleet/leadership.cc
+++ b/src/fleet/leadership.cc
@@ -40,12 +40,14 @@
     if (now >= next_renewal_ && !renewing_) Renew(now);
     return;
   }
-  if (busy_ || resigned_ || now < next_look_ || now - last_contact < options_.patience) return;
+  if (busy_ || resigned_ || now < next_look_ || now < options_.start_at) return;
+  if (now - last_contact < options_.patience) return;
   Look();
 }
 
 void Leadership::LookNow() {
-  if (!busy_ && !leading() && !resigned_) Look();
+  const bool early = Clock::Now() < options_.start_at;
+  if (!busy_ && !leading() && !resigned_ && !early) Look();
 }
 
 void Leadership::Look() {
--- a/src/fleet/node.cc
+++ b/src/fleet/node.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <atomic>
 #include <future>
 #include <random>
@@ -30,10 +31,14 @@
 constexpr Duration kEntryTick(50);
 constexpr Duration kAgentTick(50);
 constexpr Duration kPostRetry(5);
-// An agent looks for another scheduler later than an entry does: entries have more processor time
-// and get the scheduler's work when there are any.
-constexpr Duration kEntryPatience(1200);
-constexpr Duration kAgentPatience(2600);
+// Without contact to a scheduler for this long, a process looks whether there is one. Processes
+// with little processor time wait longer, up to the second figure more: the scheduler's work goes
+// to a host that can carry it.
+constexpr Duration kPatience(1200);
+constexpr double kThinHostPatienceMs = 1500;
+constexpr double kAmpleProcessorShare = 0.5;
+// The cold start has no scheduler to lose.
+constexpr Duration kStartPatience(150);
 // The balancer stops sending new connections after two missed questions, a second apart.
 constexpr Duration kStopListening(2300);
 // Polls of the state of a stopping process.
@@ -120,7 +125,10 @@
   LeadershipOptions options;
   options.node = settings_.name;
   options.address = settings_.peers;
-  options.patience = entry_role_ ? kEntryPatience : kAgentPatience;
+  const double thin = std::max(0.0, 1.0 - settings_.processor_share / kAmpleProcessorShare);
+  const Duration extra(static_cast<std::int64_t>(kThinHostPatienceMs * thin));
+  options.patience = kPatience + extra;
+  options.start_at = Clock::Now() + kStartPatience + extra / 2;
   leadership_ = std::make_unique<Leadership>(
       *store_, options,
       Leadership::Handlers{
@@ -229,6 +237,11 @@
   scheduler_ = std::make_unique<SchedulerDuty>(
       SchedulerDuty::Context{
           *store_, *peers_, [this](std::function<void()> work) { Post(std::move(work)); },
+          [this](Duration delay, std::function<void()> work) {
+            io_.PostAfter(delay, [this, work = std::move(work)]() mutable {
+              Post(std::move(work));
+            });
+          },
           settings_.peers, settings_.scheduler, [this] { return leadership_->valid_until(); },
           [this](const std::string& reason) { leadership_->Depose(reason); }},
       term, revision);
--- a/src/fleet/node_settings.cc
+++ b/src/fleet/node_settings.cc
@@ -20,10 +20,14 @@
 // Of the time between SIGTERM and the forced end.
 constexpr Duration kDrainReserve(500);
 
-Duration ReadDuration(SettingsReader& reader, std::string_view key, std::int64_t minimum,
-                      std::int64_t maximum, Duration fallback) {
-  const auto value = reader.Number(key, Presence::kOptional, minimum, maximum);
-  return value ? Duration(*value) : fallback;
+/// A time in the unit that the key ends with.
+Duration ReadDuration(SettingsReader& reader, std::string_view key, double minimum, double maximum,
+                      Duration fallback) {
+  const auto value = reader.Decimal(key, Presence::kOptional, minimum, maximum);
+  if (!value) return fallback;
+  const bool milliseconds = key.size() > 3 && key.substr(key.size() - 3) == "_ms";
+  constexpr double kMillisecondsPerSecond = 1000.0;
+  return Duration(static_cast<std::int64_t>(milliseconds ? *value : *value * kMillisecondsPerSecond));
 }
 
 void ReadNetwork(SettingsReader& reader, NodeSettings& settings) {
@@ -47,13 +51,15 @@
   options.lease =
       std::max(kShortestLease, std::min(options.lease, longest_lease - kLeaseReserve));
   options.stop_time = ReadDuration(reader, "limits.stop_time_ms", 1, 60000, options.stop_time);
-  options.keep_finished = ReadDuration(reader, "limits.keep_finished_s", 1, 86400,
-                                       options.keep_finished / 1000) *
-                          1000;
-  if (const auto factor = reader.Number("limits.far_factor", Presence::kOptional, 1, 1000)) {
+  options.keep_finished =
+      ReadDuration(reader, "limits.keep_finished_s", 1, 86400, options.keep_finished);
+  if (const auto factor = reader.Decimal("limits.far_factor", Presence::kOptional, 1, 1000)) {
     options.far_factor = *factor;
   }
-  const Duration grace = ReadDuration(reader, "limits.stop_grace_ms", 1000, 3600000,
+  if (const auto share = reader.Decimal("limits.processor_share", Presence::kOptional, 0.001, 1024)) {
+    settings.processor_share = *share;
+  }
+  const Duration grace = ReadDuration(reader, "limits.stop_grace_s", 1, 3600,
                                       settings.drain_limit + kDrainReserve);
   settings.drain_limit = grace - kDrainReserve;
 }
--- a/src/fleet/placement.cc
+++ b/src/fleet/placement.cc
@@ -80,7 +80,7 @@
 std::vector<CandidateSet> SetsToTry(const StepSpec& step, std::int32_t count,
                                     const std::vector<Candidate>& candidates) {
   CandidateSet all;
-  std::map<std::string, CandidateSet> racks;
+  std::map<std::string_view, CandidateSet> racks;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     all.push_back(i);
     racks[candidates[i].rack].push_back(i);
@@ -135,9 +135,10 @@
 
 bool IsEligible(const StepSpec& step, const Candidate& candidate) {
   if (!step.needs.FitsIn(candidate.capacity)) return false;
-  const auto& labels = candidate.labels;
-  return step.required_label.empty() ||
-         std::find(labels.begin(), labels.end(), step.required_label) != labels.end();
+  if (step.required_label.empty()) return true;
+  const auto* labels = candidate.labels;
+  return labels != nullptr &&
+         std::find(labels->begin(), labels->end(), step.required_label) != labels->end();
 }
 
 std::optional<Placement> PlaceNow(const StepSpec& step, std::int32_t count,
--- a/src/fleet/scheduler_core.cc
+++ b/src/fleet/scheduler_core.cc
@@ -108,6 +108,7 @@
                   inherited, job.cancelled));
   const JobId id = job.spec.id;
   Job& added = jobs_.emplace(id, std::move(job)).first->second;
+  if (!IsFinal(added.phase)) active_.insert(id);
   if (added.cancelled && !IsFinal(added.phase)) {
     Finish(added, JobPhase::kCancelled, "cancelled by its caller");
   }
@@ -135,6 +136,8 @@
   job.phase_stored = false;
   job.finished_unix_ms = wall_ms_;
   ++job.version;
+  active_.erase(job.spec.id);
+  for (Step& step : job.steps) step.reserved.clear();
   if (phase == JobPhase::kCompleted) ++counts_.jobs_completed;
   if (phase == JobPhase::kFailed) ++counts_.jobs_failed;
   if (phase == JobPhase::kCancelled) ++counts_.jobs_cancelled;
@@ -226,8 +229,9 @@
 
 std::vector<QueueSummary> SchedulerCore::Summaries() const {
   std::map<QueueId, std::int64_t> pending;
-  for (const auto& [id, job] : jobs_) {
-    if (IsFinal(job.phase) || job.started || job.spec.occurrences > 0) continue;
+  for (const JobId& id : active_) {
+    const Job& job = jobs_.at(id);
+    if (job.started || job.spec.occurrences > 0) continue;
     ++pending[job.spec.queue];
   }
   std::vector<QueueSummary> rows;
--- a/src/fleet/scheduler_duty.cc
+++ b/src/fleet/scheduler_duty.cc
@@ -22,6 +22,10 @@
 constexpr Duration kSaveTimeout(1000);
 constexpr Duration kSaveRetry(100);
 constexpr Duration kLoadRetry(100);
+// Events that come within this time are decided on together.
+constexpr Duration kRunInterval(12);
+// A waiting scheduler looks at its timers this often.
+constexpr Duration kIdleRunInterval(45);
 
 }  // namespace
 
@@ -142,7 +146,7 @@
   }
   if (snapshot) inbox_loaded_ = true;
   BecomeReady();
-  if (ready_) Run(now);
+  if (ready_) RunSoon();
 }
 
 void SchedulerDuty::Tick(TimePoint now) {
@@ -155,11 +159,28 @@
     }
     return;
   }
-  Run(now);
+  if (now - last_run_ >= kIdleRunInterval) Run(now);
+}
+
+void SchedulerDuty::RunSoon() {
+  if (run_scheduled_) return;
+  const TimePoint now = Clock::Now();
+  const Duration since = now - last_run_;
+  if (since >= kRunInterval) {
+    Run(now);
+    return;
+  }
+  run_scheduled_ = true;
+  context_.run_later(kRunInterval - since, [this, alive = alive_] {
+    if (!*alive) return;
+    run_scheduled_ = false;
+    Run(Clock::Now());
+  });
 }
 
 void SchedulerDuty::Run(TimePoint now) {
   if (!ready_) return;
+  last_run_ = now;
   const bool may_start = now < context_.valid_until() - kStartMargin;
   SchedulerOutput out = core_.Tick(now, Clock::WallMilliseconds(), may_start);
   for (const Decision& decision : out.decisions) {
@@ -185,7 +206,7 @@
           return;
         }
         core_.OnOrdersAnswered(now, batch, reply);
-        Run(now);
+        RunSoon();
       });
 }
 
@@ -229,7 +250,8 @@
     for (const ProgressSave& save : *batch) {
       if (!save.remove) core_.OnSaved(save.job, save.version);
     }
-    Run(Clock::Now());
+    AnswerWaiting(Clock::Now());
+    RunSoon();
   });
 }
 
@@ -286,7 +308,7 @@
   } else {
     waiting_.push_back({report.node, now + kReportWait, reply, std::move(answer)});
   }
-  Run(now);
+  RunSoon();
 }
 
 void SchedulerDuty::AnswerWaiting(TimePoint now) {
--- a/src/fleet/scheduler_queue.cc
+++ b/src/fleet/scheduler_queue.cc
@@ -32,10 +32,27 @@
 
 }  // namespace
 
+/// What one pass over the queue knows of the workers that can take work; kept current while steps
+/// are started and others stopped.
+struct SchedulerCore::Pass {
+  struct Row {
+    Worker* worker = nullptr;
+    Resources free;
+    /// Of what runs here, the part that is being stopped.
+    Resources stopping;
+    /// Held for steps that wait for that.
+    Resources reserved;
+  };
+  std::vector<Row> rows;
+  std::map<NodeId, std::size_t> index;
+  std::set<JobId> guaranteed;
+};
+
 /// The workers that could take a step, and what placement may stop there.
 struct SchedulerCore::View {
   std::vector<Candidate> candidates;
-  std::vector<NodeId> nodes;
+  /// For each candidate its row of the pass.
+  std::vector<std::size_t> rows;
   /// For each victim handle one of its runs.
   std::vector<std::pair<NodeId, RunKey>> victims;
 };
@@ -74,8 +91,9 @@
 
 std::set<JobId> SchedulerCore::GuaranteedJobs() const {
   std::map<WorkspaceId, std::vector<const Job*>> by_workspace;
-  for (const auto& [id, job] : jobs_) {
-    if (IsFinal(job.phase) || job.queue.priority != 0) continue;
+  for (const JobId& id : active_) {
+    const Job& job = jobs_.at(id);
+    if (job.queue.priority != 0) continue;
     by_workspace[job.spec.workspace].push_back(&job);
   }
   std::set<JobId> guaranteed;
@@ -114,30 +132,31 @@
   return longest;
 }
 
-std::vector<SchedulerCore::ReadyStep> SchedulerCore::ReadySteps(
-    TimePoint now, const std::set<JobId>& guaranteed) {
+std::vector<SchedulerCore::ReadyStep> SchedulerCore::ReadySteps(TimePoint now, const Pass& pass) {
   std::vector<ReadyStep> ready;
   const bool recovering = RecoveryPending(now);
-  for (auto& [id, job] : jobs_) {
-    if (IsFinal(job.phase) || job.queue.service.empty()) continue;
-    if (recovering && job.inherited) continue;
+  for (const JobId& id : active_) {
+    Job& job = jobs_.at(id);
+    if (job.queue.service.empty() || (recovering && job.inherited)) continue;
     for (std::size_t i = 0; i < job.steps.size(); ++i) {
       if (!StepIsReady(job, i)) continue;
       Step& step = job.steps[i];
       if (!step.ready_at) step.ready_at = now;
       ReadyStep row;
+      row.waiting = WaitingTasks(job, i, now);
+      if (row.waiting.empty()) continue;
       row.job = &job;
       row.step = i;
       row.tier = kTierOther;
       if (job.queue.priority == 0) {
-        row.tier = guaranteed.count(id) > 0 ? kTierGuaranteed : kTierUrgent;
+        row.tier = pass.guaranteed.count(id) > 0 ? kTierGuaranteed : kTierUrgent;
       }
       // Served in the order of the time by which they must start to be on time.
       const Duration chain = Chain(job);
       const auto allowed = static_cast<std::int64_t>(
           static_cast<double>(chain.milliseconds()) * (job.queue.stretch - 1.0));
       row.latest_start = job.accepted_at + Duration(allowed) + job.queue.target_slack;
-      ready.push_back(row);
+      ready.push_back(std::move(row));
     }
   }
   std::sort(ready.begin(), ready.end(), [](const ReadyStep& left, const ReadyStep& right) {
@@ -153,20 +172,6 @@
   return room;
 }
 
-Resources SchedulerCore::ReservedByOthers(const NodeId& node, const Step* own) const {
-  Resources reserved;
-  for (const auto& [id, job] : jobs_) {
-    if (IsFinal(job.phase)) continue;
-    for (std::size_t i = 0; i < job.steps.size(); ++i) {
-      const Step& step = job.steps[i];
-      if (&step == own || step.reserved.empty()) continue;
-      const auto count = std::count(step.reserved.begin(), step.reserved.end(), node);
-      reserved += Times(SpecOf(job, i).needs, count);
-    }
-  }
-  return reserved;
-}
-
 bool SchedulerCore::IsUsable(TimePoint now, const Worker& worker, const ServiceId& service) const {
   return worker.reported && worker.backend && worker.backend->service == service &&
          !worker.backend->draining && now - worker.last_report <= options_.silence_limit &&
@@ -174,47 +179,73 @@
          operators_->evacuated.count(worker.backend->data_centre) == 0;
 }
 
-SchedulerCore::View SchedulerCore::BuildView(TimePoint now, const ReadyStep& ready) const {
+void SchedulerCore::BeginPass(TimePoint now, Pass& pass) {
+  pass.guaranteed = GuaranteedJobs();
+  for (auto& [node, worker] : workers_) {
+    // On probation a worker gets nothing.
+    if (!worker.backend || now < worker.probation_until) continue;
+    if (!IsUsable(now, worker, worker.backend->service)) continue;
+    Pass::Row row;
+    row.worker = &worker;
+    row.free = FreeRoom(worker);
+    for (const auto& [key, run] : worker.runs) {
+      if (run.stopping) row.stopping += run.needs;
+    }
+    pass.index[node] = pass.rows.size();
+    pass.rows.push_back(row);
+  }
+  for (const JobId& id : active_) {
+    const Job& job = jobs_.at(id);
+    for (std::size_t i = 0; i < job.steps.size(); ++i) {
+      for (const NodeId& node : job.steps[i].reserved) {
+        const auto found = pass.index.find(node);
+        if (found != pass.index.end()) pass.rows[found->second].reserved += SpecOf(job, i).needs;
+      }
+    }
+  }
+}
+
+SchedulerCore::View SchedulerCore::BuildView(TimePoint /*now*/, const Pass& pass,
+                                             const ReadyStep& ready) const {
   View view;
   const Job& job = *ready.job;
   const StepSpec& spec = SpecOf(job, ready.step);
   const Step& step = job.steps[ready.step];
-  std::string pinned_rack;
-  if (spec.same_rack && !spec.gang) {
-    for (const Task& task : step.tasks) {
-      const auto worker = workers_.find(task.worker);
-      if (task.phase == TaskPhase::kWaiting || worker == workers_.end()) continue;
-      if (worker->second.backend) pinned_rack = worker->second.backend->rack;
+  std::string_view pinned_rack;
+  std::set<NodeId> failed_on;
+  for (const Task& task : step.tasks) {
+    failed_on.insert(task.failed_on.begin(), task.failed_on.end());
+    if (!spec.same_rack || spec.gang || task.phase == TaskPhase::kWaiting) continue;
+    const auto worker = workers_.find(task.worker);
+    if (worker != workers_.end() && worker->second.backend) {
+      pinned_rack = worker->second.backend->rack;
     }
   }
-  for (const auto& [node, worker] : workers_) {
-    if (!IsUsable(now, worker, job.queue.service)) continue;
+  for (std::size_t i = 0; i < pass.rows.size(); ++i) {
+    const Pass::Row& row = pass.rows[i];
+    const Worker& worker = *row.worker;
+    if (worker.backend->service != job.queue.service) continue;
     Candidate candidate;
     candidate.rack = worker.backend->rack;
     if (!pinned_rack.empty() && candidate.rack != pinned_rack) continue;
     candidate.capacity = worker.backend->capacity;
-    candidate.labels = worker.backend->labels;
-    Resources stopping;
-    for (const auto& [key, run] : worker.runs) {
-      if (run.stopping) stopping += run.needs;
-      const bool same = key.task.job == job.spec.id && StepIndex(job, key.task) == ready.step;
-      if (same) ++candidate.same_step;
+    candidate.labels = &worker.backend->labels;
+    if (spec.max_per_worker > 0) {
+      for (const auto& [key, run] : worker.runs) {
+        const bool same = key.task.job == job.spec.id && StepIndex(job, key.task) == ready.step;
+        if (same) ++candidate.same_step;
+      }
     }
-    const Resources free = FreeRoom(worker);
-    Resources later = free;
-    later += stopping;
-    later -= ReservedByOthers(node, &step);
-    candidate.room = {std::min(free.milli_cores, later.milli_cores),
-                      std::min(free.memory_mb, later.memory_mb),
-                      std::min(free.accelerators, later.accelerators)};
-    candidate.suspect =
-        now < worker.probation_until || !worker.failed_jobs.empty() ||
-        std::any_of(step.tasks.begin(), step.tasks.end(),
-                    [&](const Task& task) { return task.failed_on.count(node) > 0; });
-    // On probation a worker gets nothing; one failure only makes it the last choice.
-    if (now < worker.probation_until) continue;
+    Resources later = row.free;
+    later += row.stopping;
+    later -= row.reserved;
+    candidate.room = {std::min(row.free.milli_cores, later.milli_cores),
+                      std::min(row.free.memory_mb, later.memory_mb),
+                      std::min(row.free.accelerators, later.accelerators)};
+    // After one failure a worker is the last choice.
+    candidate.suspect = !worker.failed_jobs.empty() || failed_on.count(worker.node) > 0;
     view.candidates.push_back(std::move(candidate));
-    view.nodes.push_back(node);
+    view.rows.push_back(i);
   }
   return view;
 }
@@ -234,20 +265,19 @@
   return std::max(0.0, seconds) * spec.needs.Weight();
 }
 
-void SchedulerCore::AddVictims(TimePoint now, const ReadyStep& ready,
-                               const std::set<JobId>& guaranteed, View& view) const {
+void SchedulerCore::AddVictims(TimePoint now, const Pass& pass, const ReadyStep& ready,
+                               View& view) const {
   std::map<std::pair<JobId, std::size_t>, std::size_t> gangs;
-  for (std::size_t i = 0; i < view.nodes.size(); ++i) {
-    const Worker& worker = workers_.at(view.nodes[i]);
+  for (std::size_t i = 0; i < view.rows.size(); ++i) {
+    const Worker& worker = *pass.rows[view.rows[i]].worker;
     for (const auto& [key, run] : worker.runs) {
       if (run.stopping || key.task.job == ready.job->spec.id) continue;
       const auto found = jobs_.find(key.task.job);
       if (found == jobs_.end()) continue;
       const Job& job = found->second;
       const bool borrower = job.queue.priority == 0;
-      if (borrower && (ready.tier != kTierGuaranteed || guaranteed.count(key.task.job) > 0)) {
-        continue;
-      }
+      const bool protected_run = pass.guaranteed.count(key.task.job) > 0;
+      if (borrower && (ready.tier != kTierGuaranteed || protected_run)) continue;
       const std::size_t step = StepIndex(job, key.task);
       Victim victim;
       victim.room = run.needs;
@@ -258,10 +288,10 @@
         victim.lost_work *= SpecOf(job, step).task_count;
         const auto [it, added] = gangs.try_emplace({key.task.job, step}, view.victims.size());
         victim.handle = it->second;
-        if (added) view.victims.emplace_back(view.nodes[i], key);
+        if (added) view.victims.emplace_back(worker.node, key);
       } else {
         victim.handle = view.victims.size();
-        view.victims.emplace_back(view.nodes[i], key);
+        view.victims.emplace_back(worker.node, key);
       }
       view.candidates[i].victims.push_back(victim);
     }
@@ -272,7 +302,7 @@
   }
 }
 
-void SchedulerCore::Preempt(TimePoint now, const View& view,
+void SchedulerCore::Preempt(TimePoint now, Pass& pass, const View& view,
                             const std::vector<std::size_t>& victims) {
   for (const std::size_t handle : victims) {
     const auto& [node, key] = view.victims[handle];
@@ -291,85 +321,118 @@
       RequestStop(now, worker, key, run);
     }
   }
+  for (Pass::Row& row : pass.rows) {
+    row.stopping = Resources();
+    for (const auto& [key, run] : row.worker->runs) {
+      if (run.stopping) row.stopping += run.needs;
+    }
+  }
 }
 
-bool SchedulerCore::TryReserved(TimePoint now, const ReadyStep& ready,
-                                const std::vector<std::int32_t>& waiting) {
+bool SchedulerCore::TryReserved(TimePoint now, Pass& pass, const ReadyStep& ready) {
   Job& job = *ready.job;
   Step& step = job.steps[ready.step];
   const StepSpec& spec = SpecOf(job, ready.step);
-  std::map<NodeId, std::int64_t> counts;
-  for (const NodeId& node : step.reserved) ++counts[node];
-  bool valid = step.reserved.size() == waiting.size() &&
-               now - step.reserved_at <= options_.stop_time + kReservationSlack;
-  bool fits = valid;
-  for (const auto& [node, count] : counts) {
-    const auto worker = workers_.find(node);
-    if (worker == workers_.end() || !IsUsable(now, worker->second, job.queue.service)) {
-      valid = false;
-      break;
-    }
-    fits = fits && Times(spec.needs, count).FitsIn(FreeRoom(worker->second));
+  std::vector<std::size_t> rows;
+  std::map<std::size_t, std::int64_t> counts;
+  for (const NodeId& node : step.reserved) {
+    const auto found = pass.index.find(node);
+    if (found == pass.index.end()) continue;
+    rows.push_back(found->second);
+    ++counts[found->second];
   }
+  const bool valid = rows.size() == step.reserved.size() &&
+                     step.reserved.size() == ready.waiting.size() &&
+                     now - step.reserved_at <= options_.stop_time + kReservationSlack;
+  const bool fits = std::all_of(counts.begin(), counts.end(), [&](const auto& row) {
+    return Times(spec.needs, row.second).FitsIn(pass.rows[row.first].free);
+  });
+  if (valid && !fits) return true;
+  for (const std::size_t row : rows) pass.rows[row].reserved -= spec.needs;
+  step.reserved.clear();
   if (!valid) {
-    Say(fmt::format("job={} step={} reservation of {} workers given up after {} ms",
+    Say(fmt::format("job={} step={} reservation on {} workers given up after {} ms",
                     job.spec.id.value(), ready.step, counts.size(),
                     (now - step.reserved_at).milliseconds()));
-    step.reserved.clear();
     return false;
   }
-  if (fits) {
-    const std::vector<NodeId> workers = std::exchange(step.reserved, {});
-    Start(now, job, ready.step, waiting, workers);
-  }
+  Start(now, pass, job, ready.step, ready.waiting, rows);
   return true;
 }
 
-void SchedulerCore::TryStart(TimePoint now, const ReadyStep& ready,
-                             const std::set<JobId>& guaranteed) {
+void SchedulerCore::TryStart(TimePoint now, Pass& pass, const ReadyStep& ready) {
   Job& job = *ready.job;
   Step& step = job.steps[ready.step];
   const StepSpec& spec = SpecOf(job, ready.step);
-  const std::vector<std::int32_t> waiting = WaitingTasks(job, ready.step, now);
-  if (waiting.empty()) return;
-  if (!step.reserved.empty() && TryReserved(now, ready, waiting)) return;
-  View view = BuildView(now, ready);
-  const auto count = static_cast<std::int32_t>(waiting.size());
-  const auto nodes_of = [&](const Placement& placement) {
-    std::vector<NodeId> nodes;
-    for (const std::size_t i : placement.workers) nodes.push_back(view.nodes[i]);
-    return nodes;
+  if (!step.reserved.empty() && TryReserved(now, pass, ready)) return;
+  View view = BuildView(now, pass, ready);
+  const auto count = static_cast<std::int32_t>(ready.waiting.size());
+  const auto rows_of = [&](const Placement& placement) {
+    std::vector<std::size_t> rows;
+    for (const std::size_t i : placement.workers) rows.push_back(view.rows[i]);
+    return rows;
   };
   if (const auto placement = PlaceNow(spec, count, view.candidates)) {
-    std::vector<std::int32_t> tasks(
-        waiting.begin(), waiting.begin() + static_cast<std::ptrdiff_t>(placement->workers.size()));
-    Start(now, job, ready.step, tasks, nodes_of(*placement));
+    std::vector<std::int32_t> tasks = ready.waiting;
+    tasks.resize(placement->workers.size());
+    Start(now, pass, job, ready.step, tasks, rows_of(*placement));
     return;
   }
   const bool may_preempt =
       ready.tier == kTierGuaranteed ||
       (ready.tier == kTierUrgent && now - *step.ready_at >= options_.borrow_wait);
   if (!may_preempt) return;
-  AddVictims(now, ready, guaranteed, view);
+  AddVictims(now, pass, ready, view);
   const auto placement = PlaceWithVictims(spec, count, view.candidates);
   if (!placement) return;
-  step.reserved = nodes_of(*placement);
+  for (const std::size_t row : rows_of(*placement)) {
+    step.reserved.push_back(pass.rows[row].worker->node);
+    pass.rows[row].reserved += spec.needs;
+  }
   step.reserved_at = now;
   Say(fmt::format("job={} step={} tier={} tasks={} waited_ms={} stops {} others, lost_work={:.1f}",
                   job.spec.id.value(), ready.step, ready.tier, count,
                   (now - *step.ready_at).milliseconds(), placement->victims.size(),
                   placement->lost_work));
-  Preempt(now, view, placement->victims);
+  Preempt(now, pass, view, placement->victims);
+}
+
+void SchedulerCore::StartTask(TimePoint now, Job& job, const TaskId& id, Worker& worker,
+                              const std::string& checkpoint) {
+  const StepSpec& spec = SpecOf(job, StepIndex(job, id));
+  Task& task = TaskOf(job, id);
+  task.phase = TaskPhase::kActive;
+  task.run = RunNumber((term_.value() - 1) * kRunsPerTerm + task.runs);
+  task.worker = worker.node;
+  task.ever_started = true;
+  ++task.live_runs;
+  Order order;
+  order.start = true;
+  order.task = id;
+  order.run = task.run;
+  order.payload = job.spec.payload;
+  order.checkpoint = checkpoint;
+  Allocation& run = worker.runs[{id, task.run}];
+  run.needs = spec.needs;
+  run.ordered_at = now;
+  run.progressed_at = now;
+  run.working_since = now;
+  run.checkpoint = checkpoint;
+  run.measured = checkpoint.empty() &&
+                 (spec.data_rack.empty() || spec.data_rack == worker.backend->rack);
+  pending_orders_.push_back({worker.node, std::move(order)});
+  ++counts_.runs_started;
 }
 
-void SchedulerCore::Start(TimePoint now, Job& job, std::size_t step,
+void SchedulerCore::Start(TimePoint now, Pass& pass, Job& job, std::size_t step,
                           const std::vector<std::int32_t>& tasks,
-                          const std::vector<NodeId>& workers) {
+                          const std::vector<std::size_t>& rows) {
   const StepSpec& spec = SpecOf(job, step);
   Step& state = job.steps[step];
   std::uint64_t gang_run = 0;
   std::string gang_checkpoint;
   if (spec.gang) {
+    // All members carry the same run number and the same checkpoint; any member's is valid.
     std::int32_t saved = -1;
     for (const Task& task : state.tasks) {
       gang_run = std::max(gang_run, task.runs + 1);
@@ -382,28 +445,10 @@
   for (std::size_t i = 0; i < tasks.size(); ++i) {
     Task& task = state.tasks[static_cast<std::size_t>(tasks[i])];
     task.runs = spec.gang ? gang_run : task.runs + 1;
-    task.run = RunNumber((term_.value() - 1) * kRunsPerTerm + task.runs);
-    task.phase = TaskPhase::kActive;
-    task.worker = workers[i];
-    task.ever_started = true;
-    ++task.live_runs;
-    Order order;
-    order.start = true;
-    order.task = IdOf(job, step, static_cast<std::size_t>(tasks[i]));
-    order.run = task.run;
-    order.payload = job.spec.payload;
-    order.checkpoint = spec.gang ? gang_checkpoint : task.checkpoint;
-    Worker& worker = workers_.at(workers[i]);
-    Allocation& run = worker.runs[{order.task, order.run}];
-    run.needs = spec.needs;
-    run.ordered_at = now;
-    run.progressed_at = now;
-    run.working_since = now;
-    run.checkpoint = order.checkpoint;
-    run.measured = order.checkpoint.empty() &&
-                   (spec.data_rack.empty() || spec.data_rack == worker.backend->rack);
-    pending_orders_.push_back({workers[i], std::move(order)});
-    ++counts_.runs_started;
+    Pass::Row& row = pass.rows[rows[i]];
+    row.free -= spec.needs;
+    StartTask(now, job, IdOf(job, step, static_cast<std::size_t>(tasks[i])), *row.worker,
+              spec.gang ? gang_checkpoint : task.checkpoint);
   }
   if (!job.started) {
     job.started = true;
@@ -414,8 +459,10 @@
 }
 
 void SchedulerCore::Schedule(TimePoint now) {
-  const std::set<JobId> guaranteed = GuaranteedJobs();
-  for (const ReadyStep& ready : ReadySteps(now, guaranteed)) TryStart(now, ready, guaranteed);
+  if (active_.empty()) return;
+  Pass pass;
+  BeginPass(now, pass);
+  for (const ReadyStep& ready : ReadySteps(now, pass)) TryStart(now, pass, ready);
 }
 
 }  // namespace basilspring::fleet
--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -102,6 +102,12 @@
   std::vector<RunKey> vanished;
   for (const auto& [key, run] : worker.runs) {
     if (run.visible_from == 0 || report.poll < run.visible_from) continue;
+    // A run that is being stopped still works though it is not listed as running any more. Its end
+    // follows, unless it never started.
+    if (run.stopping && (!run.stop_confirmed_at ||
+                         now - *run.stop_confirmed_at <= options_.stop_time + kLeaseMargin)) {
+      continue;
+    }
     if (listed.count(key) == 0) vanished.push_back(key);
   }
   for (const RunKey& key : vanished) {
@@ -313,8 +319,9 @@
     }
   }
   if (RecoveryPending(now)) return;
-  for (auto& [id, job] : jobs_) {
-    if (IsFinal(job.phase) || !job.started) continue;
+  for (const JobId& id : active_) {
+    Job& job = jobs_.at(id);
+    if (!job.started) continue;
     for (std::size_t i = 0; i < job.steps.size(); ++i) {
       if (!SpecOf(job, i).gang) continue;
       const auto& tasks = job.steps[i].tasks;
@@ -461,6 +468,7 @@
         run->second.working_since = now;
         run->second.progressed_at = now;
       } else {
+        if (!run->second.stop_confirmed_at) run->second.stop_confirmed_at = now;
         run->second.stop_due = now + options_.stop_time + options_.stop_retry;
       }
       continue;
--- a/src/process/settings_reader.cc
+++ b/src/process/settings_reader.cc
@@ -90,6 +90,24 @@
   return value;
 }
 
+std::optional<double> SettingsReader::Decimal(std::string_view key, Presence presence,
+                                              double minimum, double maximum) {
+  const std::string allowed = fmt::format("a number from {} to {}", minimum, maximum);
+  const toml::node* const node = Find(key, presence, allowed);
+  if (node == nullptr) return std::nullopt;
+  // Unlike value_exact, this takes whole numbers too.
+  const auto value = node->value<double>();
+  if (!value.has_value() || !node->is_number()) {
+    Fault(node, key, fmt::format("{} has the wrong type; allowed: {}", NodeText(*node), allowed));
+    return std::nullopt;
+  }
+  if (*value < minimum || *value > maximum) {
+    Fault(node, key, fmt::format("{} is out of range; allowed: {}", *value, allowed));
+    return std::nullopt;
+  }
+  return value;
+}
+
 std::optional<Address> SettingsReader::IpAddress(std::string_view key, Presence presence) {
   const std::optional<std::string> text = Text(key, presence);
   if (!text.has_value()) return std::nullopt;
--- a/src/process/settings_reader.h
+++ b/src/process/settings_reader.h
@@ -31,6 +31,9 @@
                                   bool allow_slash = false);
   std::optional<std::int64_t> Number(std::string_view key, Presence presence, std::int64_t minimum,
                                      std::int64_t maximum);
+  /// A number with or without a fraction.
+  std::optional<double> Decimal(std::string_view key, Presence presence, double minimum,
+                                double maximum);
   std::optional<Address> IpAddress(std::string_view key, Presence presence);
   std::vector<Address> IpAddresses(std::string_view key, Presence presence);
   /// One of the choices, which are separated by '|'.
