Settle stops and fenced starts, see ended backend servers, don't wait for a rack in an idle fleet

(2) Each repeated stop moved the poll that shows its effect, so its room was never freed. (3) A backend server that ended without a word held its runs until the lease ran out. Change: such a start counts as being stopped; the first confirmation counts; a refused connection means that the backend server has ended; in a fleet that is less than half used racks are waited for one second.

--- a/include/basilspring/connection/http_client.h
+++ b/include/basilspring/connection/http_client.h
@@ -33,6 +33,8 @@
   /// otherwise, in which case the server may have acted on the request.
   ErrorKind error = ErrorKind::kNone;
   std::string message;
+  /// The host answered that nothing listens on the port.
+  bool refused = false;
   int status = 0;
   std::map<std::string, std::string> headers;
   std::string body;
--- a/include/basilspring/fleet/agent_core.h
+++ b/include/basilspring/fleet/agent_core.h
@@ -123,6 +123,9 @@
   std::uint64_t polls_sent_ = 0;
   std::uint64_t poll_answered_ = 0;
   bool poll_in_flight_ = false;
+  /// Since when polls have found nobody listening.
+  std::optional<TimePoint> gone_since_;
+  bool gone_ = false;
   TimePoint poll_not_before_;
   TimePoint last_polled_;
   std::int64_t acknowledged_ = 0;
--- a/include/basilspring/fleet/backend.h
+++ b/include/basilspring/fleet/backend.h
@@ -72,8 +72,13 @@
   kOtherLife,
   /// Refused for another reason; nothing was done.
   kRefused,
+  /// Nothing listens at the backend server's address: it has ended.
+  kGone,
   /// No answer: the order may be carried out later.
   kUnknown,
+  /// Of a start: it brought no answer and was stopped. It may have begun, and then its end follows;
+  /// it will not begin any more.
+  kStopped,
 };
 
 std::string_view BackendStatusName(BackendStatus status);
--- a/include/basilspring/fleet/peer_messages.h
+++ b/include/basilspring/fleet/peer_messages.h
@@ -29,14 +29,16 @@
   Term term;
   /// The backend server's life; none while it has not announced itself or has left.
   std::vector<BackendAnnouncement> backend;
+  /// Nothing listens at the backend server's address any more, so nothing runs there.
+  bool backend_gone = false;
   /// Number of the poll that the rows come from; 0 while the backend server has not answered one.
   std::uint64_t poll = 0;
   /// Time since the backend server last answered a poll.
   Duration poll_age;
   std::vector<RunningRow> running;
   std::vector<EndedRow> ended;
-  BASILSPRING_SERIALIZE(node, address, incarnation, number, term, backend, poll, poll_age, running,
-                        ended)
+  BASILSPRING_SERIALIZE(node, address, incarnation, number, term, backend, backend_gone, poll,
+                        poll_age, running, ended)
 };
 
 struct AgentReportReply {
--- a/include/basilspring/fleet/placement.h
+++ b/include/basilspring/fleet/placement.h
@@ -52,8 +52,9 @@
 
 /// Places up to `count` tasks without stopping anything. A gang is placed whole or not at all;
 /// other steps as far as there is room.
+/// With `any_rack`, tasks are placed away from their rack rather than not at all.
 std::optional<Placement> PlaceNow(const StepSpec& step, std::int32_t count,
-                                  const std::vector<Candidate>& candidates);
+                                  const std::vector<Candidate>& candidates, bool any_rack = false);
 
 /// Places all `count` tasks, stopping victims where it must, with the least work lost.
 std::optional<Placement> PlaceWithVictims(const StepSpec& step, std::int32_t count,
--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -38,6 +38,9 @@
   Duration drain_margin = Duration(600);
   /// How long a finished job is kept for its callers.
   Duration keep_finished = Duration(120000);
+  /// In a fleet that is less than half used, a job of which nothing runs waits no longer than this
+  /// for the rack of its data.
+  Duration rack_wait = Duration(1000);
   /// A job of the first priority that is beyond its workspace's guarantee stops other work only
   /// after waiting this long.
   Duration borrow_wait = Duration(300);
@@ -223,6 +226,8 @@
     /// Read from the store when the term began, so runs of earlier terms may exist.
     bool inherited = false;
     bool started = false;
+    /// When something of the job was last running.
+    TimePoint last_live;
   };
 
   /// A step that could start now.
--- a/src/connection/http_exchange.cc
+++ b/src/connection/http_exchange.cc
@@ -73,6 +73,7 @@
       [self = shared_from_this()](const ErrorCode& connect_error) {
         if (self->done_) return;
         if (connect_error) {
+          self->refused_ = connect_error == boost::asio::error::connection_refused;
           self->Fail(fmt::format("can't connect to {}: {}", self->request_.server.ToString(),
                                  connect_error.message()));
           return;
@@ -211,6 +212,7 @@
   HttpResult result;
   result.error = sent_ ? ErrorKind::kTimeout : ErrorKind::kConnectionLost;
   result.message = message;
+  result.refused = refused_;
   Finish(std::move(result));
 }
 
--- a/src/connection/http_exchange.h
+++ b/src/connection/http_exchange.h
@@ -64,6 +64,7 @@
   bool pooled_ = false;
   bool retried_ = false;
   /// Whether bytes of the request may have reached the server.
+  bool refused_ = false;
   bool sent_ = false;
   bool done_ = false;
 };
--- a/src/fleet/agent_core.cc
+++ b/src/fleet/agent_core.cc
@@ -21,6 +21,9 @@
 constexpr Duration kSearchInterval(400);
 // A poll that failed is repeated after this time.
 constexpr Duration kPollRetry(150);
+constexpr Duration kGonePollRetry(500);
+// A backend server at whose address nobody listens for this long has ended.
+constexpr Duration kGoneAfter(400);
 
 }  // namespace
 
@@ -37,6 +40,8 @@
   poll_answered_ = 0;
   clock_known_ = false;
   poll_not_before_ = TimePoint();
+  gone_since_.reset();
+  gone_ = false;
 }
 
 bool FleetAgentCore::OnAnnouncement(TimePoint /*now*/, const BackendAnnouncement& announcement) {
@@ -213,8 +218,7 @@
   const bool stopped = reply.status == BackendStatus::kOk;
   poll_not_before_ = now;
   if (call.fencing) {
-    // Stopped before it could start: as if the start had been refused.
-    Resolve(call, stopped ? BackendStatus::kRefused : BackendStatus::kUnknown);
+    Resolve(call, stopped ? BackendStatus::kStopped : BackendStatus::kUnknown);
   } else {
     Resolve(call, reply.status);
   }
@@ -233,6 +237,19 @@
 
 void FleetAgentCore::OnPolled(TimePoint now, const BackendReply& reply) {
   poll_in_flight_ = false;
+  if (reply.status == BackendStatus::kGone) {
+    if (!gone_since_) gone_since_ = now;
+    if (!gone_ && now - *gone_since_ >= kGoneAfter) {
+      gone_ = true;
+      report_due_ = true;
+      running_.clear();
+      Say(fmt::format("backend={} counts as ended: {}", backend_ ? backend_->id.value() : "",
+                      reply.message));
+    }
+    poll_not_before_ = now + (gone_ ? kGonePollRetry : kPollRetry);
+    return;
+  }
+  gone_since_.reset();
   if (reply.status != BackendStatus::kOk) {
     poll_not_before_ = now + kPollRetry;
     if (reply.status != BackendStatus::kUnknown) {
@@ -251,6 +268,7 @@
   }
   poll_answered_ = polls_sent_;
   last_polled_ = now;
+  gone_ = false;
   clock_ms_ = reply.clock_ms;
   clock_read_at_ = now;
   clock_known_ = true;
@@ -276,6 +294,7 @@
   report.number = ++report_number_;
   report.term = term_;
   if (backend_) report.backend.push_back(*backend_);
+  report.backend_gone = gone_;
   report.poll = poll_answered_;
   report.poll_age = poll_answered_ == 0 ? Duration::Seconds(3600) : now - last_polled_;
   report.running = running_;
--- a/src/fleet/backend.cc
+++ b/src/fleet/backend.cc
@@ -5,8 +5,9 @@
 namespace basilspring::fleet {
 namespace {
 
-constexpr std::array<std::string_view, 8> kStatusNames = {
-    "ok", "stale-term", "stale-run", "too-late", "no-room", "other-life", "refused", "unknown"};
+constexpr std::array<std::string_view, 10> kStatusNames = {
+    "ok", "stale-term", "stale-run", "too-late", "no-room", "other-life", "refused", "gone", "unknown",
+    "stopped"};
 
 }  // namespace
 
--- a/src/fleet/node.cc
+++ b/src/fleet/node.cc
@@ -39,6 +39,8 @@
 constexpr double kAmpleProcessorShare = 0.5;
 // The cold start has no scheduler to lose.
 constexpr Duration kStartPatience(150);
+// Spreads the first looks of processes that start together.
+constexpr Duration kStartJitter(400);
 // The balancer stops sending new connections after two missed questions, a second apart.
 constexpr Duration kStopListening(2300);
 // Polls of the state of a stopping process.
@@ -128,7 +130,9 @@
   const double thin = std::max(0.0, 1.0 - settings_.processor_share / kAmpleProcessorShare);
   const Duration extra(static_cast<std::int64_t>(kThinHostPatienceMs * thin));
   options.patience = kPatience + extra;
-  options.start_at = Clock::Now() + kStartPatience + extra / 2;
+  const Duration jitter(static_cast<std::int64_t>(std::random_device()() %
+                                                  kStartJitter.milliseconds()));
+  options.start_at = Clock::Now() + kStartPatience + extra / 2 + jitter;
   leadership_ = std::make_unique<Leadership>(
       *store_, options,
       Leadership::Handlers{
--- a/src/fleet/placement.cc
+++ b/src/fleet/placement.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 #include <map>
+#include <numeric>
 #include <set>
 #include <tuple>
 
@@ -142,9 +143,15 @@
 }
 
 std::optional<Placement> PlaceNow(const StepSpec& step, std::int32_t count,
-                                  const std::vector<Candidate>& candidates) {
+                                  const std::vector<Candidate>& candidates, bool any_rack) {
   std::optional<Placement> best;
-  for (const CandidateSet& set : SetsToTry(step, count, candidates)) {
+  std::vector<CandidateSet> sets = SetsToTry(step, count, candidates);
+  if (any_rack) {
+    CandidateSet all(candidates.size());
+    std::iota(all.begin(), all.end(), std::size_t{0});
+    sets.push_back(std::move(all));
+  }
+  for (const CandidateSet& set : sets) {
     Placement placement = Fill(step, count, candidates, set);
     if (static_cast<std::int32_t>(placement.workers.size()) == count) return placement;
     if (step.gang || placement.workers.empty()) continue;
--- a/src/fleet/scheduler_queue.cc
+++ b/src/fleet/scheduler_queue.cc
@@ -46,6 +46,8 @@
   std::vector<Row> rows;
   std::map<NodeId, std::size_t> index;
   std::set<JobId> guaranteed;
+  /// Less than half of all accelerators and cores are in use.
+  bool mostly_idle = false;
 };
 
 /// The workers that could take a step, and what placement may stop there.
@@ -138,6 +140,11 @@
   for (const JobId& id : active_) {
     Job& job = jobs_.at(id);
     if (job.queue.service.empty() || (recovering && job.inherited)) continue;
+    const bool live = std::any_of(job.steps.begin(), job.steps.end(), [](const Step& step) {
+      return std::any_of(step.tasks.begin(), step.tasks.end(),
+                         [](const Task& task) { return task.live_runs > 0; });
+    });
+    if (live) job.last_live = now;
     for (std::size_t i = 0; i < job.steps.size(); ++i) {
       if (!StepIsReady(job, i)) continue;
       Step& step = job.steps[i];
@@ -194,6 +201,15 @@
     pass.index[node] = pass.rows.size();
     pass.rows.push_back(row);
   }
+  Resources capacity;
+  Resources free;
+  for (const Pass::Row& row : pass.rows) {
+    capacity += row.worker->backend->capacity;
+    free += row.free;
+  }
+  pass.mostly_idle = free.accelerators * 2 > capacity.accelerators &&
+                     free.milli_cores * 2 > capacity.milli_cores &&
+                     free.memory_mb * 2 > capacity.memory_mb;
   for (const JobId& id : active_) {
     const Job& job = jobs_.at(id);
     for (std::size_t i = 0; i < job.steps.size(); ++i) {
@@ -372,7 +388,9 @@
     for (const std::size_t i : placement.workers) rows.push_back(view.rows[i]);
     return rows;
   };
-  if (const auto placement = PlaceNow(spec, count, view.candidates)) {
+  const bool any_rack = pass.mostly_idle && now - std::max(job.last_live, *step.ready_at) >=
+                                                options_.rack_wait;
+  if (const auto placement = PlaceNow(spec, count, view.candidates, any_rack)) {
     std::vector<std::int32_t> tasks = ready.waiting;
     tasks.resize(placement->workers.size());
     Start(now, pass, job, ready.step, tasks, rows_of(*placement));
--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -58,7 +58,11 @@
     worker.reported = true;
     worker.last_report = now;
     worker.poll_age = report.poll_age;
-    if (!report.backend.empty()) TakeLife(now, worker, report);
+    if (report.backend_gone) {
+      if (worker.backend) LoseWorker(now, worker, "its backend server has ended");
+    } else if (!report.backend.empty()) {
+      TakeLife(now, worker, report);
+    }
   }
   reply.acknowledged = AcknowledgedEnd(report.node);
   if (worker.backend) reply.born_unix_ms = worker.backend->born_unix_ms;
@@ -460,7 +464,9 @@
     const auto status =
         readable ? static_cast<BackendStatus>(reply->statuses[i]) : BackendStatus::kUnknown;
     if (status == BackendStatus::kOk) {
-      if (worker.incarnation == batch.incarnation) {
+      // A stop that is repeated must not move the poll that shows its effect.
+      const bool first = start || !run->second.stop_confirmed_at;
+      if (first && worker.incarnation == batch.incarnation) {
         run->second.visible_from = std::max(run->second.visible_from, reply->visible_from_poll);
       }
       if (start) {
@@ -478,7 +484,14 @@
                     BackendStatusName(status)));
     if (!start) continue;
     Job* job = FindJob(key.task);
-    if (status == BackendStatus::kUnknown) {
+    if (status == BackendStatus::kStopped) {
+      run->second.stopping = true;
+      run->second.stop_confirmed_at = now;
+      run->second.stop_due = now + options_.stop_time + options_.stop_retry;
+      if (worker.incarnation == batch.incarnation) {
+        run->second.visible_from = std::max(run->second.visible_from, reply->visible_from_poll);
+      }
+    } else if (status == BackendStatus::kUnknown) {
       if (!run->second.stopping) RequestStop(now, worker, key, run->second);
     } else {
       ++counts_.starts_refused;
