--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -209,6 +209,8 @@
     std::vector<NodeId> reserved;
     TimePoint reserved_at;
     std::uint32_t preemptions = 0;
+    /// When the log last said why the step waits.
+    TimePoint explained_at;
   };
 
   struct Job {
@@ -294,6 +296,7 @@
              const std::vector<std::int32_t>& tasks, const std::vector<std::size_t>& rows);
   void StartTask(TimePoint now, Job& job, const TaskId& id, Worker& worker,
                  const std::string& checkpoint);
+  void ExplainWait(TimePoint now, const Pass& pass, const ReadyStep& ready, const View& view);
   void Preempt(TimePoint now, Pass& pass, const View& view,
                const std::vector<std::size_t>& victims);
   double LostWork(const Job& job, const RunKey& key, const Allocation& run, TimePoint now) const;
--- a/src/fleet/scheduler_queue.cc
+++ b/src/fleet/scheduler_queue.cc
@@ -22,6 +22,9 @@
 // A step that was stopped for others this often is as dear as if it had lost this much more.
 constexpr double kRepeatedPreemptionPenalty = 50.0;
 
+// How often the log says why a step waits.
+constexpr Duration kExplainInterval(3000);
+
 constexpr std::int32_t kTierGuaranteed = 0;
 constexpr std::int32_t kTierUrgent = 1;
 constexpr std::int32_t kTierOther = 2;
@@ -318,6 +321,31 @@
   }
 }
 
+void SchedulerCore::ExplainWait(TimePoint now, const Pass& pass, const ReadyStep& ready,
+                                const View& view) {
+  Step& step = ready.job->steps[ready.step];
+  const TimePoint since = std::max(step.explained_at, *step.ready_at);
+  if (now - since < kExplainInterval) return;
+  step.explained_at = now;
+  const StepSpec& spec = SpecOf(*ready.job, ready.step);
+  std::int64_t largest = 0;
+  std::int64_t eligible = 0;
+  std::int64_t slots = 0;
+  for (const Candidate& candidate : view.candidates) {
+    if (!IsEligible(spec, candidate)) continue;
+    ++eligible;
+    largest = std::max(largest, candidate.room.accelerators);
+    slots += spec.needs.CountIn(candidate.room);
+  }
+  Say(fmt::format(
+      "job={} step={} tier={} waits_ms={} tasks={} needs={}/{}/{} data_rack={} same_rack={} "
+      "max_per_worker={} usable={} eligible={} slots={} largest_free_run={} mostly_idle={}",
+      ready.job->spec.id.value(), ready.step, ready.tier, (now - *step.ready_at).milliseconds(),
+      ready.waiting.size(), spec.needs.milli_cores, spec.needs.memory_mb, spec.needs.accelerators,
+      spec.data_rack, spec.same_rack, spec.max_per_worker, pass.rows.size(), eligible, slots,
+      largest, pass.mostly_idle));
+}
+
 void SchedulerCore::Preempt(TimePoint now, Pass& pass, const View& view,
                             const std::vector<std::size_t>& victims) {
   for (const std::size_t handle : victims) {
@@ -399,10 +427,13 @@
   const bool may_preempt =
       ready.tier == kTierGuaranteed ||
       (ready.tier == kTierUrgent && now - *step.ready_at >= options_.borrow_wait);
-  if (!may_preempt) return;
-  AddVictims(now, pass, ready, view);
-  const auto placement = PlaceWithVictims(spec, count, view.candidates);
-  if (!placement) return;
+  if (may_preempt) AddVictims(now, pass, ready, view);
+  const auto placement =
+      may_preempt ? PlaceWithVictims(spec, count, view.candidates) : std::nullopt;
+  if (!placement) {
+    ExplainWait(now, pass, ready, view);
+    return;
+  }
   for (const std::size_t row : rows_of(*placement)) {
     step.reserved.push_back(pass.rows[row].worker->node);
     pass.rows[row].reserved += spec.needs;
--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -85,9 +85,11 @@
                     life.data_centre.value(), life.capacity.accelerators));
   }
   const bool was_draining = same && worker.backend->draining;
+  const bool news = !same || worker.backend->sequence != life.sequence;
   worker.backend = life;
   if (life.draining) {
-    worker.drain_deadline = now + life.drain_remaining;
+    // What remains counts from the announcement, not from each report that repeats it.
+    if (news) worker.drain_deadline = now + life.drain_remaining;
     if (!was_draining) {
       Say(fmt::format("worker={} backend={} drains remaining_ms={} runs={}", worker.node.value(),
                       life.id.value(), life.drain_remaining.milliseconds(), worker.runs.size()));
@@ -279,7 +281,11 @@
 void SchedulerCore::LoseWorker(TimePoint now, Worker& worker, const std::string& reason) {
   Say(fmt::format("worker={} runs={} counts as lost: {}", worker.node.value(), worker.runs.size(),
                   reason));
-  while (!worker.runs.empty()) Release(now, worker, worker.runs.begin()->first, true);
+  while (!worker.runs.empty()) {
+    // A copy: releasing a run removes the key that names it.
+    const RunKey key = worker.runs.begin()->first;
+    Release(now, worker, key, true);
+  }
   worker.backend.reset();
 }
 
