--- a/include/basilspring/fleet/scheduler_duty.h
+++ b/include/basilspring/fleet/scheduler_duty.h
@@ -91,7 +91,10 @@
   void RunSoon();
   void SendOrders(OutgoingOrders orders);
   void Save();
+  void OnSaveRefused(const std::vector<ProgressSave>& batch, const StoreReply& reply);
   void SaveMembers();
+  /// Whether a refused transaction shows that another process holds the lease.
+  bool ShowsOtherLeader(const StoreReply& reply) const;
   void AnswerWaiting(TimePoint now);
   bool Valid(TimePoint now) const;
 
@@ -101,6 +104,10 @@
   SchedulerCore core_;
   std::unique_ptr<PrefixWatch> inbox_;
   std::map<JobId, JobProgress> loaded_progress_;
+  /// Revision of each job's record. Each write is conditional on it, so that a write whose answer
+  /// was lost can't replace a later one when it is carried out late.
+  std::map<JobId, std::int64_t> progress_revisions_;
+  std::int64_t members_revision_ = 0;
   bool inbox_loaded_ = false;
   bool progress_loaded_ = false;
   bool members_loaded_ = false;
--- a/include/basilspring/fleet/store.h
+++ b/include/basilspring/fleet/store.h
@@ -41,6 +41,7 @@
 
 struct StoreReply {
   StoreStatus status = StoreStatus::kUnknown;
+  /// What was read; of a refused transaction the keys of its conditions that exist.
   std::vector<StoreItem> items;
   /// Revision of the store at the answer; for a transaction that of the change.
   std::int64_t revision = 0;
--- a/src/fleet/scheduler_duty.cc
+++ b/src/fleet/scheduler_duty.cc
@@ -10,9 +10,11 @@
 namespace basilspring::fleet {
 namespace {
 
-// Of one transaction of the store, which takes 32 entries; one is the leader key's condition.
-constexpr std::size_t kMaxSavesInOne = 30;
-constexpr std::size_t kMaxRemovalsInOne = 8;
+// A transaction of the store takes 32 entries: the condition on the leader key, and for each record
+// a condition and a write, or three removals.
+constexpr std::size_t kMaxEntries = 31;
+constexpr std::size_t kEntriesOfSave = 2;
+constexpr std::size_t kEntriesOfRemoval = 3;
 // Time before the lease's end in which nothing is started any more.
 constexpr Duration kStartMargin(400);
 // Longest time that an agent's report waits for its ends to be recorded.
@@ -65,6 +67,7 @@
           try {
             const JobId id(item.key.substr(std::string(StoreKeys::kProgress).size()));
             loaded_progress_[id] = DecodeJobProgress(item.value);
+            progress_revisions_[id] = item.revision;
           } catch (const Error& error) {
             Log(EventId::kFleetDecision, "key={} can't be read: {}", item.key, error.what());
           }
@@ -84,6 +87,7 @@
                       [this, alive = alive_](const StoreReply& reply) {
                         if (!*alive) return;
                         if (reply.status == StoreStatus::kOk && !reply.items.empty()) {
+                          members_revision_ = reply.items.front().revision;
                           try {
                             const auto rows = internal::DecodePeerBody<std::vector<Member>>(
                                 reply.items.front().value);
@@ -215,28 +219,28 @@
   StoreCall call = StoreCall::Transaction().If(Leadership::LeaderKey(), leader_revision_);
   call.timeout = kSaveTimeout;
   auto batch = std::make_shared<std::vector<ProgressSave>>();
-  std::size_t removals = 0;
-  while (!save_queue_.empty() && batch->size() < kMaxSavesInOne && removals < kMaxRemovalsInOne) {
+  std::size_t entries = 0;
+  while (!save_queue_.empty()) {
+    const bool remove = save_queue_.front().remove;
+    entries += remove ? kEntriesOfRemoval : kEntriesOfSave;
+    if (entries > kMaxEntries) break;
     ProgressSave save = std::move(save_queue_.front());
     save_queue_.erase(save_queue_.begin());
-    if (save.remove) {
-      ++removals;
-      call.Remove(StoreKeys::Job(save.job));
-      call.Remove(StoreKeys::Cancel(save.job));
-      call.Remove(StoreKeys::Progress(save.job));
+    const std::string key = StoreKeys::Progress(save.job);
+    if (remove) {
+      call.Remove(StoreKeys::Job(save.job)).Remove(StoreKeys::Cancel(save.job)).Remove(key);
     } else {
-      call.Set(StoreKeys::Progress(save.job), save.bytes);
+      const auto known = progress_revisions_.find(save.job);
+      call.If(key, known == progress_revisions_.end() ? 0 : known->second).Set(key, save.bytes);
     }
     batch->push_back(std::move(save));
-    // Removals take three entries each.
-    if (batch->size() + removals * 2 >= kMaxSavesInOne) break;
   }
   saving_ = true;
   context_.store.Call(call, [this, alive = alive_, batch](const StoreReply& reply) {
     if (!*alive) return;
     saving_ = false;
     if (reply.status == StoreStatus::kConflict) {
-      context_.deposed("the store has another leader");
+      OnSaveRefused(*batch, reply);
       return;
     }
     if (reply.status != StoreStatus::kOk) {
@@ -248,13 +252,43 @@
       return;
     }
     for (const ProgressSave& save : *batch) {
-      if (!save.remove) core_.OnSaved(save.job, save.version);
+      if (save.remove) {
+        progress_revisions_.erase(save.job);
+      } else {
+        progress_revisions_[save.job] = reply.revision;
+        core_.OnSaved(save.job, save.version);
+      }
     }
     AnswerWaiting(Clock::Now());
     RunSoon();
   });
 }
 
+bool SchedulerDuty::ShowsOtherLeader(const StoreReply& reply) const {
+  return std::none_of(reply.items.begin(), reply.items.end(), [this](const StoreItem& item) {
+    return item.key == Leadership::LeaderKey() && item.revision == leader_revision_;
+  });
+}
+
+void SchedulerDuty::OnSaveRefused(const std::vector<ProgressSave>& batch,
+                                  const StoreReply& reply) {
+  if (ShowsOtherLeader(reply)) {
+    context_.deposed("the store has another leader");
+    return;
+  }
+  // An earlier write without an answer was carried out after all: write again over it.
+  for (const ProgressSave& save : batch) {
+    progress_revisions_.erase(save.job);
+    for (const StoreItem& item : reply.items) {
+      if (item.key == StoreKeys::Progress(save.job)) progress_revisions_[save.job] = item.revision;
+    }
+    Log(EventId::kFleetStore, "job={} record was at another revision, now known: {}",
+        save.job.value(), progress_revisions_[save.job]);
+  }
+  save_queue_.insert(save_queue_.begin(), batch.begin(), batch.end());
+  Save();
+}
+
 void SchedulerDuty::SaveMembers() {
   const bool missing =
       std::any_of(members_.begin(), members_.end(),
@@ -269,13 +303,23 @@
   }
   StoreCall call = StoreCall::Transaction()
                        .If(Leadership::LeaderKey(), leader_revision_)
+                       .If(StoreKeys::kMembers, members_revision_)
                        .Set(StoreKeys::kMembers, internal::EncodePeerBody(rows));
   call.timeout = kSaveTimeout;
   context_.store.Call(call, [this, alive = alive_, written](const StoreReply& reply) {
     if (!*alive) return;
     saving_members_ = false;
-    if (reply.status == StoreStatus::kOk) stored_members_ = *written;
-    if (reply.status == StoreStatus::kConflict) context_.deposed("the store has another leader");
+    if (reply.status == StoreStatus::kOk) {
+      stored_members_ = *written;
+      members_revision_ = reply.revision;
+    } else if (reply.status == StoreStatus::kConflict && ShowsOtherLeader(reply)) {
+      context_.deposed("the store has another leader");
+    } else if (reply.status == StoreStatus::kConflict) {
+      members_revision_ = 0;
+      for (const StoreItem& item : reply.items) {
+        if (item.key == StoreKeys::kMembers) members_revision_ = item.revision;
+      }
+    }
   });
 }
 
