--- a/include/basilspring/fleet/caller_format.h
+++ b/include/basilspring/fleet/caller_format.h
@@ -47,8 +47,7 @@
   Duration retry_after;
 };
 
-using CallerAnswer =
-    std::variant<JobAcceptedAnswer, JobPhaseAnswer, PendingAnswer, RefusalAnswer>;
+using CallerAnswer = std::variant<JobAcceptedAnswer, JobPhaseAnswer, PendingAnswer, RefusalAnswer>;
 
 class CallerFormat {
  public:
--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -44,6 +44,13 @@
   /// A job of the first priority that is beyond its workspace's guarantee stops other work only
   /// after waiting this long.
   Duration borrow_wait = Duration(300);
+  /// A job of the first priority waits at most this long for runs that are about to end, before it
+  /// stops others. Within the time in which guaranteed capacity must be given back.
+  Duration natural_wait = Duration(1200);
+  /// Time in which the remembered peak of the first priority's use falls to about a third.
+  Duration headroom_memory = Duration(6000);
+  /// Work that must start within this time to be on time may use the headroom.
+  Duration headroom_slack = Duration(2000);
 };
 
 /// Something that the scheduler decided, for the log.
@@ -153,7 +160,8 @@
     std::int32_t percent = 0;
     TimePoint progressed_at;
     TimePoint working_since;
-    /// Its run time tells how long such tasks take: started here, from the beginning, near its data.
+    /// Its run time tells how long such tasks take: started here, from the beginning, near its
+    /// data.
     bool measured = false;
   };
 
@@ -199,6 +207,8 @@
     std::int32_t live_runs = 0;
     TimePoint not_before;
     bool ever_started = false;
+    /// How often the task was stopped for others.
+    std::uint32_t preemptions = 0;
   };
 
   struct Step {
@@ -208,7 +218,9 @@
     /// Workers held for the step while what runs there is being stopped.
     std::vector<NodeId> reserved;
     TimePoint reserved_at;
-    std::uint32_t preemptions = 0;
+    /// Until when the reservation waits for room that frees by itself; the epoch when its room
+    /// comes from stopped runs.
+    TimePoint reserved_until;
     /// When the log last said why the step waits.
     TimePoint explained_at;
   };
@@ -296,6 +308,11 @@
              const std::vector<std::int32_t>& tasks, const std::vector<std::size_t>& rows);
   void StartTask(TimePoint now, Job& job, const TaskId& id, Worker& worker,
                  const std::string& checkpoint);
+  bool WaitForEnds(TimePoint now, Pass& pass, const ReadyStep& ready, const View& view);
+  std::optional<TimePoint> PredictedEnd(const RunKey& key, const Allocation& run,
+                                        TimePoint now) const;
+  std::int32_t WithinHeadroom(TimePoint now, const Pass& pass, const ReadyStep& ready) const;
+  void UpdateHeadroom(TimePoint now, Pass& pass);
   void ExplainWait(TimePoint now, const Pass& pass, const ReadyStep& ready, const View& view);
   void Preempt(TimePoint now, Pass& pass, const View& view,
                const std::vector<std::size_t>& victims);
@@ -315,6 +332,9 @@
   std::set<JobId> cancelled_early_;
   std::map<NodeId, Worker> workers_;
   RunTimeModel run_times_;
+  /// Recent peak of the accelerators that jobs of the first priority use or wait for.
+  double urgent_peak_ = 0;
+  TimePoint urgent_peak_at_;
   struct BatchInFlight {
     NodeId node;
     std::uint64_t incarnation = 0;
--- a/src/fleet/agent_driver.cc
+++ b/src/fleet/agent_driver.cc
@@ -97,9 +97,10 @@
   SchedulerDuty* local = context_.local_scheduler();
   if (local != nullptr && to == report.address) {
     // Posted: the scheduler may answer at once, while this agent is still carrying out its effects.
-    local->OnReport(report, [executor = context_.executor, answered](const AgentReportReply& reply) {
-      executor([answered, reply] { answered(reply); });
-    });
+    local->OnReport(report,
+                    [executor = context_.executor, answered](const AgentReportReply& reply) {
+                      executor([answered, reply] { answered(reply); });
+                    });
     return;
   }
   internal::CallPeer<AgentReportReply>(context_.peers, to, report, kReportTimeout, answered);
--- a/src/fleet/backend.cc
+++ b/src/fleet/backend.cc
@@ -6,8 +6,8 @@
 namespace {
 
 constexpr std::array<std::string_view, 10> kStatusNames = {
-    "ok", "stale-term", "stale-run", "too-late", "no-room", "other-life", "refused", "gone", "unknown",
-    "stopped"};
+    "ok",         "stale-term", "stale-run", "too-late", "no-room",
+    "other-life", "refused",    "gone",      "unknown",  "stopped"};
 
 }  // namespace
 
--- a/src/fleet/entry_duty.cc
+++ b/src/fleet/entry_duty.cc
@@ -32,9 +32,9 @@
 constexpr Duration kComeBack(1000);
 
 bool IsJobId(const std::string& text) {
-  return text.size() == kJobIdLength &&
-         std::all_of(text.begin(), text.end(),
-                     [](unsigned char c) { return std::isxdigit(c) != 0; });
+  return text.size() == kJobIdLength && std::all_of(text.begin(), text.end(), [](unsigned char c) {
+           return std::isxdigit(c) != 0;
+         });
 }
 
 }  // namespace
--- a/src/fleet/job_model.cc
+++ b/src/fleet/job_model.cc
@@ -13,8 +13,8 @@
 
 constexpr std::array<std::string_view, 5> kPhaseNames = {"queued", "running", "completed", "failed",
                                                          "cancelled"};
-constexpr std::array<std::string_view, 6> kEndNames = {
-    "done", "failed", "stopped", "lapsed", "gang-broken", "gang-incomplete"};
+constexpr std::array<std::string_view, 6> kEndNames = {"done",   "failed",      "stopped",
+                                                       "lapsed", "gang-broken", "gang-incomplete"};
 
 // The weight of an accelerator in cores, as the operators account for work.
 constexpr double kCoresPerAccelerator = 8.0;
--- a/src/fleet/leadership.cc
+++ b/src/fleet/leadership.cc
@@ -52,8 +52,8 @@
 
 void Leadership::Look() {
   busy_ = true;
-  next_look_ = Clock::Now() + kLookInterval +
-               Duration(static_cast<std::int64_t>(random_() % kLookJitterMs));
+  next_look_ =
+      Clock::Now() + kLookInterval + Duration(static_cast<std::int64_t>(random_() % kLookJitterMs));
   StoreCall call = StoreCall::Get(kLeaderKey);
   call.timeout = kCallTimeout;
   store_.Call(call, [this, alive = alive_](const StoreReply& reply) {
--- a/src/fleet/node.cc
+++ b/src/fleet/node.cc
@@ -119,8 +119,8 @@
   http_ = std::make_unique<HttpClient>(io_);
   carriers_ = make_carriers(*http_, settings_);
   const Executor executor = [this](std::function<void()> work) { Post(std::move(work)); };
-  duty_ = std::make_unique<Duty>("fleet", entry_role_ ? kEntryTick : kAgentTick,
-                                 [this] { Tick(); });
+  duty_ =
+      std::make_unique<Duty>("fleet", entry_role_ ? kEntryTick : kAgentTick, [this] { Tick(); });
   peers_ = std::make_unique<PeerClient>(*http_, executor);
   store_ = std::make_unique<StoreAccess>(*carriers_.store, *peers_, executor);
   SetPeers();
@@ -130,8 +130,8 @@
   const double thin = std::max(0.0, 1.0 - settings_.processor_share / kAmpleProcessorShare);
   const Duration extra(static_cast<std::int64_t>(kThinHostPatienceMs * thin));
   options.patience = kPatience + extra;
-  const Duration jitter(static_cast<std::int64_t>(std::random_device()() %
-                                                  kStartJitter.milliseconds()));
+  const Duration jitter(
+      static_cast<std::int64_t>(std::random_device()() % kStartJitter.milliseconds()));
   options.start_at = Clock::Now() + kStartPatience + extra / 2 + jitter;
   leadership_ = std::make_unique<Leadership>(
       *store_, options,
@@ -140,26 +140,25 @@
           // Later, because the scheduler itself may be the caller.
           [this] { Post([this] { LoseScheduler(); }); },
           [this](const LeaderRecord& record) { OnScheduler(record.term, record.address); }});
-  operator_watch_ = std::make_unique<PrefixWatch>(
-      *store_, executor, carriers_.operators->Prefix(),
-      [this](const std::vector<StoreItem>& items, bool snapshot) {
-        OnOperatorItems(items, snapshot);
-      });
+  operator_watch_ =
+      std::make_unique<PrefixWatch>(*store_, executor, carriers_.operators->Prefix(),
+                                    [this](const std::vector<StoreItem>& items, bool snapshot) {
+                                      OnOperatorItems(items, snapshot);
+                                    });
   if (entry_role_) {
     entry_ = std::make_unique<EntryDuty>(
-        EntryDuty::Context{*store_, *peers_, executor, *carriers_.callers, metrics_,
-                           settings_.name, settings_.peers, [this] { return scheduler_.get(); }});
+        EntryDuty::Context{*store_, *peers_, executor, *carriers_.callers, metrics_, settings_.name,
+                           settings_.peers, [this] { return scheduler_.get(); }});
   } else {
     FleetAgentOptions agent;
     agent.node = settings_.name;
     agent.address = settings_.peers;
-    agent.incarnation =
-        (std::uint64_t{std::random_device()()} << 32U) | std::random_device()();
-    agent_ = std::make_unique<AgentDriver>(
-        AgentDriver::Context{*carriers_.backend, *peers_, executor,
-                             [this] { leadership_->LookNow(); },
-                             [this] { return scheduler_.get(); }},
-        agent);
+    agent.incarnation = (std::uint64_t{std::random_device()()} << 32U) | std::random_device()();
+    agent_ =
+        std::make_unique<AgentDriver>(AgentDriver::Context{*carriers_.backend, *peers_, executor,
+                                                           [this] { leadership_->LookNow(); },
+                                                           [this] { return scheduler_.get(); }},
+                                      agent);
   }
   running_ = true;
   Post([this] {
@@ -194,9 +193,7 @@
   });
   if (posted || !running_) return;
   Log(EventId::kQueueFull, "queue=fleet");
-  io_.PostAfter(kPostRetry, [this, shared] {
-    Post([shared] { (*shared)(); });
-  });
+  io_.PostAfter(kPostRetry, [this, shared] { Post([shared] { (*shared)(); }); });
 }
 
 void Node::SetPeers() {
@@ -242,9 +239,8 @@
       SchedulerDuty::Context{
           *store_, *peers_, [this](std::function<void()> work) { Post(std::move(work)); },
           [this](Duration delay, std::function<void()> work) {
-            io_.PostAfter(delay, [this, work = std::move(work)]() mutable {
-              Post(std::move(work));
-            });
+            io_.PostAfter(delay,
+                          [this, work = std::move(work)]() mutable { Post(std::move(work)); });
           },
           settings_.peers, settings_.scheduler, [this] { return leadership_->valid_until(); },
           [this](const std::string& reason) { leadership_->Depose(reason); }},
@@ -293,8 +289,7 @@
   HttpLimits peer_limits;
   peer_limits.max_body_bytes = 8 * 1024 * 1024;
   servers_.push_back(std::make_unique<HttpServer>(
-      io_, settings_.peers,
-      on_duty([this](const HttpRequest& request, const Responder& responder) {
+      io_, settings_.peers, on_duty([this](const HttpRequest& request, const Responder& responder) {
         OnPeer(request, responder);
       }),
       peer_limits));
@@ -304,8 +299,7 @@
           entry_->OnCaller(std::move(request), std::move(responder));
         })));
     servers_.push_back(std::make_unique<HttpServer>(
-        io_, settings_.readiness,
-        on_duty([this](const HttpRequest&, const Responder& responder) {
+        io_, settings_.readiness, on_duty([this](const HttpRequest&, const Responder& responder) {
           responder->Respond(entry_->ready() ? PlainResponse(200, "ready\n")
                                              : PlainResponse(503, "not ready\n"));
         })));
@@ -351,9 +345,8 @@
   if (request.path == AgentReport::kPath) {
     Serve<AgentReport>(request.body, responder, [&](const AgentReport& report) {
       if (scheduler_) {
-        scheduler_->OnReport(report, [responder](const AgentReportReply& reply) {
-          Reply200(responder, reply);
-        });
+        scheduler_->OnReport(
+            report, [responder](const AgentReportReply& reply) { Reply200(responder, reply); });
         return;
       }
       AgentReportReply reply;
@@ -363,9 +356,8 @@
   } else if (request.path == OrderBatch::kPath && agent_) {
     Serve<OrderBatch>(request.body, responder, [&](const OrderBatch& batch) {
       OnScheduler(batch.term, batch.scheduler);
-      agent_->OnOrders(batch, [responder](const OrderBatchReply& reply) {
-        Reply200(responder, reply);
-      });
+      agent_->OnOrders(batch,
+                       [responder](const OrderBatchReply& reply) { Reply200(responder, reply); });
     });
   } else if (request.path == JobQuery::kPath) {
     Serve<JobQuery>(request.body, responder, [&](const JobQuery& query) {
@@ -376,9 +368,8 @@
       Reply200(responder, scheduler_ ? scheduler_->OnSummary(query) : SummaryReply());
     });
   } else if (request.path == RelayedStoreCall::kPath) {
-    Serve<RelayedStoreCall>(request.body, responder, [&](const RelayedStoreCall& call) {
-      RelayStoreCall(call, responder);
-    });
+    Serve<RelayedStoreCall>(request.body, responder,
+                            [&](const RelayedStoreCall& call) { RelayStoreCall(call, responder); });
   } else {
     responder->Respond(PlainResponse(404, "no such path\n"));
   }
@@ -444,9 +435,7 @@
   set("basilspring_wasted_core_ms", counts.wasted_core_ms);
 }
 
-bool Node::Drained() const {
-  return entry_ ? entry_->open_requests() == 0 : !agent_->busy();
-}
+bool Node::Drained() const { return entry_ ? entry_->open_requests() == 0 : !agent_->busy(); }
 
 void Node::RunUntilStopped() {
   Log(EventId::kProcessStarted, "role={} peers={} store={} data_centre={}",
--- a/src/fleet/node_settings.cc
+++ b/src/fleet/node_settings.cc
@@ -27,7 +27,8 @@
   if (!value) return fallback;
   const bool milliseconds = key.size() > 3 && key.substr(key.size() - 3) == "_ms";
   constexpr double kMillisecondsPerSecond = 1000.0;
-  return Duration(static_cast<std::int64_t>(milliseconds ? *value : *value * kMillisecondsPerSecond));
+  return Duration(
+      static_cast<std::int64_t>(milliseconds ? *value : *value * kMillisecondsPerSecond));
 }
 
 void ReadNetwork(SettingsReader& reader, NodeSettings& settings) {
@@ -48,19 +49,19 @@
   SchedulerOptions& options = settings.scheduler;
   const Duration longest_lease =
       ReadDuration(reader, "limits.longest_lease_ms", 2500, 600000, Duration(10000));
-  options.lease =
-      std::max(kShortestLease, std::min(options.lease, longest_lease - kLeaseReserve));
+  options.lease = std::max(kShortestLease, std::min(options.lease, longest_lease - kLeaseReserve));
   options.stop_time = ReadDuration(reader, "limits.stop_time_ms", 1, 60000, options.stop_time);
   options.keep_finished =
       ReadDuration(reader, "limits.keep_finished_s", 1, 86400, options.keep_finished);
   if (const auto factor = reader.Decimal("limits.far_factor", Presence::kOptional, 1, 1000)) {
     options.far_factor = *factor;
   }
-  if (const auto share = reader.Decimal("limits.processor_share", Presence::kOptional, 0.001, 1024)) {
+  if (const auto share =
+          reader.Decimal("limits.processor_share", Presence::kOptional, 0.001, 1024)) {
     settings.processor_share = *share;
   }
-  const Duration grace = ReadDuration(reader, "limits.stop_grace_s", 1, 3600,
-                                      settings.drain_limit + kDrainReserve);
+  const Duration grace =
+      ReadDuration(reader, "limits.stop_grace_s", 1, 3600, settings.drain_limit + kDrainReserve);
   settings.drain_limit = grace - kDrainReserve;
 }
 
--- a/src/fleet/peer_client.cc
+++ b/src/fleet/peer_client.cc
@@ -17,20 +17,20 @@
   request.target = path;
   request.body = std::move(body);
   request.timeout = timeout;
-  http_.Send(std::move(request), [executor = executor_,
-                                  handler = std::move(handler)](HttpResult result) {
-    PeerResult answer;
-    answer.sent = result.error != ErrorKind::kConnectionLost;
-    answer.message = std::move(result.message);
-    if (result.error == ErrorKind::kNone && result.status == 200) {
-      answer.body = std::move(result.body);
-    } else if (result.error == ErrorKind::kNone) {
-      // A peer that refuses a request has not carried it out.
-      answer.sent = false;
-      answer.message = fmt::format("status {}", result.status);
-    }
-    executor([handler, answer = std::move(answer)]() mutable { handler(std::move(answer)); });
-  });
+  http_.Send(
+      std::move(request), [executor = executor_, handler = std::move(handler)](HttpResult result) {
+        PeerResult answer;
+        answer.sent = result.error != ErrorKind::kConnectionLost;
+        answer.message = std::move(result.message);
+        if (result.error == ErrorKind::kNone && result.status == 200) {
+          answer.body = std::move(result.body);
+        } else if (result.error == ErrorKind::kNone) {
+          // A peer that refuses a request has not carried it out.
+          answer.sent = false;
+          answer.message = fmt::format("status {}", result.status);
+        }
+        executor([handler, answer = std::move(answer)]() mutable { handler(std::move(answer)); });
+      });
 }
 
 }  // namespace basilspring::fleet
--- a/src/fleet/prefix_watch.cc
+++ b/src/fleet/prefix_watch.cc
@@ -36,8 +36,7 @@
   }
 }
 
-void PrefixWatch::Load(std::string after_key, std::int64_t revision,
-                       std::vector<StoreItem> items) {
+void PrefixWatch::Load(std::string after_key, std::int64_t revision, std::vector<StoreItem> items) {
   idle_ = false;
   store_.Call(StoreCall::Range(prefix_, std::move(after_key)),
               [this, alive = alive_, revision, items = std::move(items)](StoreReply reply) mutable {
--- a/src/fleet/scheduler_core.cc
+++ b/src/fleet/scheduler_core.cc
@@ -38,11 +38,10 @@
   const auto found = jobs_.find(task.job);
   if (found == jobs_.end()) return nullptr;
   Job& job = found->second;
-  const bool exists =
-      task.occurrence >= 0 && task.step >= 0 && task.index >= 0 &&
-      task.occurrence < job.spec.occurrence_count() &&
-      task.step < static_cast<std::int32_t>(job.spec.steps.size()) &&
-      task.index < job.spec.steps[static_cast<std::size_t>(task.step)].task_count;
+  const bool exists = task.occurrence >= 0 && task.step >= 0 && task.index >= 0 &&
+                      task.occurrence < job.spec.occurrence_count() &&
+                      task.step < static_cast<std::int32_t>(job.spec.steps.size()) &&
+                      task.index < job.spec.steps[static_cast<std::size_t>(task.step)].task_count;
   return exists ? &job : nullptr;
 }
 
--- a/src/fleet/scheduler_duty.cc
+++ b/src/fleet/scheduler_duty.cc
@@ -83,30 +83,29 @@
 }
 
 void SchedulerDuty::LoadMembers() {
-  context_.store.Call(StoreCall::Get(StoreKeys::kMembers),
-                      [this, alive = alive_](const StoreReply& reply) {
-                        if (!*alive) return;
-                        if (reply.status == StoreStatus::kOk && !reply.items.empty()) {
-                          members_revision_ = reply.items.front().revision;
-                          try {
-                            const auto rows = internal::DecodePeerBody<std::vector<Member>>(
-                                reply.items.front().value);
-                            for (const Member& row : rows) {
-                              members_[row.node] = row.address;
-                              stored_members_.insert(row.node);
-                              core_.ExpectAgent(row.node, row.address);
-                            }
-                          } catch (const Error& error) {
-                            Log(EventId::kFleetDecision, "the members can't be read: {}",
-                                error.what());
-                          }
-                        } else if (reply.status != StoreStatus::kNotFound) {
-                          load_retry_ = Clock::Now() + kLoadRetry;
-                          return;
-                        }
-                        members_loaded_ = true;
-                        BecomeReady();
-                      });
+  context_.store.Call(
+      StoreCall::Get(StoreKeys::kMembers), [this, alive = alive_](const StoreReply& reply) {
+        if (!*alive) return;
+        if (reply.status == StoreStatus::kOk && !reply.items.empty()) {
+          members_revision_ = reply.items.front().revision;
+          try {
+            const auto rows =
+                internal::DecodePeerBody<std::vector<Member>>(reply.items.front().value);
+            for (const Member& row : rows) {
+              members_[row.node] = row.address;
+              stored_members_.insert(row.node);
+              core_.ExpectAgent(row.node, row.address);
+            }
+          } catch (const Error& error) {
+            Log(EventId::kFleetDecision, "the members can't be read: {}", error.what());
+          }
+        } else if (reply.status != StoreStatus::kNotFound) {
+          load_retry_ = Clock::Now() + kLoadRetry;
+          return;
+        }
+        members_loaded_ = true;
+        BecomeReady();
+      });
 }
 
 void SchedulerDuty::BecomeReady() {
@@ -270,8 +269,7 @@
   });
 }
 
-void SchedulerDuty::OnSaveRefused(const std::vector<ProgressSave>& batch,
-                                  const StoreReply& reply) {
+void SchedulerDuty::OnSaveRefused(const std::vector<ProgressSave>& batch, const StoreReply& reply) {
   if (ShowsOtherLeader(reply)) {
     context_.deposed("the store has another leader");
     return;
@@ -290,9 +288,9 @@
 }
 
 void SchedulerDuty::SaveMembers() {
-  const bool missing =
-      std::any_of(members_.begin(), members_.end(),
-                  [&](const auto& row) { return stored_members_.count(row.first) == 0; });
+  const bool missing = std::any_of(members_.begin(), members_.end(), [&](const auto& row) {
+    return stored_members_.count(row.first) == 0;
+  });
   if (!missing || saving_members_) return;
   saving_members_ = true;
   std::vector<Member> rows;
--- a/src/fleet/scheduler_queue.cc
+++ b/src/fleet/scheduler_queue.cc
@@ -1,6 +1,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -22,6 +23,8 @@
 // A step that was stopped for others this often is as dear as if it had lost this much more.
 constexpr double kRepeatedPreemptionPenalty = 50.0;
 
+// A run that has done less than this many percent says nothing about its end.
+constexpr std::int32_t kLeastPercent = 20;
 // How often the log says why a step waits.
 constexpr Duration kExplainInterval(3000);
 
@@ -51,6 +54,8 @@
   std::set<JobId> guaranteed;
   /// Less than half of all accelerators and cores are in use.
   bool mostly_idle = false;
+  /// Accelerators that other work leaves free for the first priority.
+  std::int64_t headroom = 0;
 };
 
 /// The workers that could take a step, and what placement may stop there.
@@ -66,9 +71,8 @@
   const auto steps = job.spec.steps.size();
   const std::size_t occurrence = step / steps;
   if (job.spec.occurrences > 0) {
-    const std::int64_t due =
-        job.spec.first_due_unix_ms +
-        static_cast<std::int64_t>(occurrence) * job.spec.interval.milliseconds();
+    const std::int64_t due = job.spec.first_due_unix_ms + static_cast<std::int64_t>(occurrence) *
+                                                              job.spec.interval.milliseconds();
     if (wall_ms_ < due) return false;
   }
   for (const std::int32_t before : SpecOf(job, step).after) {
@@ -130,8 +134,8 @@
     for (const std::int32_t before : specs[i].after) {
       begin = std::max(begin, end[static_cast<std::size_t>(before)]);
     }
-    end[i] = begin + run_times_.Predict(job.spec.queue, static_cast<std::int32_t>(i),
-                                        specs[i].estimate);
+    end[i] =
+        begin + run_times_.Predict(job.spec.queue, static_cast<std::int32_t>(i), specs[i].estimate);
     longest = std::max(longest, end[i]);
   }
   return longest;
@@ -163,8 +167,8 @@
       }
       // Served in the order of the time by which they must start to be on time.
       const Duration chain = Chain(job);
-      const auto allowed = static_cast<std::int64_t>(
-          static_cast<double>(chain.milliseconds()) * (job.queue.stretch - 1.0));
+      const auto allowed = static_cast<std::int64_t>(static_cast<double>(chain.milliseconds()) *
+                                                     (job.queue.stretch - 1.0));
       row.latest_start = job.accepted_at + Duration(allowed) + job.queue.target_slack;
       ready.push_back(std::move(row));
     }
@@ -273,8 +277,7 @@
                                TimePoint now) const {
   const std::size_t index = StepIndex(job, key.task);
   const StepSpec& spec = SpecOf(job, index);
-  const Duration predicted =
-      run_times_.Predict(job.spec.queue, key.task.step, spec.estimate);
+  const Duration predicted = run_times_.Predict(job.spec.queue, key.task.step, spec.estimate);
   double seconds = static_cast<double>((now - run.working_since).milliseconds()) / 1000.0;
   const double by_percent =
       static_cast<double>(predicted.milliseconds()) * run.percent / 100.0 / 1000.0;
@@ -300,9 +303,11 @@
       const std::size_t step = StepIndex(job, key.task);
       Victim victim;
       victim.room = run.needs;
-      victim.lost_work = LostWork(job, key, run, now) + SpecOf(job, step).needs.Weight() * 0.1 +
-                         (borrower ? kBorrowerPenalty : 0) +
-                         kRepeatedPreemptionPenalty * job.steps[step].preemptions;
+      victim.lost_work =
+          LostWork(job, key, run, now) + SpecOf(job, step).needs.Weight() * 0.1 +
+          (borrower ? kBorrowerPenalty : 0) +
+          kRepeatedPreemptionPenalty *
+              job.steps[step].tasks[static_cast<std::size_t>(key.task.index)].preemptions;
       if (SpecOf(job, step).gang) {
         victim.lost_work *= SpecOf(job, step).task_count;
         const auto [it, added] = gangs.try_emplace({key.task.job, step}, view.victims.size());
@@ -321,6 +326,91 @@
   }
 }
 
+std::optional<TimePoint> SchedulerCore::PredictedEnd(const RunKey& key, const Allocation& run,
+                                                     TimePoint now) const {
+  if (run.stopping) return now + options_.stop_time;
+  if (!run.confirmed || run.percent < kLeastPercent) return std::nullopt;
+  const auto found = jobs_.find(key.task.job);
+  if (found == jobs_.end()) return std::nullopt;
+  const Duration predicted =
+      run_times_.Predict(found->second.spec.queue, key.task.step,
+                         SpecOf(found->second, StepIndex(found->second, key.task)).estimate);
+  constexpr std::int32_t kWhole = 100;
+  const Duration left = predicted * (kWhole - run.percent) / kWhole;
+  return run.progressed_at + left;
+}
+
+bool SchedulerCore::WaitForEnds(TimePoint now, Pass& pass, const ReadyStep& ready,
+                                const View& view) {
+  Step& step = ready.job->steps[ready.step];
+  const StepSpec& spec = SpecOf(*ready.job, ready.step);
+  // The wait is counted from when the step was ready, so it happens once.
+  const TimePoint until = std::min(ready.latest_start, *step.ready_at + options_.natural_wait);
+  if (until <= now) return false;
+  View later;
+  later.rows = view.rows;
+  later.candidates = view.candidates;
+  for (std::size_t i = 0; i < view.rows.size(); ++i) {
+    const Pass::Row& row = pass.rows[view.rows[i]];
+    Resources room = row.free;
+    for (const auto& [key, run] : row.worker->runs) {
+      const auto end = PredictedEnd(key, run, now);
+      if (end && *end <= until) room += run.needs;
+    }
+    room -= row.reserved;
+    later.candidates[i].room = room;
+  }
+  const auto placement =
+      PlaceNow(spec, static_cast<std::int32_t>(ready.waiting.size()), later.candidates);
+  if (!placement || placement->workers.size() != ready.waiting.size()) return false;
+  for (const std::size_t i : placement->workers) {
+    step.reserved.push_back(pass.rows[view.rows[i]].worker->node);
+    pass.rows[view.rows[i]].reserved += spec.needs;
+  }
+  step.reserved_at = now;
+  step.reserved_until = until;
+  Say(fmt::format(
+      "job={} step={} tier={} tasks={} waits up to {} ms for runs that are about to end",
+      ready.job->spec.id.value(), ready.step, ready.tier, ready.waiting.size(),
+      (until - now).milliseconds()));
+  return true;
+}
+
+void SchedulerCore::UpdateHeadroom(TimePoint now, Pass& pass) {
+  double urgent = 0;
+  for (const JobId& id : active_) {
+    const Job& job = jobs_.at(id);
+    if (job.queue.priority != 0) continue;
+    for (std::size_t i = 0; i < job.steps.size(); ++i) {
+      if (!StepIsReady(job, i)) continue;
+      const auto open = static_cast<std::int64_t>(job.steps[i].tasks.size()) - job.steps[i].done;
+      urgent += static_cast<double>(SpecOf(job, i).needs.accelerators * open);
+    }
+  }
+  const auto elapsed = static_cast<double>((now - urgent_peak_at_).milliseconds());
+  const auto memory = static_cast<double>(options_.headroom_memory.milliseconds());
+  urgent_peak_ = std::max(urgent, urgent_peak_ * std::exp(-elapsed / memory));
+  urgent_peak_at_ = now;
+  pass.headroom = static_cast<std::int64_t>(urgent_peak_ - urgent);
+}
+
+std::int32_t SchedulerCore::WithinHeadroom(TimePoint now, const Pass& pass,
+                                           const ReadyStep& ready) const {
+  const auto count = static_cast<std::int32_t>(ready.waiting.size());
+  const StepSpec& spec = SpecOf(*ready.job, ready.step);
+  const bool pressing = ready.latest_start - now < options_.headroom_slack;
+  if (ready.tier != kTierOther || pass.mostly_idle || pressing || spec.needs.accelerators == 0) {
+    return count;
+  }
+  std::int64_t free = 0;
+  for (const Pass::Row& row : pass.rows)
+    free += std::max<std::int64_t>(0, row.free.accelerators - row.reserved.accelerators);
+  const std::int64_t fitting =
+      std::max<std::int64_t>(0, free - pass.headroom) / spec.needs.accelerators;
+  if (spec.gang) return fitting >= count ? count : 0;
+  return static_cast<std::int32_t>(std::min<std::int64_t>(count, fitting));
+}
+
 void SchedulerCore::ExplainWait(TimePoint now, const Pass& pass, const ReadyStep& ready,
                                 const View& view) {
   Step& step = ready.job->steps[ready.step];
@@ -339,11 +429,12 @@
   }
   Say(fmt::format(
       "job={} step={} tier={} waits_ms={} tasks={} needs={}/{}/{} data_rack={} same_rack={} "
-      "max_per_worker={} usable={} eligible={} slots={} largest_free_run={} mostly_idle={}",
+      "max_per_worker={} usable={} eligible={} slots={} largest_free_run={} mostly_idle={} "
+      "headroom={}",
       ready.job->spec.id.value(), ready.step, ready.tier, (now - *step.ready_at).milliseconds(),
       ready.waiting.size(), spec.needs.milli_cores, spec.needs.memory_mb, spec.needs.accelerators,
       spec.data_rack, spec.same_rack, spec.max_per_worker, pass.rows.size(), eligible, slots,
-      largest, pass.mostly_idle));
+      largest, pass.mostly_idle, pass.headroom));
 }
 
 void SchedulerCore::Preempt(TimePoint now, Pass& pass, const View& view,
@@ -353,11 +444,12 @@
     Worker& worker = workers_.at(node);
     Job& job = jobs_.at(key.task.job);
     const std::size_t step = StepIndex(job, key.task);
-    ++job.steps[step].preemptions;
+    const std::uint32_t preemptions = ++TaskOf(job, key.task).preemptions;
     ++counts_.runs_preempted;
     Say(fmt::format("task={} run={} worker={} is preempted preemptions={}", key.task.ToString(),
-                    key.run.value(), node.value(), job.steps[step].preemptions));
+                    key.run.value(), node.value(), preemptions));
     if (SpecOf(job, step).gang) {
+      for (Task& member : job.steps[step].tasks) member.preemptions = preemptions;
       StopStep(now, job, step, true);
     } else {
       Allocation& run = worker.runs.at(key);
@@ -385,9 +477,12 @@
     rows.push_back(found->second);
     ++counts[found->second];
   }
+  const bool waits_for_ends = step.reserved_until != TimePoint();
+  const TimePoint until = waits_for_ends
+                              ? step.reserved_until
+                              : step.reserved_at + options_.stop_time + kReservationSlack;
   const bool valid = rows.size() == step.reserved.size() &&
-                     step.reserved.size() == ready.waiting.size() &&
-                     now - step.reserved_at <= options_.stop_time + kReservationSlack;
+                     step.reserved.size() == ready.waiting.size() && now <= until;
   const bool fits = std::all_of(counts.begin(), counts.end(), [&](const auto& row) {
     return Times(spec.needs, row.second).FitsIn(pass.rows[row.first].free);
   });
@@ -410,20 +505,25 @@
   const StepSpec& spec = SpecOf(job, ready.step);
   if (!step.reserved.empty() && TryReserved(now, pass, ready)) return;
   View view = BuildView(now, pass, ready);
-  const auto count = static_cast<std::int32_t>(ready.waiting.size());
+  const std::int32_t count = WithinHeadroom(now, pass, ready);
+  if (count == 0) {
+    ExplainWait(now, pass, ready, view);
+    return;
+  }
   const auto rows_of = [&](const Placement& placement) {
     std::vector<std::size_t> rows;
     for (const std::size_t i : placement.workers) rows.push_back(view.rows[i]);
     return rows;
   };
-  const bool any_rack = pass.mostly_idle && now - std::max(job.last_live, *step.ready_at) >=
-                                                options_.rack_wait;
+  const bool any_rack =
+      pass.mostly_idle && now - std::max(job.last_live, *step.ready_at) >= options_.rack_wait;
   if (const auto placement = PlaceNow(spec, count, view.candidates, any_rack)) {
     std::vector<std::int32_t> tasks = ready.waiting;
     tasks.resize(placement->workers.size());
     Start(now, pass, job, ready.step, tasks, rows_of(*placement));
     return;
   }
+  if (ready.tier != kTierOther && WaitForEnds(now, pass, ready, view)) return;
   const bool may_preempt =
       ready.tier == kTierGuaranteed ||
       (ready.tier == kTierUrgent && now - *step.ready_at >= options_.borrow_wait);
@@ -439,6 +539,7 @@
     pass.rows[row].reserved += spec.needs;
   }
   step.reserved_at = now;
+  step.reserved_until = TimePoint();
   Say(fmt::format("job={} step={} tier={} tasks={} waited_ms={} stops {} others, lost_work={:.1f}",
                   job.spec.id.value(), ready.step, ready.tier, count,
                   (now - *step.ready_at).milliseconds(), placement->victims.size(),
@@ -467,8 +568,8 @@
   run.progressed_at = now;
   run.working_since = now;
   run.checkpoint = checkpoint;
-  run.measured = checkpoint.empty() &&
-                 (spec.data_rack.empty() || spec.data_rack == worker.backend->rack);
+  run.measured =
+      checkpoint.empty() && (spec.data_rack.empty() || spec.data_rack == worker.backend->rack);
   pending_orders_.push_back({worker.node, std::move(order)});
   ++counts_.runs_started;
 }
@@ -511,6 +612,7 @@
   if (active_.empty()) return;
   Pass pass;
   BeginPass(now, pass);
+  UpdateHeadroom(now, pass);
   for (const ReadyStep& ready : ReadySteps(now, pass)) TryStart(now, pass, ready);
 }
 
--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -289,8 +289,7 @@
   worker.backend.reset();
 }
 
-void SchedulerCore::RequestStop(TimePoint now, Worker& worker, const RunKey& key,
-                                Allocation& run) {
+void SchedulerCore::RequestStop(TimePoint now, Worker& worker, const RunKey& key, Allocation& run) {
   run.stopping = true;
   run.stop_due = now + options_.stop_retry;
   Order order;
