--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -44,9 +44,6 @@
   /// A job of the first priority that is beyond its workspace's guarantee stops other work only
   /// after waiting this long.
   Duration borrow_wait = Duration(300);
-  /// A job of the first priority waits at most this long for runs that are about to end, before it
-  /// stops others. Within the time in which guaranteed capacity must be given back.
-  Duration natural_wait = Duration(1200);
   /// Time in which the remembered peak of the first priority's use falls to about a third.
   Duration headroom_memory = Duration(6000);
   /// Work that must start within this time to be on time may use the headroom.
@@ -218,9 +215,6 @@
     /// Workers held for the step while what runs there is being stopped.
     std::vector<NodeId> reserved;
     TimePoint reserved_at;
-    /// Until when the reservation waits for room that frees by itself; the epoch when its room
-    /// comes from stopped runs.
-    TimePoint reserved_until;
     /// When the log last said why the step waits.
     TimePoint explained_at;
   };
@@ -249,7 +243,11 @@
     Job* job = nullptr;
     std::size_t step = 0;
     std::int32_t tier = 0;
+    /// The time by which it must start to be on time or, where that has passed, to be of use at
+    /// all.
     TimePoint latest_start;
+    /// Core-seconds that its waiting tasks will take.
+    double own_work = 0;
     std::vector<std::int32_t> waiting;
   };
 
@@ -295,6 +293,7 @@
   static std::vector<std::int32_t> WaitingTasks(const Job& job, std::size_t step, TimePoint now);
   std::set<JobId> GuaranteedJobs() const;
   Duration Chain(const Job& job) const;
+  void Rank(TimePoint now, const Pass& pass, ReadyStep& ready) const;
   bool IsUsable(TimePoint now, const Worker& worker, const ServiceId& service) const;
   bool RecoveryPending(TimePoint now) const;
   TimePoint LeaseHorizon(TimePoint granted) const;
@@ -308,9 +307,6 @@
              const std::vector<std::int32_t>& tasks, const std::vector<std::size_t>& rows);
   void StartTask(TimePoint now, Job& job, const TaskId& id, Worker& worker,
                  const std::string& checkpoint);
-  bool WaitForEnds(TimePoint now, Pass& pass, const ReadyStep& ready, const View& view);
-  std::optional<TimePoint> PredictedEnd(const RunKey& key, const Allocation& run,
-                                        TimePoint now) const;
   std::int32_t WithinHeadroom(TimePoint now, const Pass& pass, const ReadyStep& ready) const;
   void UpdateHeadroom(TimePoint now, Pass& pass);
   void ExplainWait(TimePoint now, const Pass& pass, const ReadyStep& ready, const View& view);
--- a/src/fleet/scheduler_queue.cc
+++ b/src/fleet/scheduler_queue.cc
@@ -23,14 +23,21 @@
 // A step that was stopped for others this often is as dear as if it had lost this much more.
 constexpr double kRepeatedPreemptionPenalty = 50.0;
 
-// A run that has done less than this many percent says nothing about its end.
-constexpr std::int32_t kLeastPercent = 20;
+// Jobs beyond their workspace's guarantee stop others only for less lost work than this multiple of
+// their own: past it, all callers together wait longer for the sake of one.
+constexpr double kWorthStopping = 2.0;
+// A job is of use to its caller up to this multiple of the time in which it is on time.
+constexpr double kUsefulFactor = 3.0;
+// A run that saves checkpoints saves one when it is stopped; what is lost is the time to restore
+// it.
+constexpr double kRestoreSeconds = 0.4;
 // How often the log says why a step waits.
 constexpr Duration kExplainInterval(3000);
 
 constexpr std::int32_t kTierGuaranteed = 0;
 constexpr std::int32_t kTierUrgent = 1;
 constexpr std::int32_t kTierOther = 2;
+constexpr std::int32_t kTierTooLate = 3;
 
 Resources Times(const Resources& one, std::int64_t count) {
   return {one.milli_cores * count, one.memory_mb * count, one.accelerators * count};
@@ -141,6 +148,30 @@
   return longest;
 }
 
+void SchedulerCore::Rank(TimePoint now, const Pass& pass, ReadyStep& ready) const {
+  const Job& job = *ready.job;
+  const StepSpec& spec = SpecOf(job, ready.step);
+  const Duration chain = Chain(job);
+  const auto run_time = run_times_.Predict(
+      job.spec.queue, static_cast<std::int32_t>(ready.step % job.spec.steps.size()), spec.estimate);
+  constexpr double kMillisecondsPerSecond = 1000.0;
+  ready.own_work = static_cast<double>(ready.waiting.size()) * spec.needs.Weight() *
+                   static_cast<double>(run_time.milliseconds()) / kMillisecondsPerSecond;
+  const double allowed = static_cast<double>(chain.milliseconds()) * job.queue.stretch +
+                         static_cast<double>(job.queue.target_slack.milliseconds());
+  const auto start_by = [&](double factor) {
+    return job.accepted_at + Duration(static_cast<std::int64_t>(allowed * factor)) - chain;
+  };
+  const bool guaranteed = pass.guaranteed.count(job.spec.id) > 0;
+  ready.latest_start = start_by(1.0);
+  const bool on_time = now <= ready.latest_start;
+  if (!on_time) ready.latest_start = start_by(kUsefulFactor);
+  ready.tier = kTierOther;
+  if (now > ready.latest_start) ready.tier = kTierTooLate;
+  if (job.queue.priority == 0 && on_time) ready.tier = kTierUrgent;
+  if (job.queue.priority == 0 && guaranteed) ready.tier = kTierGuaranteed;
+}
+
 std::vector<SchedulerCore::ReadyStep> SchedulerCore::ReadySteps(TimePoint now, const Pass& pass) {
   std::vector<ReadyStep> ready;
   const bool recovering = RecoveryPending(now);
@@ -161,15 +192,7 @@
       if (row.waiting.empty()) continue;
       row.job = &job;
       row.step = i;
-      row.tier = kTierOther;
-      if (job.queue.priority == 0) {
-        row.tier = pass.guaranteed.count(id) > 0 ? kTierGuaranteed : kTierUrgent;
-      }
-      // Served in the order of the time by which they must start to be on time.
-      const Duration chain = Chain(job);
-      const auto allowed = static_cast<std::int64_t>(static_cast<double>(chain.milliseconds()) *
-                                                     (job.queue.stretch - 1.0));
-      row.latest_start = job.accepted_at + Duration(allowed) + job.queue.target_slack;
+      Rank(now, pass, row);
       ready.push_back(std::move(row));
     }
   }
@@ -282,8 +305,7 @@
   const double by_percent =
       static_cast<double>(predicted.milliseconds()) * run.percent / 100.0 / 1000.0;
   seconds = std::min(seconds, by_percent);
-  // At most the work since the last checkpoint is lost; checkpoints are under a second apart.
-  if (spec.checkpoints) seconds = std::min(seconds, 1.0);
+  if (spec.checkpoints) seconds = std::min(seconds, kRestoreSeconds);
   return std::max(0.0, seconds) * spec.needs.Weight();
 }
 
@@ -326,56 +348,6 @@
   }
 }
 
-std::optional<TimePoint> SchedulerCore::PredictedEnd(const RunKey& key, const Allocation& run,
-                                                     TimePoint now) const {
-  if (run.stopping) return now + options_.stop_time;
-  if (!run.confirmed || run.percent < kLeastPercent) return std::nullopt;
-  const auto found = jobs_.find(key.task.job);
-  if (found == jobs_.end()) return std::nullopt;
-  const Duration predicted =
-      run_times_.Predict(found->second.spec.queue, key.task.step,
-                         SpecOf(found->second, StepIndex(found->second, key.task)).estimate);
-  constexpr std::int32_t kWhole = 100;
-  const Duration left = predicted * (kWhole - run.percent) / kWhole;
-  return run.progressed_at + left;
-}
-
-bool SchedulerCore::WaitForEnds(TimePoint now, Pass& pass, const ReadyStep& ready,
-                                const View& view) {
-  Step& step = ready.job->steps[ready.step];
-  const StepSpec& spec = SpecOf(*ready.job, ready.step);
-  // The wait is counted from when the step was ready, so it happens once.
-  const TimePoint until = std::min(ready.latest_start, *step.ready_at + options_.natural_wait);
-  if (until <= now) return false;
-  View later;
-  later.rows = view.rows;
-  later.candidates = view.candidates;
-  for (std::size_t i = 0; i < view.rows.size(); ++i) {
-    const Pass::Row& row = pass.rows[view.rows[i]];
-    Resources room = row.free;
-    for (const auto& [key, run] : row.worker->runs) {
-      const auto end = PredictedEnd(key, run, now);
-      if (end && *end <= until) room += run.needs;
-    }
-    room -= row.reserved;
-    later.candidates[i].room = room;
-  }
-  const auto placement =
-      PlaceNow(spec, static_cast<std::int32_t>(ready.waiting.size()), later.candidates);
-  if (!placement || placement->workers.size() != ready.waiting.size()) return false;
-  for (const std::size_t i : placement->workers) {
-    step.reserved.push_back(pass.rows[view.rows[i]].worker->node);
-    pass.rows[view.rows[i]].reserved += spec.needs;
-  }
-  step.reserved_at = now;
-  step.reserved_until = until;
-  Say(fmt::format(
-      "job={} step={} tier={} tasks={} waits up to {} ms for runs that are about to end",
-      ready.job->spec.id.value(), ready.step, ready.tier, ready.waiting.size(),
-      (until - now).milliseconds()));
-  return true;
-}
-
 void SchedulerCore::UpdateHeadroom(TimePoint now, Pass& pass) {
   double urgent = 0;
   for (const JobId& id : active_) {
@@ -399,7 +371,7 @@
   const auto count = static_cast<std::int32_t>(ready.waiting.size());
   const StepSpec& spec = SpecOf(*ready.job, ready.step);
   const bool pressing = ready.latest_start - now < options_.headroom_slack;
-  if (ready.tier != kTierOther || pass.mostly_idle || pressing || spec.needs.accelerators == 0) {
+  if (ready.tier < kTierOther || pass.mostly_idle || pressing || spec.needs.accelerators == 0) {
     return count;
   }
   std::int64_t free = 0;
@@ -477,12 +449,9 @@
     rows.push_back(found->second);
     ++counts[found->second];
   }
-  const bool waits_for_ends = step.reserved_until != TimePoint();
-  const TimePoint until = waits_for_ends
-                              ? step.reserved_until
-                              : step.reserved_at + options_.stop_time + kReservationSlack;
   const bool valid = rows.size() == step.reserved.size() &&
-                     step.reserved.size() == ready.waiting.size() && now <= until;
+                     step.reserved.size() == ready.waiting.size() &&
+                     now - step.reserved_at <= options_.stop_time + kReservationSlack;
   const bool fits = std::all_of(counts.begin(), counts.end(), [&](const auto& row) {
     return Times(spec.needs, row.second).FitsIn(pass.rows[row.first].free);
   });
@@ -523,14 +492,15 @@
     Start(now, pass, job, ready.step, tasks, rows_of(*placement));
     return;
   }
-  if (ready.tier != kTierOther && WaitForEnds(now, pass, ready, view)) return;
   const bool may_preempt =
       ready.tier == kTierGuaranteed ||
       (ready.tier == kTierUrgent && now - *step.ready_at >= options_.borrow_wait);
   if (may_preempt) AddVictims(now, pass, ready, view);
   const auto placement =
       may_preempt ? PlaceWithVictims(spec, count, view.candidates) : std::nullopt;
-  if (!placement) {
+  const bool worth_it = placement && (ready.tier == kTierGuaranteed ||
+                                      placement->lost_work <= kWorthStopping * ready.own_work);
+  if (!worth_it) {
     ExplainWait(now, pass, ready, view);
     return;
   }
@@ -539,7 +509,6 @@
     pass.rows[row].reserved += spec.needs;
   }
   step.reserved_at = now;
-  step.reserved_until = TimePoint();
   Say(fmt::format("job={} step={} tier={} tasks={} waited_ms={} stops {} others, lost_work={:.1f}",
                   job.spec.id.value(), ready.step, ready.tier, count,
                   (now - *step.ready_at).milliseconds(), placement->victims.size(),
