Show a new scheduler only what polls of its own term have seen; count new backend servers as alive

Change: reports under a new term carry rows only from polls sent after it was heard of and after the orders of older terms were settled; a lease counts from when a life joins.

--- a/include/basilspring/fleet/agent_core.h
+++ b/include/basilspring/fleet/agent_core.h
@@ -44,6 +44,8 @@
 
 struct AgentEffects {
   std::optional<PollRuns> poll;
+  /// Handed back with the poll's answer.
+  std::uint64_t poll_number = 0;
   std::vector<BackendOrder> orders;
   /// A report to send to `report_to`.
   std::vector<AgentReport> reports;
@@ -69,7 +71,7 @@
   void OnReportAnswered(TimePoint now, std::uint64_t number,
                         const std::optional<AgentReportReply>& reply);
   void OnOrders(TimePoint now, std::uint64_t token, const OrderBatch& batch);
-  void OnPolled(TimePoint now, const BackendReply& reply);
+  void OnPolled(TimePoint now, std::uint64_t number, const BackendReply& reply);
   void OnOrderDone(TimePoint now, std::uint64_t token, const BackendReply& reply);
 
   AgentEffects Tick(TimePoint now);
@@ -98,6 +100,7 @@
     bool in_doubt = false;
     /// The start has failed; the run is being stopped, so that a late start is refused.
     bool fencing = false;
+    Term term;
   };
 
   bool SameLife(const BackendAnnouncement& other) const;
@@ -106,6 +109,8 @@
   void Issue(Call call);
   void Resolve(const Call& call, BackendStatus status);
   void Forget();
+  void AdoptTerm(Term term);
+  bool OldOrdersOpen() const;
   AgentReport MakeReport(TimePoint now);
   void Say(std::string text) { effects_.decisions.push_back(std::move(text)); }
 
@@ -122,6 +127,9 @@
 
   std::uint64_t polls_sent_ = 0;
   std::uint64_t poll_answered_ = 0;
+  /// The first poll under the present term. Only its rows, and later ones, show a new scheduler
+  /// what the orders of its predecessors have done.
+  std::uint64_t first_poll_of_term_ = 0;
   bool poll_in_flight_ = false;
   /// Since when polls have found nobody listening.
   std::optional<TimePoint> gone_since_;
--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -169,6 +169,8 @@
     std::uint64_t report_number = 0;
     /// Whether the agent has reported in this term.
     bool reported = false;
+    /// Whether it has shown in this term what runs there.
+    bool rows_seen = false;
     TimePoint last_report;
     /// The last report that showed that runs may still be extended.
     TimePoint last_alive;
--- a/src/fleet/agent_core.cc
+++ b/src/fleet/agent_core.cc
@@ -84,10 +84,24 @@
     report_due_ = true;
     report_not_before_ = TimePoint();
   }
-  term_ = term;
+  AdoptTerm(term);
   scheduler_ = scheduler;
 }
 
+void FleetAgentCore::AdoptTerm(Term term) {
+  if (term <= term_) return;
+  term_ = term;
+  first_poll_of_term_ = polls_sent_ + 1;
+  // The poll on its way shows the past: another one is sent at once.
+  poll_in_flight_ = false;
+  poll_not_before_ = TimePoint();
+}
+
+bool FleetAgentCore::OldOrdersOpen() const {
+  return std::any_of(calls_.begin(), calls_.end(),
+                     [this](const auto& row) { return row.second.term < term_; });
+}
+
 void FleetAgentCore::OnReportAnswered(TimePoint now, std::uint64_t number,
                                       const std::optional<AgentReportReply>& reply) {
   --reports_in_flight_;
@@ -104,7 +118,7 @@
   }
   // The answer of a deposed scheduler extends nothing.
   if (reply->term < term_) return;
-  term_ = reply->term;
+  AdoptTerm(reply->term);
   last_contact_ = now;
   const auto sent = std::find_if(reports_sent_.begin(), reports_sent_.end(),
                                  [&](const auto& row) { return row.first == number; });
@@ -158,6 +172,7 @@
       continue;
     }
     Call call;
+    call.term = term_;
     call.batch = token;
     call.index = i;
     call.order.start = order.start;
@@ -235,7 +250,8 @@
   batches_.erase(found);
 }
 
-void FleetAgentCore::OnPolled(TimePoint now, const BackendReply& reply) {
+void FleetAgentCore::OnPolled(TimePoint now, std::uint64_t number, const BackendReply& reply) {
+  if (number != polls_sent_) return;
   poll_in_flight_ = false;
   if (reply.status == BackendStatus::kGone) {
     if (!gone_since_) gone_since_ = now;
@@ -272,7 +288,8 @@
   clock_ms_ = reply.clock_ms;
   clock_read_at_ = now;
   clock_known_ = true;
-  const bool rows_changed = reply.running.size() != running_.size();
+  const bool rows_changed =
+      reply.running.size() != running_.size() || poll_answered_ == first_poll_of_term_;
   running_ = reply.running;
   ended_.clear();
   for (const EndedRow& row : reply.ended) {
@@ -295,7 +312,8 @@
   report.term = term_;
   if (backend_) report.backend.push_back(*backend_);
   report.backend_gone = gone_;
-  report.poll = poll_answered_;
+  const bool fresh = poll_answered_ >= first_poll_of_term_ && !OldOrdersOpen();
+  report.poll = fresh ? poll_answered_ : 0;
   report.poll_age = poll_answered_ == 0 ? Duration::Seconds(3600) : now - last_polled_;
   report.running = running_;
   report.ended = ended_;
@@ -317,8 +335,8 @@
     const bool wait = clock_known_ && ended_.empty();
     poll.wait = wait ? options_.poll_wait : Duration(0);
     poll_in_flight_ = true;
-    ++polls_sent_;
     effects_.poll = poll;
+    effects_.poll_number = ++polls_sent_;
   }
   const bool silent = now - last_contact_ > options_.report_interval * 2;
   if ((scheduler_.empty() || silent) && now - last_search_ >= kSearchInterval) {
--- a/src/fleet/agent_driver.cc
+++ b/src/fleet/agent_driver.cc
@@ -60,10 +60,11 @@
   }
   if (effects.poll && life_) {
     context_.backend.Poll(*life_, *effects.poll,
-                          [this, alive = alive_, executor = context_.executor](BackendReply reply) {
-                            executor([this, alive, reply = std::move(reply)] {
+                          [this, alive = alive_, executor = context_.executor,
+                           number = effects.poll_number](BackendReply reply) {
+                            executor([this, alive, number, reply = std::move(reply)] {
                               if (!*alive) return;
-                              core_.OnPolled(Clock::Now(), reply);
+                              core_.OnPolled(Clock::Now(), number, reply);
                               Execute(core_.Tick(Clock::Now()));
                             });
                           });
--- a/src/fleet/scheduler_queue.cc
+++ b/src/fleet/scheduler_queue.cc
@@ -210,7 +210,7 @@
 }
 
 bool SchedulerCore::IsUsable(TimePoint now, const Worker& worker, const ServiceId& service) const {
-  return worker.reported && worker.backend && worker.backend->service == service &&
+  return worker.rows_seen && worker.backend && worker.backend->service == service &&
          !worker.backend->draining && now - worker.last_report <= options_.silence_limit &&
          now >= worker.refused_until && worker.poll_age <= options_.silence_limit &&
          operators_->evacuated.count(worker.backend->data_centre) == 0;
--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -59,6 +59,7 @@
     worker.last_report = now;
     worker.poll_age = report.poll_age;
     if (report.backend_gone) {
+      worker.rows_seen = true;
       if (worker.backend) LoseWorker(now, worker, "its backend server has ended");
     } else if (!report.backend.empty()) {
       TakeLife(now, worker, report);
@@ -74,6 +75,8 @@
   const bool same = worker.backend && worker.backend->id == life.id &&
                     worker.backend->born_unix_ms == life.born_unix_ms;
   if (!same) {
+    // Its lease can have been extended up to now, whatever polls have shown so far.
+    worker.last_alive = now;
     if (worker.backend) LoseWorker(now, worker, "its backend server was started anew");
     worker.last_end = 0;
     worker.unsaved_ends.clear();
@@ -96,6 +99,7 @@
     }
   }
   if (report.poll == 0) return;
+  worker.rows_seen = true;
   if (report.poll_age < kPollSilence) worker.last_alive = now;
   for (const EndedRow& end : report.ended) TakeEnd(now, worker, end);
   for (const RunningRow& row : report.running) AdoptRow(now, worker, row, report.poll);
@@ -346,10 +350,8 @@
 
 bool SchedulerCore::RecoveryPending(TimePoint now) const {
   if (now > LeaseHorizon(term_began_)) return false;
-  return std::any_of(workers_.begin(), workers_.end(), [](const auto& row) {
-    const Worker& worker = row.second;
-    return !worker.reported || worker.last_alive == TimePoint();
-  });
+  return std::any_of(workers_.begin(), workers_.end(),
+                     [](const auto& row) { return !row.second.rows_seen; });
 }
 
 void SchedulerCore::CheckSilentWorkers(TimePoint now) {
