Take a gang for stalled only when none of its members makes progress; keep room for waiting gangs

Cause: members of a gang that have done their share stand at 100% until the slowest is done; after 3 s the whole gang was stopped and started anew. Change: the stall limit counts from the last progress of any member. A waiting gang of low priority is left workers whose runs end soonest. Stopping a gang costs two seconds a member more.

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -46,6 +46,8 @@
   Duration borrow_wait = Duration(300);
   /// Time in which the remembered peak of the first priority's use falls to about a third.
   Duration headroom_memory = Duration(6000);
+  /// Waiting gangs, the most urgent ones, for which workers are kept from refilling.
+  std::int32_t awaited_gangs = 2;
   /// Work that must start within this time to be on time may use the headroom.
   Duration headroom_slack = Duration(2000);
 };
@@ -217,6 +219,9 @@
     /// Workers held for the step while what runs there is being stopped.
     std::vector<NodeId> reserved;
     TimePoint reserved_at;
+    /// Workers that other work of no first priority leaves to a waiting gang, whose runs end by
+    /// themselves.
+    std::vector<NodeId> awaited;
     /// When the log last said why the step waits.
     TimePoint explained_at;
   };
@@ -285,6 +290,7 @@
   void Release(TimePoint now, Worker& worker, const RunKey& key, bool lost);
   void StopUnwanted(TimePoint now);
   void CheckSilentWorkers(TimePoint now);
+  bool GangProgresses(TimePoint now, const Job& job, std::size_t step) const;
   void CheckStalls(TimePoint now);
   void CheckDrains(TimePoint now);
   void EmitOrders(TimePoint now, SchedulerOutput& out);
@@ -311,6 +317,10 @@
                  const std::string& checkpoint);
   std::int32_t WithinHeadroom(TimePoint now, const Pass& pass, const ReadyStep& ready) const;
   void UpdateHeadroom(TimePoint now, Pass& pass);
+  void AwaitRoom(TimePoint now, Pass& pass, const ReadyStep& ready, const View& view);
+  Duration TimeUntilFits(TimePoint now, const Worker& worker, Resources room,
+                         const Resources& needs) const;
+  Duration RemainingTime(TimePoint now, const RunKey& key, const Allocation& run) const;
   void ExplainWait(TimePoint now, const Pass& pass, const ReadyStep& ready, const View& view);
   void Preempt(TimePoint now, Pass& pass, const View& view,
                const std::vector<std::size_t>& victims);
--- a/src/fleet/scheduler_core.cc
+++ b/src/fleet/scheduler_core.cc
@@ -136,7 +136,10 @@
   job.finished_unix_ms = wall_ms_;
   ++job.version;
   active_.erase(job.spec.id);
-  for (Step& step : job.steps) step.reserved.clear();
+  for (Step& step : job.steps) {
+    step.reserved.clear();
+    step.awaited.clear();
+  }
   if (phase == JobPhase::kCompleted) ++counts_.jobs_completed;
   if (phase == JobPhase::kFailed) ++counts_.jobs_failed;
   if (phase == JobPhase::kCancelled) ++counts_.jobs_cancelled;
--- a/src/fleet/scheduler_queue.cc
+++ b/src/fleet/scheduler_queue.cc
@@ -18,6 +18,8 @@
 // Rejections of a start by one worker's books are rare; a reservation that takes longer than the
 // stops it waits for is planned anew.
 constexpr Duration kReservationSlack(1500);
+// What stopping a member of a gang costs beside its own lost work, in seconds of its run time.
+constexpr double kGangReplaceSeconds = 2.0;
 // Work of the first priority beyond a guarantee is stopped only when nothing else helps.
 constexpr double kBorrowerPenalty = 1000.0;
 // A step that was stopped for others this often is as dear as if it had lost this much more.
@@ -55,6 +57,8 @@
     Resources stopping;
     /// Held for steps that wait for that.
     Resources reserved;
+    /// Left to waiting gangs by other work that is not urgent.
+    Resources awaited;
   };
   std::vector<Row> rows;
   std::map<NodeId, std::size_t> index;
@@ -63,6 +67,8 @@
   bool mostly_idle = false;
   /// Accelerators that other work leaves free for the first priority.
   std::int64_t headroom = 0;
+  /// Gangs for which workers are awaited.
+  std::int32_t awaited_gangs = 0;
 };
 
 /// The workers that could take a step, and what placement may stop there.
@@ -247,6 +253,11 @@
         const auto found = pass.index.find(node);
         if (found != pass.index.end()) pass.rows[found->second].reserved += SpecOf(job, i).needs;
       }
+      if (!job.steps[i].awaited.empty()) ++pass.awaited_gangs;
+      for (const NodeId& node : job.steps[i].awaited) {
+        const auto found = pass.index.find(node);
+        if (found != pass.index.end()) pass.rows[found->second].awaited += SpecOf(job, i).needs;
+      }
     }
   }
 }
@@ -285,6 +296,11 @@
     Resources later = row.free;
     later += row.stopping;
     later -= row.reserved;
+    if (ready.tier >= kTierOther) {
+      later -= row.awaited;
+      const auto own = std::count(step.awaited.begin(), step.awaited.end(), worker.node);
+      later += Times(spec.needs, own);
+    }
     candidate.room = {std::min(row.free.milli_cores, later.milli_cores),
                       std::min(row.free.memory_mb, later.memory_mb),
                       std::min(row.free.accelerators, later.accelerators)};
@@ -331,6 +347,8 @@
           kRepeatedPreemptionPenalty *
               job.steps[step].tasks[static_cast<std::size_t>(key.task.index)].preemptions;
       if (SpecOf(job, step).gang) {
+        // All members are stopped, and whole gangs find room again much later than single tasks.
+        victim.lost_work += SpecOf(job, step).needs.Weight() * kGangReplaceSeconds;
         victim.lost_work *= SpecOf(job, step).task_count;
         const auto [it, added] = gangs.try_emplace({key.task.job, step}, view.victims.size());
         victim.handle = it->second;
@@ -348,6 +366,80 @@
   }
 }
 
+Duration SchedulerCore::RemainingTime(TimePoint now, const RunKey& key,
+                                      const Allocation& run) const {
+  if (run.stopping) return options_.stop_time;
+  const auto found = jobs_.find(key.task.job);
+  if (found == jobs_.end()) return Duration(0);
+  const Job& job = found->second;
+  const StepSpec& spec = SpecOf(job, StepIndex(job, key.task));
+  const Duration whole = run_times_.Predict(job.spec.queue, key.task.step, spec.estimate);
+  constexpr std::int32_t kWhole = 100;
+  const Duration by_percent = whole * (kWhole - run.percent) / kWhole;
+  const Duration by_time = run.working_since + whole - now;
+  return std::max(Duration(0), std::min(by_percent, by_time));
+}
+
+Duration SchedulerCore::TimeUntilFits(TimePoint now, const Worker& worker, Resources room,
+                                      const Resources& needs) const {
+  std::vector<std::pair<Duration, Resources>> ends;
+  for (const auto& [key, run] : worker.runs) {
+    ends.emplace_back(RemainingTime(now, key, run), run.needs);
+  }
+  std::sort(ends.begin(), ends.end(),
+            [](const auto& left, const auto& right) { return left.first < right.first; });
+  Duration wait;
+  for (std::size_t i = 0; i < ends.size() && !needs.FitsIn(room); ++i) {
+    room += ends[i].second;
+    wait = ends[i].first;
+  }
+  return wait;
+}
+
+void SchedulerCore::AwaitRoom(TimePoint now, Pass& pass, const ReadyStep& ready, const View& view) {
+  Step& step = ready.job->steps[ready.step];
+  const StepSpec& spec = SpecOf(*ready.job, ready.step);
+  const bool known = std::all_of(step.awaited.begin(), step.awaited.end(),
+                                 [&](const auto& node) { return pass.index.count(node) > 0; });
+  if (!step.awaited.empty() && known) return;
+  if (step.awaited.empty()) {
+    if (pass.awaited_gangs >= options_.awaited_gangs) return;
+    ++pass.awaited_gangs;
+  }
+  for (const NodeId& node : step.awaited) {
+    const auto found = pass.index.find(node);
+    if (found != pass.index.end()) pass.rows[found->second].awaited -= spec.needs;
+  }
+  step.awaited.clear();
+  // Placed as if everything had ended, with the workers whose runs end first preferred.
+  std::vector<Candidate> empty = view.candidates;
+  std::vector<std::pair<Duration, std::size_t>> order;
+  for (std::size_t i = 0; i < empty.size(); ++i) {
+    const Pass::Row& row = pass.rows[view.rows[i]];
+    order.emplace_back(TimeUntilFits(now, *row.worker, row.free, spec.needs), i);
+  }
+  std::sort(order.begin(), order.end());
+  std::optional<Placement> chosen;
+  // The fewest of the earliest workers that hold the gang.
+  for (std::size_t take = ready.waiting.size(); take <= order.size() && !chosen; ++take) {
+    for (std::size_t i = 0; i < order.size(); ++i) {
+      const std::size_t candidate = order[i].second;
+      Resources room = empty[candidate].capacity;
+      room -= pass.rows[view.rows[candidate]].awaited;
+      empty[candidate].room = i < take ? room : Resources();
+    }
+    chosen = PlaceNow(spec, static_cast<std::int32_t>(ready.waiting.size()), empty);
+  }
+  if (!chosen) return;
+  for (const std::size_t i : chosen->workers) {
+    step.awaited.push_back(pass.rows[view.rows[i]].worker->node);
+    pass.rows[view.rows[i]].awaited += spec.needs;
+  }
+  Say(fmt::format("job={} step={} tier={} tasks={} waited_ms={} awaits room",
+                  ready.job->spec.id.value(), ready.step, ready.tier, ready.waiting.size(),
+                  (now - *step.ready_at).milliseconds()));
+}
+
 void SchedulerCore::UpdateHeadroom(TimePoint now, Pass& pass) {
   double urgent = 0;
   for (const JobId& id : active_) {
@@ -489,6 +581,11 @@
   if (const auto placement = PlaceNow(spec, count, view.candidates, any_rack)) {
     std::vector<std::int32_t> tasks = ready.waiting;
     tasks.resize(placement->workers.size());
+    for (const NodeId& node : step.awaited) {
+      const auto found = pass.index.find(node);
+      if (found != pass.index.end()) pass.rows[found->second].awaited -= spec.needs;
+    }
+    step.awaited.clear();
     Start(now, pass, job, ready.step, tasks, rows_of(*placement));
     return;
   }
@@ -501,6 +598,7 @@
   const bool worth_it = placement && (ready.tier == kTierGuaranteed ||
                                       placement->lost_work <= kWorthStopping * ready.own_work);
   if (!worth_it) {
+    if (spec.gang && ready.tier == kTierOther) AwaitRoom(now, pass, ready, view);
     ExplainWait(now, pass, ready, view);
     return;
   }
--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -388,6 +388,20 @@
   }
 }
 
+bool SchedulerCore::GangProgresses(TimePoint now, const Job& job, std::size_t step) const {
+  if (!SpecOf(job, step).gang) return false;
+  // Members that have done their share wait for the slower ones, because all end together.
+  for (std::size_t i = 0; i < job.steps[step].tasks.size(); ++i) {
+    const Task& task = job.steps[step].tasks[i];
+    const auto worker = workers_.find(task.worker);
+    if (task.phase != TaskPhase::kActive || worker == workers_.end()) continue;
+    const auto run = worker->second.runs.find({IdOf(job, step, i), task.run});
+    if (run == worker->second.runs.end()) continue;
+    if (now - run->second.progressed_at < options_.stall_limit) return true;
+  }
+  return false;
+}
+
 void SchedulerCore::CheckStalls(TimePoint now) {
   for (auto& [node, worker] : workers_) {
     if (now - worker.last_report > options_.silence_limit) continue;
@@ -396,6 +410,7 @@
       if (now - std::max(run.progressed_at, run.working_since) < options_.stall_limit) continue;
       Job* job = FindJob(key.task);
       if (job == nullptr || SpecOf(*job, StepIndex(*job, key.task)).long_running) continue;
+      if (GangProgresses(now, *job, StepIndex(*job, key.task))) continue;
       ++counts_.runs_stalled;
       Say(fmt::format("task={} run={} worker={} percent={} stands still for {} ms: stopped",
                       key.task.ToString(), key.run.value(), node.value(), run.percent,
