--- a/include/basilspring/fleet/entry_duty.h
+++ b/include/basilspring/fleet/entry_duty.h
@@ -27,6 +27,8 @@
     StoreAccess& store;
     PeerClient& peers;
     Executor executor;
+    /// Runs a function on the same thread after a delay.
+    std::function<void(Duration, std::function<void()>)> run_later;
     const CallerFormat& format;
     MetricRegistry& metrics;
     NodeId node;
@@ -72,6 +74,9 @@
   void Refuse(const ExchangePtr& exchange, ErrorKind kind, const std::string& reason,
               Duration retry_after = Duration(0));
   void Submit(const ExchangePtr& exchange, const Queue& queue);
+  void OnJobNotStored(const ExchangePtr& exchange, const std::string& bytes,
+                      const StoreReply& reply);
+  void ProbeThenStore(const ExchangePtr& exchange, const std::string& bytes);
   void StoreJob(const ExchangePtr& exchange, const std::string& bytes);
   void Look(const ExchangePtr& exchange);
   void LookInStore(const ExchangePtr& exchange);
--- a/include/basilspring/fleet/store_access.h
+++ b/include/basilspring/fleet/store_access.h
@@ -33,8 +33,8 @@
   /// Processes to relay through.
   void SetPeers(std::vector<Address> peers);
 
-  /// When the store last answered, by any way.
-  TimePoint last_answer() const { return last_answer_; }
+  /// Whether calls have failed, by every way, for so long that the next one will fail too.
+  bool IsAway(TimePoint now) const;
   const StoreAccessCounts& counts() const { return counts_; }
 
  private:
@@ -51,6 +51,7 @@
   Duration direct_pause_;
   bool direct_good_ = true;
   TimePoint last_answer_;
+  TimePoint last_failure_;
   StoreAccessCounts counts_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/fleet/entry_duty.cc
+++ b/src/fleet/entry_duty.cc
@@ -30,6 +30,9 @@
 // A caller that was refused because the store or the scheduler is away comes back after this time:
 // a new scheduler takes over within about three seconds.
 constexpr Duration kComeBack(1000);
+// Outages of the store last several seconds.
+constexpr Duration kStoreComeBack(2000);
+constexpr Duration kProbeTimeout(350);
 
 bool IsJobId(const std::string& text) {
   return text.size() == kJobIdLength && std::all_of(text.begin(), text.end(), [](unsigned char c) {
@@ -196,7 +199,29 @@
   job.queue = queue.id;
   job.workspace = exchange->workspace;
   job.accepted_unix_ms = Clock::WallMilliseconds();
-  StoreJob(exchange, EncodeJobSpec(job));
+  const std::string bytes = EncodeJobSpec(job);
+  if (context_.store.IsAway(Clock::Now())) {
+    ProbeThenStore(exchange, bytes);
+  } else {
+    StoreJob(exchange, bytes);
+  }
+}
+
+void EntryDuty::ProbeThenStore(const ExchangePtr& exchange, const std::string& bytes) {
+  // A read tells whether the store is back. A write that fails could still be carried out, and the
+  // caller could not be told that the job never runs.
+  StoreCall probe = StoreCall::Get(Leadership::LeaderKey());
+  probe.timeout = kProbeTimeout;
+  context_.store.Call(probe, [this, alive = alive_, exchange, bytes](const StoreReply& reply) {
+    if (!*alive) return;
+    const bool back = reply.status == StoreStatus::kOk || reply.status == StoreStatus::kNotFound;
+    if (back) {
+      StoreJob(exchange, bytes);
+    } else {
+      Refuse(exchange, ErrorKind::kStoreUnavailable, "the store is away: " + reply.message,
+             kStoreComeBack);
+    }
+  });
 }
 
 void EntryDuty::StoreJob(const ExchangePtr& exchange, const std::string& bytes) {
@@ -211,25 +236,30 @@
       Answer(exchange, JobAcceptedAnswer{});
       return;
     }
-    exchange->in_doubt = exchange->in_doubt || reply.status == StoreStatus::kUnknown;
-    if (TimeLeft(*exchange) > kStoreTimeout / 2) {
-      // Writing again is harmless: the key can be created once.
-      context_.executor([this, alive, exchange, bytes] {
-        if (*alive) StoreJob(exchange, bytes);
-      });
-      return;
-    }
-    // Only when no attempt can still be carried out does the refusal say that the job never runs.
-    if (exchange->in_doubt) {
-      Refuse(exchange, ErrorKind::kStoreOutcomeUnknown,
-             "the store did not say whether the job was stored: " + reply.message);
-    } else {
-      Refuse(exchange, ErrorKind::kStoreUnavailable, "the store is away: " + reply.message,
-             kComeBack);
-    }
+    OnJobNotStored(exchange, bytes, reply);
   });
 }
 
+void EntryDuty::OnJobNotStored(const ExchangePtr& exchange, const std::string& bytes,
+                               const StoreReply& reply) {
+  exchange->in_doubt = exchange->in_doubt || reply.status == StoreStatus::kUnknown;
+  const bool away = context_.store.IsAway(Clock::Now());
+  // A job that is certainly not stored is refused at once when the store is away. One in doubt is
+  // written again as long as its caller waits, because only that settles it.
+  const bool again = TimeLeft(*exchange) > kStoreTimeout / 2 && (exchange->in_doubt || !away);
+  if (again) {
+    context_.run_later(kStoreRetry, [this, alive = alive_, exchange, bytes] {
+      if (*alive) StoreJob(exchange, bytes);
+    });
+  } else if (exchange->in_doubt) {
+    Refuse(exchange, ErrorKind::kStoreOutcomeUnknown,
+           "the store did not say whether the job was stored: " + reply.message);
+  } else {
+    Refuse(exchange, ErrorKind::kStoreUnavailable, "the store is away: " + reply.message,
+           kStoreComeBack);
+  }
+}
+
 void EntryDuty::Look(const ExchangePtr& exchange) {
   const JobQuery query{exchange->job};
   const auto use = [this, exchange](const JobQueryReply& reply) {
--- a/src/fleet/node.cc
+++ b/src/fleet/node.cc
@@ -69,6 +69,7 @@
   using Responder = std::shared_ptr<HttpResponder>;
 
   void Post(std::function<void()> work);
+  void PostAfter(Duration delay, std::function<void()> work);
   void Tick();
   void Listen();
   void OnPeer(const HttpRequest& request, const Responder& responder);
@@ -146,9 +147,11 @@
                                       OnOperatorItems(items, snapshot);
                                     });
   if (entry_role_) {
-    entry_ = std::make_unique<EntryDuty>(
-        EntryDuty::Context{*store_, *peers_, executor, *carriers_.callers, metrics_, settings_.name,
-                           settings_.peers, [this] { return scheduler_.get(); }});
+    entry_ = std::make_unique<EntryDuty>(EntryDuty::Context{
+        *store_, *peers_, executor,
+        [this](Duration delay, std::function<void()> work) { PostAfter(delay, std::move(work)); },
+        *carriers_.callers, metrics_, settings_.name, settings_.peers,
+        [this] { return scheduler_.get(); }});
   } else {
     FleetAgentOptions agent;
     agent.node = settings_.name;
@@ -196,6 +199,10 @@
   io_.PostAfter(kPostRetry, [this, shared] { Post([shared] { (*shared)(); }); });
 }
 
+void Node::PostAfter(Duration delay, std::function<void()> work) {
+  io_.PostAfter(delay, [this, work = std::move(work)]() mutable { Post(std::move(work)); });
+}
+
 void Node::SetPeers() {
   std::vector<Address> peers;
   const auto add = [&](const Address& address) {
@@ -238,10 +245,7 @@
   scheduler_ = std::make_unique<SchedulerDuty>(
       SchedulerDuty::Context{
           *store_, *peers_, [this](std::function<void()> work) { Post(std::move(work)); },
-          [this](Duration delay, std::function<void()> work) {
-            io_.PostAfter(delay,
-                          [this, work = std::move(work)]() mutable { Post(std::move(work)); });
-          },
+          [this](Duration delay, std::function<void()> work) { PostAfter(delay, std::move(work)); },
           settings_.peers, settings_.scheduler, [this] { return leadership_->valid_until(); },
           [this](const std::string& reason) { leadership_->Depose(reason); }},
       term, revision);
--- a/src/fleet/store_access.cc
+++ b/src/fleet/store_access.cc
@@ -13,6 +13,8 @@
 // How long the direct way is left alone after a failure; doubles up to the second.
 constexpr Duration kFirstPause(500);
 constexpr Duration kLongestPause(2000);
+// Without an answer for this long, and with a failure since, the store counts as away.
+constexpr Duration kAwayAfter(600);
 // Peers that are tried for one call.
 constexpr std::size_t kRelayAttempts = 3;
 // Added to a relayed call's time for the way to the peer.
@@ -50,6 +52,10 @@
 
 void StoreAccess::SetPeers(std::vector<Address> peers) { peers_ = std::move(peers); }
 
+bool StoreAccess::IsAway(TimePoint now) const {
+  return last_failure_ > last_answer_ && now - last_answer_ > kAwayAfter;
+}
+
 void StoreAccess::Call(const StoreCall& call, StoreHandler handler) {
   if (Clock::Now() < direct_bad_until_ && !peers_.empty()) {
     Relay(call, std::move(handler), 0, true);
@@ -70,6 +76,7 @@
     direct_pause_ = kFirstPause;
   } else {
     ++counts_.failures;
+    last_failure_ = Clock::Now();
     direct_bad_until_ = Clock::Now() + std::max(direct_pause_, kFirstPause);
     direct_pause_ = std::min(std::max(direct_pause_, kFirstPause) * 2, kLongestPause);
   }
