--- a/include/basilspring/fleet/leadership.h
+++ b/include/basilspring/fleet/leadership.h
@@ -33,8 +33,8 @@
   /// No look before this time.
   TimePoint start_at;
   /// Life of the lease without a renewal. A shorter one is taken over sooner and lost more often.
-  Duration lease = Duration(3000);
-  Duration renewal = Duration(700);
+  Duration lease = Duration(2500);
+  Duration renewal = Duration(600);
 };
 
 /// Gains, renews and gives up the scheduler's lease. The lease counts from before the call that
--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -134,6 +134,8 @@
   bool HasUnsavedEnds(const NodeId& node) const;
   const SchedulerCounts& counts() const { return counts_; }
   std::size_t worker_count() const { return workers_.size(); }
+  /// Whether the agent may have runs: it reports, or its last lease has not run out yet.
+  bool KnowsAgent(const NodeId& node) const { return workers_.count(node) > 0; }
 
  private:
   struct RunKey {
--- a/include/basilspring/fleet/store_access.h
+++ b/include/basilspring/fleet/store_access.h
@@ -2,7 +2,9 @@
 #define BASILSPRING_FLEET_STORE_ACCESS_H_
 
 #include <cstdint>
+#include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "basilspring/clock.h"
@@ -28,8 +30,9 @@
   StoreAccess& operator=(const StoreAccess&) = delete;
 
   void Call(const StoreCall& call, StoreHandler handler);
-  /// Makes a call for a peer: directly only, so that calls don't go round.
-  void CallForPeer(const StoreCall& call, StoreHandler handler);
+  /// Makes a call directly or not at all: for a peer, so that calls don't go round, and to learn
+  /// quickly whether the store is back.
+  void CallDirectly(const StoreCall& call, StoreHandler handler);
   /// Processes to relay through.
   void SetPeers(std::vector<Address> peers);
 
@@ -41,12 +44,16 @@
   void Direct(const StoreCall& call, StoreHandler handler, bool may_relay);
   void Relay(const StoreCall& call, StoreHandler handler, std::size_t attempt, bool may_go_direct);
   void MarkDirect(const StoreReply& reply);
+  /// The next peer that has not just failed to answer, or nothing.
+  std::optional<Address> NextPeer();
 
   Store& store_;
   PeerClient& peers_client_;
   Executor executor_;
   std::vector<Address> peers_;
   std::size_t next_peer_ = 0;
+  /// Peers that gave no answer, and until when they are left alone.
+  std::map<Address, TimePoint> silent_peers_;
   TimePoint direct_bad_until_;
   Duration direct_pause_;
   bool direct_good_ = true;
--- a/src/fleet/entry_duty.cc
+++ b/src/fleet/entry_duty.cc
@@ -212,7 +212,8 @@
   // caller could not be told that the job never runs.
   StoreCall probe = StoreCall::Get(Leadership::LeaderKey());
   probe.timeout = kProbeTimeout;
-  context_.store.Call(probe, [this, alive = alive_, exchange, bytes](const StoreReply& reply) {
+  context_.store.CallDirectly(probe, [this, alive = alive_, exchange,
+                                      bytes](const StoreReply& reply) {
     if (!*alive) return;
     const bool back = reply.status == StoreStatus::kOk || reply.status == StoreStatus::kNotFound;
     if (back) {
--- a/src/fleet/store_access.cc
+++ b/src/fleet/store_access.cc
@@ -18,7 +18,11 @@
 // Peers that are tried for one call.
 constexpr std::size_t kRelayAttempts = 3;
 // Added to a relayed call's time for the way to the peer.
-constexpr Duration kRelayTime(200);
+constexpr Duration kRelayTime(150);
+// A peer that has a way to the store gets an answer within this time.
+constexpr Duration kRelayedCallTimeout(500);
+// A peer that gave no answer is left alone for this time.
+constexpr Duration kSilentPeerPause(3000);
 
 bool IsAnswer(StoreStatus status) {
   return status != StoreStatus::kUnavailable && status != StoreStatus::kUnknown;
@@ -64,7 +68,7 @@
   }
 }
 
-void StoreAccess::CallForPeer(const StoreCall& call, StoreHandler handler) {
+void StoreAccess::CallDirectly(const StoreCall& call, StoreHandler handler) {
   Direct(call, std::move(handler), false);
 }
 
@@ -105,9 +109,22 @@
   });
 }
 
+std::optional<Address> StoreAccess::NextPeer() {
+  const TimePoint now = Clock::Now();
+  for (std::size_t i = 0; i < peers_.size(); ++i) {
+    const Address& peer = peers_[(next_peer_ + i) % peers_.size()];
+    const auto silent = silent_peers_.find(peer);
+    if (silent != silent_peers_.end() && now < silent->second) continue;
+    next_peer_ = (next_peer_ + i) % peers_.size();
+    return peer;
+  }
+  return std::nullopt;
+}
+
 void StoreAccess::Relay(const StoreCall& call, StoreHandler handler, std::size_t attempt,
                         bool may_go_direct) {
-  if (attempt == std::min(kRelayAttempts, peers_.size())) {
+  const std::optional<Address> peer = attempt < kRelayAttempts ? NextPeer() : std::nullopt;
+  if (!peer) {
     if (may_go_direct) {
       Direct(call, std::move(handler), false);
       return;
@@ -115,16 +132,18 @@
     StoreReply reply;
     reply.status = StoreStatus::kUnavailable;
     reply.message = "neither the store nor a peer answers";
+    last_failure_ = Clock::Now();
     handler(std::move(reply));
     return;
   }
   ++counts_.relayed_calls;
-  const Address peer = peers_[next_peer_ % peers_.size()];
+  StoreCall relayed = call;
+  relayed.timeout = std::min(call.timeout, kRelayedCallTimeout);
   peers_client_.Send(
-      peer, RelayedStoreCall::kPath, internal::EncodePeerBody(RelayedStoreCall{call}),
-      call.timeout + call.wait + kRelayTime,
+      *peer, RelayedStoreCall::kPath, internal::EncodePeerBody(RelayedStoreCall{relayed}),
+      relayed.timeout + relayed.wait + kRelayTime,
       [this, alive = alive_, call, handler = std::move(handler), attempt, may_go_direct,
-       peer](const PeerResult& result) mutable {
+       peer = *peer](const PeerResult& result) mutable {
         if (!*alive) return;
         StoreReply reply;
         reply.status = result.sent ? StoreStatus::kUnknown : StoreStatus::kUnavailable;
@@ -141,6 +160,8 @@
           handler(std::move(reply));
           return;
         }
+        last_failure_ = Clock::Now();
+        if (!result.body) silent_peers_[peer] = Clock::Now() + kSilentPeerPause;
         ++next_peer_;
         const bool retry = reply.status == StoreStatus::kUnavailable || IsRead(call);
         Log(EventId::kFleetStore, "relay peer={} attempt={} status={} {}", peer.ToString(), attempt,
