Record the agents that may have runs of a step before a run is ordered from them

Change: a job's record names the agents that may have runs; only these are waited for. A start is sent when the record is stored, which also keeps a deposed scheduler from starting anything.

--- a/include/basilspring/fleet/job_model.h
+++ b/include/basilspring/fleet/job_model.h
@@ -143,8 +143,10 @@
   /// For each task 1 when it has succeeded; empty while none has.
   std::vector<std::uint8_t> done;
   std::vector<FailedRun> failed_runs;
+  /// Agents that may have runs of the step; written before a run is ordered from them.
+  std::vector<NodeId> agents;
 
-  BASILSPRING_SERIALIZE(done, failed_runs)
+  BASILSPRING_SERIALIZE(done, failed_runs, agents)
 };
 
 /// What must survive the scheduler: written to the store before an end is acknowledged to the
--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -105,9 +105,9 @@
   void SetOperatorState(std::shared_ptr<const OperatorState> state);
 
   /// Adds a job from the store; `progress` is what an earlier scheduler recorded of it.
-  /// `inherited` says that runs of an earlier term may exist.
+  /// Runs of an earlier term may exist on the agents that the progress names.
   void AddJob(TimePoint now, std::int64_t wall_ms, JobSpec spec,
-              const std::optional<JobProgress>& progress, bool inherited);
+              const std::optional<JobProgress>& progress);
   /// The caller has cancelled the job. Remembered also when the job comes later.
   void CancelJob(const JobId& job);
   /// An agent that may have runs of an earlier term.
@@ -217,6 +217,8 @@
   struct Step {
     std::vector<Task> tasks;
     std::int32_t done = 0;
+    /// Agents that may have runs of the step, of this term or an earlier one.
+    std::set<NodeId> agents;
     std::optional<TimePoint> ready_at;
     /// Workers held for the step while what runs there is being stopped.
     std::vector<NodeId> reserved;
@@ -240,8 +242,6 @@
     std::uint64_t version = 0;
     std::uint64_t saving = 0;
     std::uint64_t saved = 0;
-    /// Read from the store when the term began, so runs of earlier terms may exist.
-    bool inherited = false;
     bool started = false;
     /// When something of the job was last running.
     TimePoint last_live;
@@ -272,7 +272,7 @@
   static Task& TaskOf(Job& job, const TaskId& task);
   void RefreshQueue(Job& job);
   void Finish(Job& job, JobPhase phase, const std::string& reason);
-  static JobProgress ProgressOf(const Job& job);
+  static JobProgress ProgressOf(Job& job);
   void CollectSaves(SchedulerOutput& out);
   void RemoveOldJobs(SchedulerOutput& out);
 
@@ -305,7 +305,8 @@
   Duration Chain(const Job& job) const;
   void Rank(TimePoint now, const Pass& pass, ReadyStep& ready) const;
   bool IsUsable(TimePoint now, const Worker& worker, const ServiceId& service) const;
-  bool RecoveryPending(TimePoint now) const;
+  /// Whether an agent that may have runs of the step has not shown yet what it has.
+  bool RecoveryPending(TimePoint now, const Step& step) const;
   TimePoint LeaseHorizon(TimePoint granted) const;
   void Schedule(TimePoint now);
   void TryStart(TimePoint now, Pass& pass, const ReadyStep& ready);
@@ -357,7 +358,11 @@
   struct PendingOrder {
     NodeId worker;
     Order order;
+    /// A start waits until this version of its job's record is stored.
+    std::uint64_t version = 0;
   };
+  bool MaySend(TimePoint now, const PendingOrder& pending);
+  bool MustWait(const PendingOrder& pending) const;
   std::vector<PendingOrder> pending_orders_;
   std::vector<Decision> decisions_;
   SchedulerCounts counts_;
--- a/src/fleet/scheduler_core.cc
+++ b/src/fleet/scheduler_core.cc
@@ -65,14 +65,13 @@
 }
 
 void SchedulerCore::AddJob(TimePoint now, std::int64_t wall_ms, JobSpec spec,
-                           const std::optional<JobProgress>& progress, bool inherited) {
+                           const std::optional<JobProgress>& progress) {
   if (jobs_.count(spec.id) != 0) return;
   wall_ms_ = wall_ms;
   Job job;
   const Duration age(
       std::clamp<std::int64_t>(wall_ms - spec.accepted_unix_ms, 0, kMaxAge.milliseconds()));
   job.accepted_at = now - age;
-  job.inherited = inherited;
   job.steps.resize(spec.steps.size() * static_cast<std::size_t>(spec.occurrence_count()));
   job.spec = std::move(spec);
   for (std::size_t i = 0; i < job.steps.size(); ++i) {
@@ -86,6 +85,8 @@
     for (std::size_t i = 0; i < std::min(job.steps.size(), progress->steps.size()); ++i) {
       Step& step = job.steps[i];
       const StepProgress& stored = progress->steps[i];
+      step.agents.insert(stored.agents.begin(), stored.agents.end());
+      job.started = job.started || !stored.agents.empty();
       for (std::size_t k = 0; k < std::min(stored.done.size(), step.tasks.size()); ++k) {
         if (stored.done[k] == 0) continue;
         step.tasks[k].phase = TaskPhase::kDone;
@@ -101,10 +102,10 @@
   }
   RefreshQueue(job);
   job.cancelled = cancelled_early_.erase(job.spec.id) > 0;
-  Say(fmt::format("job={} queue={} workspace={} tasks={} age_ms={} inherited={} cancelled={} taken",
+  Say(fmt::format("job={} queue={} workspace={} tasks={} age_ms={} recorded={} cancelled={} taken",
                   job.spec.id.value(), job.spec.queue.value(), job.spec.workspace.value(),
                   job.steps.empty() ? 0 : job.steps.front().tasks.size(), age.milliseconds(),
-                  inherited, job.cancelled));
+                  progress.has_value(), job.cancelled));
   const JobId id = job.spec.id;
   Job& added = jobs_.emplace(id, std::move(job)).first->second;
   if (!IsFinal(added.phase)) active_.insert(id);
@@ -148,12 +149,12 @@
                   reason));
 }
 
-JobProgress SchedulerCore::ProgressOf(const Job& job) {
+JobProgress SchedulerCore::ProgressOf(Job& job) {
   JobProgress progress;
   progress.phase = static_cast<std::uint8_t>(job.phase);
   progress.finished_unix_ms = job.finished_unix_ms;
   if (IsFinal(job.phase)) return progress;
-  for (const Step& step : job.steps) {
+  for (Step& step : job.steps) {
     StepProgress& row = progress.steps.emplace_back();
     if (step.done > 0) row.done.resize(step.tasks.size(), 0);
     for (std::size_t i = 0; i < step.tasks.size(); ++i) {
@@ -162,6 +163,7 @@
         row.failed_runs.push_back({static_cast<std::int32_t>(i), run});
       }
     }
+    row.agents.assign(step.agents.begin(), step.agents.end());
   }
   return progress;
 }
--- a/src/fleet/scheduler_duty.cc
+++ b/src/fleet/scheduler_duty.cc
@@ -130,7 +130,6 @@
   const std::int64_t wall_ms = Clock::WallMilliseconds();
   const std::string jobs = StoreKeys::kJobs;
   const std::string cancels = StoreKeys::kCancels;
-  const bool inherited = snapshot && !inbox_loaded_;
   for (const StoreItem& item : items) {
     if (item.removed) continue;
     if (item.key.rfind(cancels, 0) == 0) {
@@ -141,7 +140,7 @@
         const auto found = loaded_progress_.find(spec.id);
         std::optional<JobProgress> progress;
         if (found != loaded_progress_.end()) progress = found->second;
-        core_.AddJob(now, wall_ms, std::move(spec), progress, inherited);
+        core_.AddJob(now, wall_ms, std::move(spec), progress);
       } catch (const Error& error) {
         Log(EventId::kFleetDecision, "key={} can't be read: {}", item.key, error.what());
       }
--- a/src/fleet/scheduler_queue.cc
+++ b/src/fleet/scheduler_queue.cc
@@ -180,10 +180,9 @@
 
 std::vector<SchedulerCore::ReadyStep> SchedulerCore::ReadySteps(TimePoint now, const Pass& pass) {
   std::vector<ReadyStep> ready;
-  const bool recovering = RecoveryPending(now);
   for (const JobId& id : active_) {
     Job& job = jobs_.at(id);
-    if (job.queue.service.empty() || (recovering && job.inherited)) continue;
+    if (job.queue.service.empty()) continue;
     const bool live = std::any_of(job.steps.begin(), job.steps.end(), [](const Step& step) {
       return std::any_of(step.tasks.begin(), step.tasks.end(),
                          [](const Task& task) { return task.live_runs > 0; });
@@ -192,6 +191,7 @@
     for (std::size_t i = 0; i < job.steps.size(); ++i) {
       if (!StepIsReady(job, i)) continue;
       Step& step = job.steps[i];
+      if (RecoveryPending(now, step)) continue;
       if (!step.ready_at) step.ready_at = now;
       ReadyStep row;
       row.waiting = WaitingTasks(job, i, now);
@@ -637,7 +637,10 @@
   run.checkpoint = checkpoint;
   run.measured =
       checkpoint.empty() && (spec.data_rack.empty() || spec.data_rack == worker.backend->rack);
-  pending_orders_.push_back({worker.node, std::move(order)});
+  // A successor must know where the run may be before it is ordered.
+  Step& step = job.steps[StepIndex(job, id)];
+  if (step.agents.insert(worker.node).second) ++job.version;
+  pending_orders_.push_back({worker.node, std::move(order), job.version});
   ++counts_.runs_started;
 }
 
--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -142,6 +142,7 @@
       run.needs = SpecOf(*job, StepIndex(*job, row.task)).needs;
       Task& task = TaskOf(*job, row.task);
       ++task.live_runs;
+      job->steps[StepIndex(*job, row.task)].agents.insert(worker.node);
       const bool wanted = task.phase == TaskPhase::kWaiting && !IsFinal(job->phase) &&
                           row.run.value() > task.run.value();
       if (wanted) {
@@ -269,6 +270,16 @@
   if (job == nullptr) return;
   Task& task = TaskOf(*job, key.task);
   --task.live_runs;
+  Step& step = job->steps[StepIndex(*job, key.task)];
+  const bool quiet = std::none_of(step.tasks.begin(), step.tasks.end(),
+                                  [](const Task& row) { return row.live_runs > 0; });
+  if (quiet) {
+    // Agents that have not reported in this term may still have runs of an earlier one.
+    std::erase_if(step.agents, [this](const NodeId& node) {
+      const auto agent = workers_.find(node);
+      return agent == workers_.end() || agent->second.rows_seen;
+    });
+  }
   if (lost && run.confirmed) {
     ++counts_.runs_lost;
     const auto work = LostWork(*job, key, run, now);
@@ -331,12 +342,11 @@
       if (!ends_itself) RequestStop(now, worker, key, run);
     }
   }
-  if (RecoveryPending(now)) return;
   for (const JobId& id : active_) {
     Job& job = jobs_.at(id);
     if (!job.started) continue;
     for (std::size_t i = 0; i < job.steps.size(); ++i) {
-      if (!SpecOf(job, i).gang) continue;
+      if (!SpecOf(job, i).gang || RecoveryPending(now, job.steps[i])) continue;
       const auto& tasks = job.steps[i].tasks;
       const auto is = [](TaskPhase phase) {
         return [phase](const Task& task) { return task.phase == phase; };
@@ -348,10 +358,12 @@
   }
 }
 
-bool SchedulerCore::RecoveryPending(TimePoint now) const {
+bool SchedulerCore::RecoveryPending(TimePoint now, const Step& step) const {
   if (now > LeaseHorizon(term_began_)) return false;
-  return std::any_of(workers_.begin(), workers_.end(),
-                     [](const auto& row) { return !row.second.rows_seen; });
+  return std::any_of(step.agents.begin(), step.agents.end(), [this](const NodeId& node) {
+    const auto found = workers_.find(node);
+    return found != workers_.end() && !found->second.rows_seen;
+  });
 }
 
 void SchedulerCore::CheckSilentWorkers(TimePoint now) {
@@ -427,6 +439,24 @@
   }
 }
 
+bool SchedulerCore::MaySend(TimePoint now, const PendingOrder& pending) {
+  const auto worker = workers_.find(pending.worker);
+  if (worker == workers_.end()) return false;
+  const RunKey key{pending.order.task, pending.order.run};
+  const auto run = worker->second.runs.find(key);
+  if (run == worker->second.runs.end()) return false;
+  if (!pending.order.start || !run->second.stopping) return true;
+  // Stopped before its start was sent.
+  Release(now, worker->second, key, false);
+  return false;
+}
+
+bool SchedulerCore::MustWait(const PendingOrder& pending) const {
+  if (!pending.order.start) return false;
+  const auto job = jobs_.find(pending.order.task.job);
+  return job != jobs_.end() && job->second.saved < pending.version;
+}
+
 void SchedulerCore::EmitOrders(TimePoint now, SchedulerOutput& out) {
   for (auto& [node, worker] : workers_) {
     for (auto& [key, run] : worker.runs) {
@@ -434,10 +464,16 @@
     }
   }
   std::map<NodeId, std::vector<Order>> by_worker;
-  for (PendingOrder& pending : pending_orders_) {
-    by_worker[pending.worker].push_back(std::move(pending.order));
+  std::vector<PendingOrder> waiting;
+  for (PendingOrder& pending : std::exchange(pending_orders_, {})) {
+    if (!MaySend(now, pending)) continue;
+    if (MustWait(pending)) {
+      waiting.push_back(std::move(pending));
+    } else {
+      by_worker[pending.worker].push_back(std::move(pending.order));
+    }
   }
-  pending_orders_.clear();
+  pending_orders_ = std::move(waiting);
   for (auto& [node, orders] : by_worker) {
     const auto found = workers_.find(node);
     if (found == workers_.end() || !found->second.backend) continue;
