--- a/include/basilspring/fleet/scheduler_duty.h
+++ b/include/basilspring/fleet/scheduler_duty.h
@@ -15,6 +15,7 @@
 #include "basilspring/fleet/prefix_watch.h"
 #include "basilspring/fleet/scheduler_core.h"
 #include "basilspring/fleet/store_access.h"
+#include "basilspring/process/metrics.h"
 
 namespace basilspring::fleet {
 
@@ -47,6 +48,7 @@
   struct Context {
     StoreAccess& store;
     PeerClient& peers;
+    MetricRegistry& metrics;
     Executor executor;
     /// Runs a function on the same thread after a delay.
     std::function<void(Duration, std::function<void()>)> run_later;
--- a/include/basilspring/process/metrics.h
+++ b/include/basilspring/process/metrics.h
@@ -1,12 +1,15 @@
 #ifndef BASILSPRING_PROCESS_METRICS_H_
 #define BASILSPRING_PROCESS_METRICS_H_
 
+#include <array>
 #include <atomic>
 #include <cstdint>
 #include <deque>
 #include <mutex>
 #include <string>
 
+#include "basilspring/clock.h"
+
 namespace basilspring {
 
 /// A number that only grows. Thread-safe, without locks.
@@ -30,6 +33,25 @@
   std::atomic<std::int64_t> value_{0};
 };
 
+/// Counts durations in fixed ranges, for latencies from one millisecond to ten seconds.
+class Histogram {
+ public:
+  /// Upper ends of the ranges, in milliseconds; one more range takes what is longer.
+  static constexpr std::array<std::int64_t, 13> kBounds = {1,   2,   5,    10,   20,   50,   100,
+                                                           200, 500, 1000, 2000, 5000, 10000};
+
+  void Observe(Duration duration);
+  /// Observations up to the bound with this index; the last index counts all.
+  std::uint64_t CountUpTo(std::size_t index) const;
+  std::uint64_t count() const { return CountUpTo(kBounds.size()); }
+  /// Sum of all observations, in milliseconds.
+  std::int64_t sum() const { return sum_.load(std::memory_order_relaxed); }
+
+ private:
+  std::array<std::atomic<std::uint64_t>, kBounds.size() + 1> counts_{};
+  std::atomic<std::int64_t> sum_{0};
+};
+
 /// All counters of a process. References stay valid as long as the registry lives.
 class MetricRegistry {
  public:
@@ -40,6 +62,10 @@
   Gauge& GetGauge(const std::string& name, const std::string& labels = "",
                   const std::string& help = "");
 
+  /// A histogram of milliseconds.
+  Histogram& GetHistogram(const std::string& name, const std::string& labels = "",
+                          const std::string& help = "");
+
   /// All metrics in the Prometheus text exposition format, with the process's own processor time
   /// and memory.
   std::string Render() const;
@@ -59,6 +85,7 @@
   mutable std::mutex mutex_;
   std::deque<Entry<Counter>> counters_;
   std::deque<Entry<Gauge>> gauges_;
+  std::deque<Entry<Histogram>> histograms_;
 };
 
 }  // namespace basilspring
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -17,7 +17,7 @@
 start() {
   local name=$1
   shift
-  "$@" >>"$run_dir/$name.out" 2>>"$run_dir/$name.log" &
+  "$@" >>"$run_dir/$name.log" 2>>"$run_dir/$name.err" &
   process_ids[$name]=$!
 }
 
--- a/src/fleet/entry_duty.cc
+++ b/src/fleet/entry_duty.cc
@@ -121,6 +121,11 @@
                               static_cast<int>(exchange->request.action), response.status),
                   "Callers' requests by action and status.")
       .Add();
+  context_.metrics
+      .GetHistogram("basilspring_caller_request_ms",
+                    fmt::format("action=\"{}\"", static_cast<int>(exchange->request.action)),
+                    "Time from reading a caller's request to its answer.")
+      .Observe(took);
   exchange->responder->Respond(std::move(response));
   exchange->responder = nullptr;
   --open_requests_;
--- a/src/fleet/node.cc
+++ b/src/fleet/node.cc
@@ -244,7 +244,7 @@
 void Node::BecomeScheduler(Term term, std::int64_t revision) {
   scheduler_ = std::make_unique<SchedulerDuty>(
       SchedulerDuty::Context{
-          *store_, *peers_, [this](std::function<void()> work) { Post(std::move(work)); },
+          *store_, *peers_, metrics_, [this](std::function<void()> work) { Post(std::move(work)); },
           [this](Duration delay, std::function<void()> work) { PostAfter(delay, std::move(work)); },
           settings_.peers, settings_.scheduler, [this] { return leadership_->valid_until(); },
           [this](const std::string& reason) { leadership_->Depose(reason); }},
--- a/src/fleet/scheduler_duty.cc
+++ b/src/fleet/scheduler_duty.cc
@@ -1,5 +1,7 @@
 #include "basilspring/fleet/scheduler_duty.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -200,9 +202,14 @@
   const std::uint64_t batch = orders.batch;
   internal::CallPeer<OrderBatchReply>(
       context_.peers, orders.agent, orders.message, kOrderTimeout,
-      [this, alive = alive_, batch](const std::optional<OrderBatchReply>& reply) {
+      [this, alive = alive_, batch,
+       sent = Clock::Now()](const std::optional<OrderBatchReply>& reply) {
         if (!*alive) return;
         const TimePoint now = Clock::Now();
+        context_.metrics
+            .GetHistogram("basilspring_order_ms", reply ? "answered=\"yes\"" : "answered=\"no\"",
+                          "Time from sending a batch of orders to its answer.")
+            .Observe(now - sent);
         if (reply && reply->term > term_) {
           context_.deposed("an agent follows a newer scheduler");
           return;
@@ -234,32 +241,38 @@
     batch->push_back(std::move(save));
   }
   saving_ = true;
-  context_.store.Call(call, [this, alive = alive_, batch](const StoreReply& reply) {
-    if (!*alive) return;
-    saving_ = false;
-    if (reply.status == StoreStatus::kConflict) {
-      OnSaveRefused(*batch, reply);
-      return;
-    }
-    if (reply.status != StoreStatus::kOk) {
-      Log(EventId::kFleetStore, "records={} not saved: {} {}", batch->size(),
-          StoreStatusName(reply.status), reply.message);
-      // Writing the same again is harmless: only the holder of the lease writes these keys.
-      save_queue_.insert(save_queue_.begin(), batch->begin(), batch->end());
-      save_not_before_ = Clock::Now() + kSaveRetry;
-      return;
-    }
-    for (const ProgressSave& save : *batch) {
-      if (save.remove) {
-        progress_revisions_.erase(save.job);
-      } else {
-        progress_revisions_[save.job] = reply.revision;
-        core_.OnSaved(save.job, save.version);
-      }
-    }
-    AnswerWaiting(Clock::Now());
-    RunSoon();
-  });
+  context_.store.Call(
+      call, [this, alive = alive_, batch, sent = Clock::Now()](const StoreReply& reply) {
+        if (!*alive) return;
+        saving_ = false;
+        context_.metrics
+            .GetHistogram("basilspring_record_write_ms",
+                          fmt::format("status=\"{}\"", StoreStatusName(reply.status)),
+                          "Time to write a batch of job records to the store.")
+            .Observe(Clock::Now() - sent);
+        if (reply.status == StoreStatus::kConflict) {
+          OnSaveRefused(*batch, reply);
+          return;
+        }
+        if (reply.status != StoreStatus::kOk) {
+          Log(EventId::kFleetStore, "records={} not saved: {} {}", batch->size(),
+              StoreStatusName(reply.status), reply.message);
+          // Writing the same again is harmless: only the holder of the lease writes these keys.
+          save_queue_.insert(save_queue_.begin(), batch->begin(), batch->end());
+          save_not_before_ = Clock::Now() + kSaveRetry;
+          return;
+        }
+        for (const ProgressSave& save : *batch) {
+          if (save.remove) {
+            progress_revisions_.erase(save.job);
+          } else {
+            progress_revisions_[save.job] = reply.revision;
+            core_.OnSaved(save.job, save.version);
+          }
+        }
+        AnswerWaiting(Clock::Now());
+        RunSoon();
+      });
 }
 
 bool SchedulerDuty::ShowsOtherLeader(const StoreReply& reply) const {
--- a/src/process/metrics.cc
+++ b/src/process/metrics.cc
@@ -30,6 +30,26 @@
   }
 }
 
+template <typename Entries>
+void CollectHistograms(const Entries& entries, std::map<std::string, Family>& families) {
+  for (const auto& entry : entries) {
+    Family& family = families[entry.name];
+    family.type = "histogram";
+    if (!entry.help.empty()) family.help = entry.help;
+    const std::string prefix = entry.labels.empty() ? "" : entry.labels + ",";
+    for (std::size_t i = 0; i <= Histogram::kBounds.size(); ++i) {
+      const std::string bound =
+          i < Histogram::kBounds.size() ? std::to_string(Histogram::kBounds[i]) : "+Inf";
+      family.samples.push_back(fmt::format("{}_bucket{{{}le=\"{}\"}} {}\n", entry.name, prefix,
+                                           bound, entry.metric.CountUpTo(i)));
+    }
+    const std::string labels = entry.labels.empty() ? "" : fmt::format("{{{}}}", entry.labels);
+    family.samples.push_back(fmt::format("{}_sum{} {}\n", entry.name, labels, entry.metric.sum()));
+    family.samples.push_back(
+        fmt::format("{}_count{} {}\n", entry.name, labels, entry.metric.count()));
+  }
+}
+
 std::string ProcessUsage() {
   struct rusage usage {};
   getrusage(RUSAGE_SELF, &usage);
@@ -43,6 +63,19 @@
 
 }  // namespace
 
+void Histogram::Observe(Duration duration) {
+  std::size_t index = 0;
+  while (index < kBounds.size() && duration.milliseconds() > kBounds[index]) ++index;
+  counts_[index].fetch_add(1, std::memory_order_relaxed);
+  sum_.fetch_add(duration.milliseconds(), std::memory_order_relaxed);
+}
+
+std::uint64_t Histogram::CountUpTo(std::size_t index) const {
+  std::uint64_t count = 0;
+  for (std::size_t i = 0; i <= index; ++i) count += counts_[i].load(std::memory_order_relaxed);
+  return count;
+}
+
 template <typename Metric>
 Metric& MetricRegistry::Get(std::deque<Entry<Metric>>& entries, const std::string& name,
                             const std::string& labels, const std::string& help) {
@@ -67,12 +100,18 @@
   return Get(gauges_, name, labels, help);
 }
 
+Histogram& MetricRegistry::GetHistogram(const std::string& name, const std::string& labels,
+                                        const std::string& help) {
+  return Get(histograms_, name, labels, help);
+}
+
 std::string MetricRegistry::Render() const {
   std::map<std::string, Family> families;
   std::string text = ProcessUsage();
   const std::lock_guard<std::mutex> lock(mutex_);
   Collect(counters_, "counter", families);
   Collect(gauges_, "gauge", families);
+  CollectHistograms(histograms_, families);
   for (const auto& [name, family] : families) {
     if (!family.help.empty()) {
       fmt::format_to(std::back_inserter(text), "# HELP {} {}\n", name, family.help);
