--- /dev/null
+++ b/tests/fleet/agent_core_test.cc
@@ -0,0 +1,243 @@
+#include "basilspring/fleet/agent_core.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace basilspring::fleet {
+namespace {
+
+BackendAnnouncement MakeAnnouncement(std::int64_t born, std::int64_t sequence) {
+  BackendAnnouncement announcement;
+  announcement.id = BackendId("backend");
+  announcement.born_unix_ms = born;
+  announcement.sequence = sequence;
+  announcement.capacity = {8000, 8000, 8};
+  return announcement;
+}
+
+const Address kScheduler{"10.0.0.1", 1};
+const TaskId kTask{JobId("0000000000000001"), 0, 0, 0};
+
+class FleetAgentTest : public ::testing::Test {
+ protected:
+  FleetAgentTest() : core_(MakeOptions()) {
+    core_.OnAnnouncement(now_, MakeAnnouncement(1, 1));
+    core_.OnScheduler(now_, Term(1), kScheduler);
+    Settle();
+  }
+
+  static FleetAgentOptions MakeOptions() {
+    FleetAgentOptions options;
+    options.node = NodeId("agent");
+    options.incarnation = 7;
+    return options;
+  }
+
+  AgentEffects Tick() {
+    AgentEffects effects = core_.Tick(now_);
+    if (effects.poll) poll_ = effects.poll_number;
+    for (const AgentReport& report : effects.reports) report_ = report;
+    return effects;
+  }
+
+  /// Polls and reports until the scheduler has allowed a lease.
+  void Settle() {
+    for (int i = 0; i < 4; ++i) {
+      Tick();
+      Poll({}, {});
+      Tick();
+      Accept(Duration(5000), 0);
+      now_ = now_ + Duration(10);
+    }
+  }
+
+  void Poll(std::vector<RunningRow> running, std::vector<EndedRow> ended) {
+    BackendReply reply;
+    reply.status = BackendStatus::kOk;
+    reply.clock_ms = 100000 + now_.milliseconds();
+    reply.born_unix_ms = 1;
+    reply.running = std::move(running);
+    reply.ended = std::move(ended);
+    core_.OnPolled(now_, poll_, reply);
+  }
+
+  void Accept(Duration lease, std::int64_t acknowledged) {
+    AgentReportReply reply;
+    reply.accepted = true;
+    reply.term = core_.term();
+    reply.lease = lease;
+    reply.born_unix_ms = 1;
+    reply.acknowledged = acknowledged;
+    core_.OnReportAnswered(now_, report_.number, reply);
+  }
+
+  OrderBatch MakeBatch(bool start) {
+    OrderBatch batch;
+    batch.term = core_.term();
+    batch.scheduler = kScheduler;
+    batch.incarnation = 7;
+    batch.report = report_.number;
+    batch.backend = BackendId("backend");
+    batch.born_unix_ms = 1;
+    Order order;
+    order.start = start;
+    order.task = kTask;
+    order.run = RunNumber(1);
+    batch.orders.push_back(order);
+    return batch;
+  }
+
+  static BackendReply MakeReply(BackendStatus status) {
+    BackendReply reply;
+    reply.status = status;
+    return reply;
+  }
+
+  /// The status that answers the single order of a batch, or nothing while it is being carried out.
+  static std::optional<BackendStatus> StatusOf(const AgentEffects& effects) {
+    if (effects.answers.empty()) return std::nullopt;
+    return static_cast<BackendStatus>(effects.answers.front().second.statuses.front());
+  }
+
+  TimePoint now_{100000};
+  FleetAgentCore core_;
+  std::uint64_t poll_ = 0;
+  AgentReport report_;
+};
+
+TEST_F(FleetAgentTest, CarriesOutAStartWithTheLeaseThatWasAllowed) {
+  core_.OnOrders(now_, 1, MakeBatch(true));
+  const AgentEffects effects = Tick();
+  ASSERT_EQ(effects.orders.size(), 1U);
+  EXPECT_GT(effects.orders.front().start_run.lease_until_ms, 100000 + now_.milliseconds());
+  core_.OnOrderDone(now_, effects.orders.front().token, MakeReply(BackendStatus::kOk));
+  EXPECT_EQ(StatusOf(Tick()), BackendStatus::kOk);
+}
+
+// A deposed scheduler's orders must not reach the backend server.
+TEST_F(FleetAgentTest, RefusesOrdersOfAnOlderTerm) {
+  const OrderBatch old = MakeBatch(true);
+  core_.OnScheduler(now_, Term(2), kScheduler);
+  core_.OnOrders(now_, 1, old);
+  const AgentEffects effects = Tick();
+  EXPECT_TRUE(effects.orders.empty());
+  EXPECT_EQ(StatusOf(effects), BackendStatus::kStaleTerm);
+}
+
+// An order that lay in a connection while its scheduler was replaced is based on an old report.
+TEST_F(FleetAgentTest, RefusesAStartThatIsBasedOnAnOldReport) {
+  const OrderBatch batch = MakeBatch(true);
+  now_ = now_ + Duration(3500);
+  core_.OnOrders(now_, 1, batch);
+  EXPECT_EQ(StatusOf(Tick()), BackendStatus::kTooLate);
+}
+
+TEST_F(FleetAgentTest, RefusesOrdersForAnotherLife) {
+  OrderBatch batch = MakeBatch(true);
+  batch.born_unix_ms = 2;
+  core_.OnOrders(now_, 1, batch);
+  EXPECT_EQ(StatusOf(Tick()), BackendStatus::kOtherLife);
+}
+
+TEST_F(FleetAgentTest, RefusesStartsWhileTheBackendServerDrains) {
+  BackendAnnouncement draining = MakeAnnouncement(1, 99);
+  draining.draining = true;
+  core_.OnAnnouncement(now_, draining);
+  core_.OnOrders(now_, 1, MakeBatch(true));
+  EXPECT_EQ(StatusOf(Tick()), BackendStatus::kRefused);
+}
+
+// A start without an answer may be carried out seconds later, and then beside another run.
+TEST_F(FleetAgentTest, StopsAStartThatStaysWithoutAnswer) {
+  core_.OnOrders(now_, 1, MakeBatch(true));
+  for (int attempt = 0; attempt < 3; ++attempt) {
+    const AgentEffects effects = Tick();
+    ASSERT_EQ(effects.orders.size(), 1U);
+    EXPECT_TRUE(effects.orders.front().start);
+    core_.OnOrderDone(now_, effects.orders.front().token, MakeReply(BackendStatus::kUnknown));
+  }
+  const AgentEffects fence = Tick();
+  ASSERT_EQ(fence.orders.size(), 1U);
+  EXPECT_FALSE(fence.orders.front().start);
+  core_.OnOrderDone(now_, fence.orders.front().token, MakeReply(BackendStatus::kOk));
+  EXPECT_EQ(StatusOf(Tick()), BackendStatus::kStopped);
+}
+
+// The backend server refuses the repeat for lack of room, but the first attempt may still come.
+TEST_F(FleetAgentTest, ARefusedRepeatDoesNotProveThatTheFirstAttemptIsGone) {
+  core_.OnOrders(now_, 1, MakeBatch(true));
+  AgentEffects effects = Tick();
+  core_.OnOrderDone(now_, effects.orders.front().token, MakeReply(BackendStatus::kUnknown));
+  effects = Tick();
+  core_.OnOrderDone(now_, effects.orders.front().token, MakeReply(BackendStatus::kNoRoom));
+  effects = Tick();
+  ASSERT_EQ(effects.orders.size(), 1U);
+  EXPECT_FALSE(effects.orders.front().start);
+  EXPECT_FALSE(StatusOf(effects));
+}
+
+TEST_F(FleetAgentTest, ExtendsTheLeaseOnlyAsFarAsTheSchedulerAllowed) {
+  const TimePoint allowed = core_.lease_until();
+  now_ = now_ + Duration(4000);
+  Tick();
+  EXPECT_EQ(core_.lease_until(), allowed);
+  const TimePoint sent = now_;
+  Tick();
+  now_ = now_ + Duration(300);
+  Accept(Duration(5000), 0);
+  // Counted from when the report was sent, not from when its answer came.
+  EXPECT_EQ(core_.lease_until(), sent + Duration(5000));
+}
+
+// A new scheduler must not conclude from rows of the past that a run has vanished.
+TEST_F(FleetAgentTest, ShowsANewSchedulerOnlyPollsOfItsOwnTerm) {
+  core_.OnScheduler(now_, Term(2), kScheduler);
+  AgentEffects effects = Tick();
+  ASSERT_FALSE(effects.reports.empty());
+  EXPECT_EQ(effects.reports.back().poll, 0U);
+  Poll({{kTask, RunNumber(1), "", 10}}, {});
+  effects = Tick();
+  ASSERT_FALSE(effects.reports.empty());
+  EXPECT_GT(effects.reports.back().poll, 0U);
+  EXPECT_EQ(effects.reports.back().running.size(), 1U);
+}
+
+TEST_F(FleetAgentTest, AcknowledgesAnEndOnlyOnceItIsRecorded) {
+  Tick();
+  Poll({}, {{5, kTask, RunNumber(1), 0, ""}});
+  AgentEffects effects = Tick();
+  ASSERT_FALSE(effects.reports.empty());
+  EXPECT_EQ(effects.reports.back().ended.size(), 1U);
+  now_ = now_ + Duration(300);
+  effects = Tick();
+  ASSERT_TRUE(effects.poll);
+  EXPECT_EQ(effects.poll->acknowledged, 0);
+  Poll({}, {{5, kTask, RunNumber(1), 0, ""}});
+  Accept(Duration(5000), 5);
+  effects = Tick();
+  ASSERT_TRUE(effects.poll);
+  EXPECT_EQ(effects.poll->acknowledged, 5);
+}
+
+// A delayed announcement of a former life would replace the present one.
+TEST_F(FleetAgentTest, IgnoresLateAnnouncements) {
+  EXPECT_TRUE(core_.OnAnnouncement(now_, MakeAnnouncement(5, 1)));
+  EXPECT_FALSE(core_.OnAnnouncement(now_, MakeAnnouncement(1, 50)));
+  EXPECT_FALSE(core_.OnAnnouncement(now_, MakeAnnouncement(5, 1)));
+  EXPECT_TRUE(core_.OnAnnouncement(now_, MakeAnnouncement(5, 2)));
+}
+
+TEST_F(FleetAgentTest, ReportsABackendServerAtWhoseAddressNobodyListens) {
+  for (int i = 0; i < 8; ++i) {
+    now_ = now_ + Duration(200);
+    Tick();
+    core_.OnPolled(now_, poll_, MakeReply(BackendStatus::kGone));
+  }
+  now_ = now_ + Duration(900);
+  Tick();
+  EXPECT_TRUE(report_.backend_gone);
+}
+
+}  // namespace
+}  // namespace basilspring::fleet
--- /dev/null
+++ b/tests/platform/platform_test.cc
@@ -0,0 +1,240 @@
+#include <gtest/gtest.h>
+
+#include "backend_adapter.h"
+#include "basilspring/error.h"
+#include "caller_adapter.h"
+#include "store_adapter.h"
+
+namespace basilspring::platform {
+namespace {
+
+HttpResult MakeResult(int status, std::string body) {
+  HttpResult result;
+  result.status = status;
+  result.body = std::move(body);
+  return result;
+}
+
+HttpRequest MakeRequest(const std::string& method, const std::string& path, std::string body) {
+  HttpRequest request;
+  request.method = method;
+  request.path = path;
+  request.body = std::move(body);
+  return request;
+}
+
+TEST(PlatformStoreTest, ReadsItemsAndTheirPages) {
+  const auto reply = DecodeStoreReply(
+      fleet::StoreOperation::kRange,
+      MakeResult(200, R"({"items":[{"key":"a/1","value":"eA==","revision":4,"created":4,"lease":0}],
+                          "has_more":true,"current_rev":9})"));
+  EXPECT_EQ(reply.status, fleet::StoreStatus::kOk);
+  ASSERT_EQ(reply.items.size(), 1U);
+  EXPECT_EQ(reply.items[0].value, "x");
+  EXPECT_TRUE(reply.more);
+  EXPECT_EQ(reply.revision, 9);
+}
+
+TEST(PlatformStoreTest, ReadsRemovalsInEvents) {
+  const auto reply = DecodeStoreReply(
+      fleet::StoreOperation::kWatch,
+      MakeResult(200, R"({"events":[{"key":"a","revision":5,"tombstone":true}],"current_rev":5})"));
+  ASSERT_EQ(reply.items.size(), 1U);
+  EXPECT_TRUE(reply.items[0].removed);
+}
+
+TEST(PlatformStoreTest, TellsDoneNotDoneAndUnknownApart) {
+  const auto status = [](const HttpResult& result) {
+    return DecodeStoreReply(fleet::StoreOperation::kTransaction, result).status;
+  };
+  EXPECT_EQ(status(MakeResult(200, R"({"revision":3})")), fleet::StoreStatus::kOk);
+  EXPECT_EQ(status(MakeResult(412, R"({"items":[]})")), fleet::StoreStatus::kConflict);
+  EXPECT_EQ(status(MakeResult(429, "")), fleet::StoreStatus::kUnavailable);
+  EXPECT_EQ(status(MakeResult(503, "")), fleet::StoreStatus::kUnavailable);
+  EXPECT_EQ(status(MakeResult(500, "")), fleet::StoreStatus::kUnknown);
+  // An answer that can't be read proves nothing.
+  EXPECT_EQ(status(MakeResult(200, "not json")), fleet::StoreStatus::kUnknown);
+  HttpResult lost;
+  lost.error = ErrorKind::kTimeout;
+  EXPECT_EQ(status(lost), fleet::StoreStatus::kUnknown);
+  lost.error = ErrorKind::kConnectionLost;
+  EXPECT_EQ(status(lost), fleet::StoreStatus::kUnavailable);
+}
+
+TEST(PlatformStoreTest, ShowsWhatRefusedATransaction) {
+  const auto reply = DecodeStoreReply(
+      fleet::StoreOperation::kTransaction,
+      MakeResult(
+          412, R"({"items":[{"key":"a","revision":7,"value":"eA=="},{"key":"b","revision":0}]})"));
+  ASSERT_EQ(reply.items.size(), 1U);
+  EXPECT_EQ(reply.items[0].key, "a");
+  EXPECT_EQ(reply.items[0].revision, 7);
+}
+
+TEST(PlatformStoreTest, WritesConditionsAndValues) {
+  auto call = fleet::StoreCall::Transaction().If("k", 0).Set("k", "x", 5).Remove("r");
+  const HttpClientRequest request = EncodeStoreCall(call);
+  EXPECT_EQ(request.method, "POST");
+  EXPECT_EQ(request.target, "/kv-txn");
+  EXPECT_EQ(request.body, R"({"expected_rev":[{"key":"k","revision":0}],)"
+                          R"("set_keys":[{"key":"k","value":"eA==","lease":5}],"remove":["r"]})");
+}
+
+TEST(PlatformBackendTest, ReadsRunsAndEnds) {
+  const auto reply = DecodeBackendReply(
+      MakeResult(200, R"({"clock_ms":10,"born":3,"running":[["00ff.0.1.17",2,"cp",41,9]],
+               "finished":[[58,"00ff.0.1.9",1,"done",""]]})"));
+  EXPECT_EQ(reply.status, fleet::BackendStatus::kOk);
+  ASSERT_EQ(reply.running.size(), 1U);
+  EXPECT_EQ(reply.running[0].task.ToString(), "00ff.0.1.17");
+  EXPECT_EQ(reply.running[0].checkpoint, "cp");
+  ASSERT_EQ(reply.ended.size(), 1U);
+  EXPECT_EQ(reply.ended[0].number, 58);
+}
+
+// One row that can't be read must not hide the others.
+TEST(PlatformBackendTest, LeavesOutRowsThatCannotBeRead) {
+  const auto reply = DecodeBackendReply(
+      MakeResult(200, R"({"clock_ms":10,"running":[["bad",2,"",1],[1],["00ff.0.0.1",2,"",1]],
+               "finished":[[1,"00ff.0.0.2",1,"exploded",""],[2,"00ff.0.0.3",1,"done",""]]})"));
+  EXPECT_EQ(reply.running.size(), 1U);
+  EXPECT_EQ(reply.ended.size(), 1U);
+  EXPECT_FALSE(reply.message.empty());
+}
+
+TEST(PlatformBackendTest, TellsReasonsApart) {
+  const auto status = [](int code, const std::string& body) {
+    return DecodeBackendReply(MakeResult(code, body)).status;
+  };
+  EXPECT_EQ(status(409, R"({"reason":"fence"})"), fleet::BackendStatus::kStaleTerm);
+  EXPECT_EQ(status(409, R"({"reason":"old"})"), fleet::BackendStatus::kStaleRun);
+  EXPECT_EQ(status(409, R"({"reason":"late"})"), fleet::BackendStatus::kTooLate);
+  EXPECT_EQ(status(409, R"({"reason":"room"})"), fleet::BackendStatus::kNoRoom);
+  EXPECT_EQ(status(421, ""), fleet::BackendStatus::kOtherLife);
+  EXPECT_EQ(status(503, ""), fleet::BackendStatus::kRefused);
+  EXPECT_EQ(status(409, "broken"), fleet::BackendStatus::kUnknown);
+  HttpResult refused;
+  refused.error = ErrorKind::kConnectionLost;
+  refused.refused = true;
+  EXPECT_EQ(DecodeBackendReply(refused).status, fleet::BackendStatus::kGone);
+}
+
+TEST(PlatformBackendTest, ParsesTaskNames) {
+  EXPECT_EQ(ParseTaskName("00ff.0.1.17")->ToString(), "00ff.0.1.17");
+  for (const char* text : {"", ".", "a.1.2", "a.1.2.", "a.1.2.x", ".1.2.3", "a.-1.2.3", "a.1..3",
+                           "a.99999999999.1.1"}) {
+    EXPECT_FALSE(ParseTaskName(text)) << text;
+  }
+}
+
+constexpr const char* kBeat =
+    R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1","slots":8,"state":"ready",
+        "cold_remaining_ms":0,"capacity":{"cpu":16000,"mem_mb":32768,"gpu":8},
+        "labels":["a","r1-3"],"clock_ms":4,"seq":4,"born":17})";
+
+TEST(PlatformAnnouncementTest, ReadsAnAnnouncement) {
+  const auto call = PlatformAnnouncements().Decode(MakeRequest("PUT", "/instances/i-1", kBeat));
+  const auto* announcement = std::get_if<fleet::BackendAnnouncement>(&call);
+  ASSERT_NE(announcement, nullptr);
+  EXPECT_EQ(announcement->id.value(), "i-1");
+  EXPECT_EQ(announcement->born_unix_ms, 17);
+  EXPECT_EQ(announcement->rack, "r1-3");
+  EXPECT_EQ(announcement->capacity.accelerators, 8);
+  EXPECT_FALSE(announcement->draining);
+}
+
+// Other writers send what names no backend server to use.
+TEST(PlatformAnnouncementTest, RefusesWhatIsNoAnnouncement) {
+  for (
+      const char* body :
+      {"", "[]", "{}", R"({"service":1})", "\xff\xfe",
+       R"({"service":"s","address":"nowhere","zone":"z","state":"ready","seq":1})",
+       R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"sleeping","seq":1})",
+       R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready","seq":"one"})",
+       R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready","seq":1,"capacity":3})"}) {
+    const auto call = PlatformAnnouncements().Decode(MakeRequest("PUT", "/instances/i-1", body));
+    const auto* refusal = std::get_if<fleet::NotAnAnnouncement>(&call);
+    ASSERT_NE(refusal, nullptr) << body;
+    EXPECT_EQ(refusal->status, 400) << body;
+    EXPECT_FALSE(refusal->reason.empty());
+  }
+}
+
+TEST(PlatformCallerTest, ReadsAJob) {
+  const fleet::JobSpec job = PlatformCallers().DecodeJob(
+      R"({"spec":"text","steps":[{"count":4,"cpu":500,"mem_mb":256,"estimate_ms":900,
+          "affinity":"r1-3"},{"count":20,"cpu":2000,"gpu":2,"after":[0],"checkpoint":true,
+          "gang":true,"same_rack":true,"anti_affinity":3,"requires":"a"}]})");
+  ASSERT_EQ(job.steps.size(), 2U);
+  EXPECT_EQ(job.steps[0].data_rack, "r1-3");
+  EXPECT_EQ(job.steps[1].needs.accelerators, 2);
+  EXPECT_EQ(job.steps[1].after, (std::vector<std::int32_t>{0}));
+  EXPECT_TRUE(job.steps[1].gang && job.steps[1].same_rack && job.steps[1].checkpoints);
+  EXPECT_EQ(job.steps[1].max_per_worker, 3);
+}
+
+TEST(PlatformCallerTest, RefusesMalformedJobs) {
+  for (const char* body :
+       {"", "7", "{}", R"({"steps":{}})", R"({"steps":[]})", R"({"steps":[{"count":0}]})",
+        R"({"steps":[{"count":1,"after":[0]}]})", R"({"steps":[{"count":1,"cpu":-1}]})",
+        R"({"steps":[{"count":99999999}]})", R"({"steps":[{"count":1}],"times":-3})",
+        R"({"spec":5,"steps":[{"count":1}]})"}) {
+    EXPECT_THROW(PlatformCallers().DecodeJob(body), Error) << body;
+  }
+}
+
+TEST(PlatformCallerTest, AnswersWithTheStatusOfTheReason) {
+  const PlatformCallers callers;
+  const auto status = [&](ErrorKind kind) {
+    return callers.Encode(fleet::RefusalAnswer{kind, "", Duration(0)}).status;
+  };
+  EXPECT_EQ(status(ErrorKind::kUnauthorized), 401);
+  EXPECT_EQ(status(ErrorKind::kNotFound), 404);
+  EXPECT_EQ(status(ErrorKind::kJobUnknown), 410);
+  EXPECT_EQ(status(ErrorKind::kStoreUnavailable), 503);
+  EXPECT_EQ(status(ErrorKind::kStoreOutcomeUnknown), 504);
+  const auto refusal =
+      callers.Encode(fleet::RefusalAnswer{ErrorKind::kStoreUnavailable, "", Duration(1500)});
+  EXPECT_EQ(refusal.headers.at("Retry-After"), "2");
+}
+
+TEST(PlatformOperatorTest, AppliesConfigurationsAndEvacuations) {
+  const PlatformOperators format;
+  fleet::OperatorState state;
+  const std::string config =
+      R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/","service":"s","priority":0,
+          "stretch":1.5,"target_duration_ms":400,"max_attempts":2},
+          {"name":"r2","host":"h","prefix":"/p/q/","service":"s"}],
+          "services":[{"name":"s","enforces_capacity":true}],
+          "tenants":[{"name":"t","api_keys":["k"],"guaranteed":{"gpu":16}}]})";
+  EXPECT_FALSE(format.Apply({"op/config", config, 3, false}, state));
+  EXPECT_FALSE(format.Apply({"op/evacuate/z1", "{}", 4, false}, state));
+  EXPECT_EQ(state.config.version, 7);
+  EXPECT_EQ(state.config.FindQueue("h", "/p/q/1")->id.value(), "r2");
+  EXPECT_EQ(state.config.FindQueue("h", "/p/1")->id.value(), "r");
+  EXPECT_EQ(state.config.FindQueue("x", "/p/1"), nullptr);
+  EXPECT_EQ(state.config.FindWorkspaceByKey("k")->guaranteed_accelerators, 16);
+  EXPECT_EQ(state.config.FindWorkspaceByKey(""), nullptr);
+  EXPECT_EQ(state.evacuated.size(), 1U);
+  EXPECT_FALSE(format.Apply({"op/evacuate/z1", "", 5, true}, state));
+  EXPECT_TRUE(state.evacuated.empty());
+}
+
+// A configuration never reverts, and one that can't be read leaves the last one in force.
+TEST(PlatformOperatorTest, KeepsTheConfigurationInForce) {
+  const PlatformOperators format;
+  fleet::OperatorState state;
+  const auto apply = [&](const std::string& value) {
+    return format.Apply({"op/config", value, 3, false}, state);
+  };
+  EXPECT_FALSE(apply(R"({"version":7,"routes":[],"services":[]})"));
+  EXPECT_FALSE(apply(R"({"version":6,"routes":[],"services":[]})"));
+  EXPECT_EQ(state.config.version, 7);
+  EXPECT_TRUE(apply("\x80"));
+  EXPECT_TRUE(apply(R"({"version":8})"));
+  EXPECT_TRUE(apply(R"({"version":8,"routes":[{"name":3}],"services":[]})"));
+  EXPECT_EQ(state.config.version, 7);
+}
+
+}  // namespace
+}  // namespace basilspring::platform
