Run the whole path against stand-ins of the users' platform as separate processes

The stand-ins of store and backend server follow the published protocol; scripts/platform-path.sh kills the scheduler's process, takes the store away, drops its history and checks what callers and backend servers see. A check keeps the platform's names in platform/.

--- a/cmake/scripts_tests.cmake
+++ b/cmake/scripts_tests.cmake
@@ -7,3 +7,8 @@
 # Four searches at once.
 add_test(NAME model_check COMMAND ${CMAKE_SOURCE_DIR}/scripts/model-check.sh)
 set_tests_properties(model_check PROPERTIES PROCESSORS 4)
+# The whole path on the users' platform: separate processes on loopback addresses of their own.
+add_test(NAME platform_path COMMAND ${CMAKE_SOURCE_DIR}/scripts/platform-path.sh)
+set_tests_properties(platform_path PROPERTIES RUN_SERIAL TRUE TIMEOUT 180 ENVIRONMENT "BUILD_DIR=${CMAKE_BINARY_DIR}")
+# The platform's names stay in platform/, so that the product does not depend on them.
+add_test(NAME platform_names COMMAND ${CMAKE_SOURCE_DIR}/scripts/check-platform-names.sh)
--- a/src/connection/incoming_connection.cc
+++ b/src/connection/incoming_connection.cc
@@ -106,10 +106,10 @@
   // A sender holds messages no longer than outage_drop, so its record is not needed after that.
   const TimePoint oldest = last_received_ - shared_->options.outage_drop * 2;
   std::erase_if(shared_->senders, [oldest](const auto& entry) {
-    return entry.second.last_seen < oldest && entry.second.connection.expired();
+    return entry.second.last_heard < oldest && entry.second.connection.expired();
   });
   Sender& record = sender();
-  record.last_seen = last_received_;
+  record.last_heard = last_received_;
   const auto earlier = std::exchange(record.connection, weak_from_this()).lock();
   if (earlier != nullptr) earlier->Close("replaced by its peer");
   Log(EventId::kConnectionOpened, "peer={} process={} incarnation={}", from_.ToString(),
@@ -118,7 +118,7 @@
 
 void IncomingConnection::OnMessage(std::uint64_t sequence, Message message) {
   Sender& record = sender();
-  record.last_seen = last_received_;
+  record.last_heard = last_received_;
   if (sequence <= record.last_sequence) {
     shared_->duplicates_dropped.fetch_add(1);
     return;
--- a/src/connection/transport_shared.h
+++ b/src/connection/transport_shared.h
@@ -26,7 +26,7 @@
 /// again.
 struct Sender {
   std::uint64_t last_sequence = 0;
-  TimePoint last_seen;
+  TimePoint last_heard;
   std::weak_ptr<IncomingConnection> connection;
 };
 
--- /dev/null
+++ b/standin/platform_store.cc
@@ -0,0 +1,242 @@
+#include "standin/platform_store.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <utility>
+
+#include "connection/base64.h"
+
+namespace basilspring::standin {
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::size_t kPage = 500;
+
+HttpResponse Reply(int status, const json::value& body) {
+  HttpResponse response;
+  response.status = status;
+  response.body = json::serialize(body);
+  return response;
+}
+
+std::int64_t Number(const std::string& text) { return text.empty() ? 0 : std::stoll(text); }
+
+std::string TextOf(const json::value& value) {
+  return {value.as_string().data(), value.as_string().size()};
+}
+
+template <typename Item>
+json::object ItemObject(const std::string& key, const Item& item) {
+  return {{"key", key},
+          {"value", basilspring::internal::EncodeBase64(item.value)},
+          {"revision", item.revision},
+          {"created", item.created},
+          {"lease", item.lease}};
+}
+
+std::string LastSegment(const std::string& path) { return path.substr(path.rfind('/') + 1); }
+
+}  // namespace
+
+void PlatformStoreStandin::Write(const std::string& key, const std::string& value,
+                                 std::int64_t lease) {
+  Item& item = items_[key];
+  item.value = value;
+  item.revision = revision_;
+  if (item.created == 0) item.created = revision_;
+  item.lease = lease;
+  history_.push_back({key, item, false});
+}
+
+void PlatformStoreStandin::Remove(const std::string& key) {
+  const auto found = items_.find(key);
+  if (found == items_.end()) return;
+  Item item = found->second;
+  items_.erase(found);
+  item.revision = revision_;
+  history_.push_back({key, item, true});
+}
+
+void PlatformStoreStandin::Put(const std::string& key, const std::string& value) {
+  ++revision_;
+  Write(key, value, 0);
+  FeedWatches();
+}
+
+void PlatformStoreStandin::Handle(const HttpRequest& request,
+                                  const std::shared_ptr<HttpResponder>& responder,
+                                  std::int64_t now_ms) {
+  if (request.path == "/fault") {
+    mode_ = TextOf(json::parse(request.body).as_object().at("mode"));
+    if (mode_ == "none") held_.clear();
+    responder->Respond(Reply(200, json::object()));
+    return;
+  }
+  if (request.path == "/forget") {
+    history_.clear();
+    history_begins_after_ = revision_;
+    responder->Respond(Reply(200, json::object()));
+    return;
+  }
+  if (request.path == "/put") {
+    Put(request.Query("key"), request.body);
+    responder->Respond(Reply(200, json::object()));
+    return;
+  }
+  const bool write = request.path == "/kv-txn";
+  if (mode_ == "busy") {
+    responder->Respond(Reply(503, json::object()));
+  } else if (mode_ == "silent") {
+    held_.push_back(responder);
+  } else if (request.path == "/kv-watch") {
+    StartWatch(request, responder, now_ms);
+  } else {
+    const HttpResponse response = Answer(request, now_ms);
+    if (mode_ == "lost" && write) {
+      held_.push_back(responder);
+    } else {
+      responder->Respond(response);
+    }
+    FeedWatches();
+  }
+}
+
+HttpResponse PlatformStoreStandin::Answer(const HttpRequest& request, std::int64_t now_ms) {
+  if (request.path == "/kv-key") {
+    const std::string key = request.Query("key");
+    const auto found = items_.find(key);
+    if (found == items_.end()) return Reply(404, json::object{{"current_rev", revision_}});
+    json::object body = ItemObject(key, found->second);
+    body["current_rev"] = revision_;
+    return Reply(200, body);
+  }
+  if (request.path == "/kv-range") return Range(request);
+  if (request.path == "/kv-txn") return Transaction(request);
+  if (request.path == "/kv-lease") {
+    const std::int64_t time =
+        json::parse(request.body).as_object().at("ttl_ms").to_number<std::int64_t>();
+    leases_[next_lease_] = {time, now_ms + time};
+    return Reply(200, json::object{{"lease", next_lease_++}, {"ttl_ms", time}});
+  }
+  return KeepLease(request, now_ms);
+}
+
+HttpResponse PlatformStoreStandin::Range(const HttpRequest& request) const {
+  const std::string prefix = request.Query("prefix");
+  const std::string after = request.Query("after");
+  json::array items;
+  bool more = false;
+  for (auto it = items_.lower_bound(prefix); it != items_.end(); ++it) {
+    if (it->first.rfind(prefix, 0) != 0) break;
+    if (it->first <= after && !after.empty()) continue;
+    if (items.size() == kPage) {
+      more = true;
+      break;
+    }
+    items.push_back(ItemObject(it->first, it->second));
+  }
+  return Reply(
+      200,
+      json::object{{"items", std::move(items)}, {"has_more", more}, {"current_rev", revision_}});
+}
+
+HttpResponse PlatformStoreStandin::KeepLease(const HttpRequest& request, std::int64_t now_ms) {
+  const std::int64_t id = Number(LastSegment(request.path));
+  const auto found = leases_.find(id);
+  if (found == leases_.end()) return Reply(404, json::object());
+  if (request.method == "DELETE") {
+    found->second.ends_ms = now_ms;
+    Tick(now_ms);
+    return Reply(200, json::object());
+  }
+  found->second.ends_ms = now_ms + found->second.time_ms;
+  return Reply(200, json::object{{"ttl_ms", found->second.time_ms}});
+}
+
+HttpResponse PlatformStoreStandin::Transaction(const HttpRequest& request) {
+  const json::object body = json::parse(request.body).as_object();
+  bool holds = true;
+  json::array states;
+  for (const json::value& row : body.at("expected_rev").as_array()) {
+    const std::string key = TextOf(row.as_object().at("key"));
+    const auto found = items_.find(key);
+    const std::int64_t actual = found == items_.end() ? 0 : found->second.revision;
+    holds = holds && actual == row.as_object().at("revision").to_number<std::int64_t>();
+    if (found != items_.end()) states.push_back(ItemObject(key, found->second));
+  }
+  if (!holds) return Reply(412, json::object{{"items", std::move(states)}});
+  for (const json::value& value : body.at("set_keys").as_array()) {
+    const json::object& row = value.as_object();
+    const json::value* lease = row.if_contains("lease");
+    const std::int64_t id = lease == nullptr ? 0 : lease->to_number<std::int64_t>();
+    if (id != 0 && leases_.count(id) == 0) return Reply(404, json::object());
+  }
+  // All changes of a transaction have one revision.
+  ++revision_;
+  for (const json::value& value : body.at("set_keys").as_array()) {
+    const json::object& row = value.as_object();
+    const json::value* lease = row.if_contains("lease");
+    Write(TextOf(row.at("key")), basilspring::internal::DecodeBase64(TextOf(row.at("value"))),
+          lease == nullptr ? 0 : lease->to_number<std::int64_t>());
+  }
+  for (const json::value& key : body.at("remove").as_array()) Remove(TextOf(key));
+  return Reply(200, json::object{{"revision", revision_}});
+}
+
+void PlatformStoreStandin::StartWatch(const HttpRequest& request,
+                                      const std::shared_ptr<HttpResponder>& responder,
+                                      std::int64_t now_ms) {
+  Watch watch{request.Query("prefix"), Number(request.Query("after")),
+              now_ms + Number(request.Query("wait_ms")), responder};
+  if (watch.after < history_begins_after_) {
+    responder->Respond(Reply(410, json::object()));
+  } else if (!AnswerWatch(watch, false)) {
+    watches_.push_back(std::move(watch));
+  }
+}
+
+bool PlatformStoreStandin::AnswerWatch(const Watch& watch, bool finished) const {
+  json::array events;
+  for (const Event& event : history_) {
+    if (event.item.revision <= watch.after || event.key.rfind(watch.prefix, 0) != 0) continue;
+    json::object row = ItemObject(event.key, event.item);
+    if (event.removed) {
+      row =
+          json::object{{"key", event.key}, {"revision", event.item.revision}, {"tombstone", true}};
+    }
+    events.push_back(std::move(row));
+  }
+  if (events.empty() && !finished) return false;
+  watch.responder->Respond(
+      Reply(200, json::object{{"events", std::move(events)}, {"current_rev", revision_}}));
+  return true;
+}
+
+void PlatformStoreStandin::FeedWatches() {
+  std::erase_if(watches_, [this](const Watch& watch) { return AnswerWatch(watch, false); });
+}
+
+void PlatformStoreStandin::Tick(std::int64_t now_ms) {
+  for (auto it = leases_.begin(); it != leases_.end();) {
+    if (now_ms < it->second.ends_ms) {
+      ++it;
+      continue;
+    }
+    std::vector<std::string> keys;
+    for (const auto& [key, item] : items_) {
+      if (item.lease == it->first) keys.push_back(key);
+    }
+    if (!keys.empty()) ++revision_;
+    for (const std::string& key : keys) Remove(key);
+    it = leases_.erase(it);
+  }
+  FeedWatches();
+  std::erase_if(watches_, [&](const Watch& watch) {
+    return now_ms >= watch.until_ms && AnswerWatch(watch, true);
+  });
+}
+
+}  // namespace basilspring::standin
