--- a/include/basilspring/fleet/agent_core.h
+++ b/include/basilspring/fleet/agent_core.h
@@ -137,7 +137,6 @@
   TimePoint poll_not_before_;
   TimePoint last_polled_;
   std::int64_t acknowledged_ = 0;
-  std::int64_t acknowledged_in_poll_ = 0;
   std::vector<RunningRow> running_;
   std::vector<EndedRow> ended_;
 
--- a/scripts/format.sh
+++ b/scripts/format.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 mode=(-i)
 if [ "${1:-}" = "--check" ]; then mode=(--dry-run --Werror); fi
-find include src standin tests bench fuzz -name '*.h' -o -name '*.cc' | sort | xargs clang-format "${mode[@]}"
+find include src platform standin tests bench fuzz -name '*.h' -o -name '*.cc' | sort | xargs clang-format "${mode[@]}"
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -11,7 +11,7 @@
 lint_one() {
   local file=$1 key
   key=$({ cat .clang-tidy "$file"; g++ -std=c++20 -Iinclude -Isrc -I. -MM "$file" | tr -s "\\\\ " "\\n" |
-    grep -E '^(include|src|standin)/' | sort -u | xargs cat; } | sha256sum | cut -d' ' -f1)
+    grep -E '^(include|src|platform|standin)/' | sort -u | xargs cat; } | sha256sum | cut -d' ' -f1)
   if [ -e "$cache_dir/$key" ]; then return 0; fi
   clang-tidy --quiet -p "$build_dir" "$file" 2>/dev/null && touch "$cache_dir/$key"
 }
@@ -22,5 +22,5 @@
 sed -E 's# -include [^ ]*cmake_pch\.hxx##g; s# -Winvalid-pch##g; s# -fpch-preprocess##g' \
   "$build_dir/compile_commands.json" > "$build_dir/lint/compile_commands.json"
 build_dir=$build_dir/lint
-if [ "$#" -gt 0 ]; then files=("$@"); else mapfile -t files < <(find src standin -name '*.cc' | sort); fi
+if [ "$#" -gt 0 ]; then files=("$@"); else mapfile -t files < <(find src platform standin -name '*.cc' | sort); fi
 printf '%s\n' "${files[@]}" | xargs -P "$(nproc)" -I{} bash -c 'lint_one "$1" || { echo "lint failed: $1" >&2; exit 1; }' _ {}
--- a/src/fleet/scheduler_core.cc
+++ b/src/fleet/scheduler_core.cc
@@ -239,6 +239,7 @@
     ++pending[job.spec.queue];
   }
   std::vector<QueueSummary> rows;
+  rows.reserve(pending.size());
   for (const auto& [queue, count] : pending) rows.push_back({queue, count, Duration(0)});
   return rows;
 }
--- a/src/fleet/scheduler_queue.cc
+++ b/src/fleet/scheduler_queue.cc
@@ -467,8 +467,9 @@
     return count;
   }
   std::int64_t free = 0;
-  for (const Pass::Row& row : pass.rows)
+  for (const Pass::Row& row : pass.rows) {
     free += std::max<std::int64_t>(0, row.free.accelerators - row.reserved.accelerators);
+  }
   const std::int64_t fitting =
       std::max<std::int64_t>(0, free - pass.headroom) / spec.needs.accelerators;
   if (spec.gang) return fitting >= count ? count : 0;
--- a/src/main.cc
+++ b/src/main.cc
@@ -1,5 +1,5 @@
 #include "basilspring/process/command_line.h"
-#include "carriers.h"
+#include "platform/carriers.h"
 
 int main(int argc, char** argv) {
   return basilspring::RunCommandLine(argc, argv, &basilspring::platform::MakeCarriers);
--- a/standin/main.cc
+++ b/standin/main.cc
@@ -25,8 +25,8 @@
     fmt::print(stderr, "basilspring-standin {}: {}\n", role, error.what());
     return 1;
   }
-  fmt::print(
-      stderr,
-      "usage: basilspring-standin store|backend|platform|load|latency|check-history|record-event ...\n");
+  fmt::print(stderr,
+             "usage: basilspring-standin "
+             "store|backend|platform|load|latency|check-history|record-event ...\n");
   return 2;
 }
--- a/standin/platform_main.cc
+++ b/standin/platform_main.cc
@@ -29,7 +29,8 @@
                   const std::vector<Address>& apps)
       : controls_(controls), apps_(apps) {
     servers_.push_back(std::make_unique<HttpServer>(
-        io_, store, [this](const HttpRequest& request, std::shared_ptr<HttpResponder> responder) {
+        io_, store,
+        [this](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
           store_.Handle(request, responder, Clock::Now().milliseconds());
         }));
     for (std::size_t i = 0; i < apps.size(); ++i) {
@@ -38,7 +39,7 @@
       PlatformWorkerStandin* worker = workers_.back().get();
       servers_.push_back(std::make_unique<HttpServer>(
           io_, apps[i],
-          [worker](const HttpRequest& request, std::shared_ptr<HttpResponder> responder) {
+          [worker](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
             worker->Handle(request, responder, Clock::Now().milliseconds());
           }));
     }
@@ -85,6 +86,7 @@
 
 std::vector<Address> ParseAll(const std::vector<std::string>& texts) {
   std::vector<Address> addresses;
+  addresses.reserve(texts.size());
   for (const std::string& text : texts) addresses.push_back(Address::Parse(text));
   return addresses;
 }
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -1,9 +1,9 @@
 #include <gtest/gtest.h>
 
-#include "backend_adapter.h"
 #include "basilspring/error.h"
-#include "caller_adapter.h"
-#include "store_adapter.h"
+#include "platform/backend_adapter.h"
+#include "platform/caller_adapter.h"
+#include "platform/store_adapter.h"
 
 namespace basilspring::platform {
 namespace {
