--- a/tests/fleet/fleet_harness.cc
+++ b/tests/fleet/fleet_harness.cc
@@ -108,10 +108,10 @@
 
 bool FleetHarness::RunUntil(const JobId& job, JobPhase phase, std::int64_t limit_ms) {
   for (std::int64_t waited = 0; waited < limit_ms; waited += kStepMs) {
-    if (core_->PhaseOf(job) == phase) return true;
+    if (PhaseOf(job) == phase) return true;
     Advance(kStepMs);
   }
-  return core_->PhaseOf(job) == phase;
+  return PhaseOf(job) == phase;
 }
 
 bool FleetHarness::IsDone(const Run& run) const {
