Hand the scheduler's lease on when its holder has no own way to the store

Change: the lease is gained and renewed directly only; after two renewals without an answer a peer ends it.

--- a/include/basilspring/fleet/leadership.h
+++ b/include/basilspring/fleet/leadership.h
@@ -38,8 +38,9 @@
 };
 
 /// Gains, renews and gives up the scheduler's lease. The lease counts from before the call that
-/// gained or renewed it, so it never lasts longer here than in the store. Lives on the process's
-/// own thread.
+/// gained or renewed it, so it never lasts longer here than in the store. Only a process with its
+/// own way to the store holds it: through a peer, each of the scheduler's calls takes too long.
+/// Lives on the process's own thread.
 class Leadership {
  public:
   struct Handlers {
@@ -76,6 +77,8 @@
   void Contend(std::optional<std::int64_t> own_old_revision);
   void TakeLease(Term term, std::int64_t term_revision, std::int64_t leader_revision);
   void Renew(TimePoint now);
+  /// Ends the lease through a peer, so that a process with its own way to the store takes over.
+  void StepDown();
 
   StoreAccess& store_;
   LeadershipOptions options_;
@@ -87,6 +90,10 @@
   TimePoint valid_until_;
   TimePoint next_renewal_;
   bool renewing_ = false;
+  /// Renewals in a row that the store did not answer.
+  int failed_renewals_ = 0;
+  /// The process does not contend before this time.
+  TimePoint contend_after_;
   bool resigned_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/fleet/leadership.cc
+++ b/src/fleet/leadership.cc
@@ -18,7 +18,12 @@
 // Spreads the looks of several processes.
 constexpr std::int64_t kLookJitterMs = 150;
 constexpr Duration kCallTimeout(800);
-constexpr Duration kRenewalRetry(200);
+constexpr Duration kRenewalTimeout(500);
+constexpr Duration kRenewalRetry(150);
+// Renewals without an answer after which the lease is handed on, if a peer still reaches the store.
+constexpr int kRenewalsBeforeStepDown = 2;
+// A process that has handed the lease on leaves it to others for this time.
+constexpr Duration kStepDownPause(4000);
 
 Term ParseTerm(const std::string& text) {
   std::uint64_t value = 0;
@@ -79,7 +84,7 @@
 }
 
 void Leadership::Contend(std::optional<std::int64_t> own_old_revision) {
-  if (busy_ || resigned_) return;
+  if (busy_ || resigned_ || Clock::Now() < contend_after_) return;
   busy_ = true;
   StoreCall call = StoreCall::Get(kTermKey);
   call.timeout = kCallTimeout;
@@ -101,8 +106,8 @@
   StoreCall grant = StoreCall::GrantLease(options_.lease);
   grant.timeout = kCallTimeout;
   const TimePoint sent = Clock::Now();
-  store_.Call(grant, [this, alive = alive_, term, term_revision, leader_revision,
-                      sent](const StoreReply& granted) {
+  store_.CallDirectly(grant, [this, alive = alive_, term, term_revision, leader_revision,
+                              sent](const StoreReply& granted) {
     if (!*alive) return;
     if (granted.status != StoreStatus::kOk) {
       busy_ = false;
@@ -117,7 +122,7 @@
                          .Set(kLeaderKey, internal::EncodePeerBody(record), lease)
                          .Set(kTermKey, std::to_string(term.value()));
     take.timeout = kCallTimeout;
-    store_.Call(take, [this, alive, term, lease, valid_until](const StoreReply& reply) {
+    store_.CallDirectly(take, [this, alive, term, lease, valid_until](const StoreReply& reply) {
       if (!*alive) return;
       busy_ = false;
       if (reply.status != StoreStatus::kOk) {
@@ -140,11 +145,12 @@
 void Leadership::Renew(TimePoint now) {
   renewing_ = true;
   StoreCall call = StoreCall::RenewLease(lease_);
-  call.timeout = kCallTimeout;
-  store_.Call(call, [this, alive = alive_, now, lease = lease_](const StoreReply& reply) {
+  call.timeout = kRenewalTimeout;
+  store_.CallDirectly(call, [this, alive = alive_, now, lease = lease_](const StoreReply& reply) {
     if (!*alive || lease != lease_) return;
     renewing_ = false;
     if (reply.status == StoreStatus::kOk) {
+      failed_renewals_ = 0;
       valid_until_ = std::max(valid_until_, now + options_.lease);
       next_renewal_ = now + options_.renewal;
     } else if (reply.status == StoreStatus::kNotFound) {
@@ -153,15 +159,30 @@
       Log(EventId::kFleetScheduler, "lease={} not renewed: {} valid_ms={}", lease_,
           StoreStatusName(reply.status), (valid_until_ - Clock::Now()).milliseconds());
       next_renewal_ = Clock::Now() + kRenewalRetry;
+      if (++failed_renewals_ >= kRenewalsBeforeStepDown) StepDown();
     }
   });
 }
 
+void Leadership::StepDown() {
+  StoreCall call = StoreCall::EndLease(lease_);
+  call.timeout = kRenewalTimeout;
+  store_.Call(call, [this, alive = alive_, lease = lease_](const StoreReply& reply) {
+    if (!*alive || lease != lease_) return;
+    const bool ended = reply.status == StoreStatus::kOk || reply.status == StoreStatus::kNotFound;
+    // Without any way to the store nobody else could take over either.
+    if (!ended) return;
+    contend_after_ = Clock::Now() + kStepDownPause;
+    Depose("no own way to the store; a peer has ended the lease");
+  });
+}
+
 void Leadership::Depose(const std::string& reason) {
   if (!leading()) return;
   Log(EventId::kFleetScheduler, "lease={} lost: {}", lease_, reason);
   lease_ = 0;
   renewing_ = false;
+  failed_renewals_ = 0;
   valid_until_ = TimePoint();
   handlers_.deposed();
 }
--- /dev/null
+++ b/tests/fleet/store_users_test.cc
@@ -0,0 +1,170 @@
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <functional>
+#include <thread>
+
+#include "basilspring/fleet/leadership.h"
+#include "basilspring/fleet/prefix_watch.h"
+#include "basilspring/fleet/store_access.h"
+#include "basilspring/process/io_thread.h"
+
+// The users of the store against a store that answers as each test says.
+namespace basilspring::fleet {
+namespace {
+
+class ScriptedStore : public Store {
+ public:
+  void Call(const StoreCall& call, StoreHandler handler) override {
+    calls.push_back(call);
+    StoreReply reply;
+    if (answer) reply = answer(call);
+    if (hold && call.kind() == StoreOperation::kWatch) {
+      held.push_back(std::move(handler));
+      return;
+    }
+    handler(std::move(reply));
+  }
+  std::size_t CountOf(StoreOperation kind) const {
+    return static_cast<std::size_t>(std::count_if(
+        calls.begin(), calls.end(), [kind](const StoreCall& call) { return call.kind() == kind; }));
+  }
+  std::function<StoreReply(const StoreCall&)> answer;
+  std::vector<StoreCall> calls;
+  bool hold = true;
+  std::deque<StoreHandler> held;
+};
+
+StoreReply MakeReply(StoreStatus status, std::int64_t revision = 5) {
+  StoreReply reply;
+  reply.status = status;
+  reply.revision = revision;
+  reply.lease = 7;
+  reply.lease_time = Duration(2500);
+  return reply;
+}
+
+class StoreUsersTest : public ::testing::Test {
+ protected:
+  StoreUsersTest() {
+    LeadershipOptions options;
+    options.node = NodeId("own");
+    options.address = Address{"127.0.0.1", 1};
+    options.renewal = Duration(0);
+    leadership_ = std::make_unique<Leadership>(
+        access_, options,
+        Leadership::Handlers{[this](Term term, std::int64_t) { elected_ = term; },
+                             [this] { ++deposed_; },
+                             [this](const LeaderRecord& record) { found_ = record.node; }});
+    store_.answer = [this](const StoreCall& call) { return Answer(call); };
+  }
+
+  StoreReply Answer(const StoreCall& call) {
+    switch (call.kind()) {
+      case StoreOperation::kGet:
+        return MakeReply(StoreStatus::kNotFound);
+      case StoreOperation::kTransaction:
+        return MakeReply(transaction_);
+      case StoreOperation::kRenewLease:
+        return MakeReply(renewal_);
+      default:
+        return MakeReply(StoreStatus::kOk);
+    }
+  }
+
+  void Tick() { leadership_->Tick(Clock::Now(), TimePoint()); }
+
+  IoThread io_;
+  HttpClient http_{io_};
+  Executor inline_executor_ = [](const std::function<void()>& work) { work(); };
+  PeerClient peers_{http_, inline_executor_};
+  ScriptedStore store_;
+  StoreAccess access_{store_, peers_, inline_executor_};
+  std::unique_ptr<Leadership> leadership_;
+  StoreStatus transaction_ = StoreStatus::kOk;
+  StoreStatus renewal_ = StoreStatus::kOk;
+  Term elected_;
+  NodeId found_;
+  int deposed_ = 0;
+};
+
+TEST_F(StoreUsersTest, TakesAFreeLeaseInTheNextTerm) {
+  Tick();
+  EXPECT_EQ(elected_, Term(1));
+  EXPECT_TRUE(leadership_->leading());
+  EXPECT_GT(leadership_->valid_until(), Clock::Now());
+}
+
+// A transaction without an answer may still put this process's lease on the key.
+TEST_F(StoreUsersTest, EndsALeaseThatItMayHaveTaken) {
+  transaction_ = StoreStatus::kUnknown;
+  Tick();
+  EXPECT_FALSE(leadership_->leading());
+  EXPECT_EQ(store_.CountOf(StoreOperation::kEndLease), 1U);
+}
+
+TEST_F(StoreUsersTest, StopsLeadingWhenItsLeaseHasEnded) {
+  Tick();
+  renewal_ = StoreStatus::kNotFound;
+  Tick();
+  EXPECT_EQ(deposed_, 1);
+  EXPECT_FALSE(leadership_->leading());
+}
+
+// A scheduler that was cut off went on through peers, and each of its decisions came two seconds
+// late.
+TEST_F(StoreUsersTest, HandsTheLeaseOnWhenItHasNoOwnWayToTheStore) {
+  Tick();
+  renewal_ = StoreStatus::kUnknown;
+  for (int i = 0; i < 10 && leadership_->leading(); ++i) {
+    Tick();
+    std::this_thread::sleep_for(std::chrono::milliseconds(60));
+  }
+  EXPECT_FALSE(leadership_->leading());
+  EXPECT_EQ(deposed_, 1);
+  EXPECT_EQ(store_.CountOf(StoreOperation::kEndLease), 1U);
+  const std::size_t grants = store_.CountOf(StoreOperation::kGrantLease);
+  Tick();
+  EXPECT_EQ(store_.CountOf(StoreOperation::kGrantLease), grants);
+}
+
+TEST_F(StoreUsersTest, ResigningEndsTheLease) {
+  Tick();
+  leadership_->Resign();
+  EXPECT_EQ(store_.CountOf(StoreOperation::kEndLease), 1U);
+  Tick();
+  EXPECT_FALSE(leadership_->leading());
+}
+
+TEST_F(StoreUsersTest, AWatchReadsAllAgainWhenItsHistoryIsGone) {
+  std::vector<bool> snapshots;
+  PrefixWatch watch(
+      access_, inline_executor_, "p/",
+      [&](const std::vector<StoreItem>&, bool snapshot) { snapshots.push_back(snapshot); });
+  watch.Start();
+  ASSERT_EQ(store_.held.size(), 1U);
+  StoreReply change = MakeReply(StoreStatus::kOk, 9);
+  change.items.push_back({"p/a", "x", 9, false});
+  const StoreHandler first = store_.held.front();
+  store_.held.pop_front();
+  first(change);
+  EXPECT_EQ(watch.revision(), 9);
+  const StoreHandler second = store_.held.front();
+  store_.held.pop_front();
+  second(MakeReply(StoreStatus::kHistoryLost));
+  EXPECT_EQ(snapshots, (std::vector<bool>{true, false, true}));
+}
+
+TEST_F(StoreUsersTest, TheStoreCountsAsAwayOnlyAfterLastingFailures) {
+  store_.answer = [](const StoreCall&) { return MakeReply(StoreStatus::kOk); };
+  access_.Call(StoreCall::Get("k"), [](const StoreReply&) {});
+  store_.answer = [](const StoreCall&) { return MakeReply(StoreStatus::kUnavailable); };
+  // The clock counts whole milliseconds, and the failure has to come after the answer.
+  std::this_thread::sleep_for(std::chrono::milliseconds(2));
+  access_.Call(StoreCall::Get("k"), [](const StoreReply&) {});
+  EXPECT_FALSE(access_.IsAway(Clock::Now()));
+  EXPECT_TRUE(access_.IsAway(Clock::Now() + Duration(1000)));
+}
+
+}  // namespace
+}  // namespace basilspring::fleet
