Read again after a silent watch, and don't relay through peers that have no way themselves

Change: a silent watch is followed by a read, directly; relayed calls take at most half a second; a peer that has no way to the store says so at once.

--- a/include/basilspring/fleet/store_access.h
+++ b/include/basilspring/fleet/store_access.h
@@ -30,8 +30,10 @@
   StoreAccess& operator=(const StoreAccess&) = delete;
 
   void Call(const StoreCall& call, StoreHandler handler);
-  /// Makes a call directly or not at all: for a peer, so that calls don't go round, and to learn
-  /// quickly whether the store is back.
+  /// Makes a call for a peer: directly, so that calls don't go round, and not at all while the own
+  /// way is known to be bad.
+  void CallForPeer(const StoreCall& call, StoreHandler handler);
+  /// Makes a call directly or not at all, to learn quickly whether the own way is good.
   void CallDirectly(const StoreCall& call, StoreHandler handler);
   /// Processes to relay through.
   void SetPeers(std::vector<Address> peers);
@@ -44,6 +46,7 @@
   void Direct(const StoreCall& call, StoreHandler handler, bool may_relay);
   void Relay(const StoreCall& call, StoreHandler handler, std::size_t attempt, bool may_go_direct);
   void MarkDirect(const StoreReply& reply);
+  void ProbeDirect();
   /// The next peer that has not just failed to answer, or nothing.
   std::optional<Address> NextPeer();
 
--- a/src/fleet/node.cc
+++ b/src/fleet/node.cc
@@ -384,7 +384,7 @@
     responder->Respond(PlainResponse(400, "no such operation\n"));
     return;
   }
-  store_->CallDirectly(request.call, [responder](const StoreReply& reply) {
+  store_->CallForPeer(request.call, [responder](const StoreReply& reply) {
     RelayedStoreReply relayed;
     relayed.status = static_cast<std::uint8_t>(reply.status);
     relayed.items = reply.items;
--- a/src/fleet/prefix_watch.cc
+++ b/src/fleet/prefix_watch.cc
@@ -11,7 +11,8 @@
 // A connection can go silent for good, so a watch is asked again often enough to notice within the
 // time in which a change must be in force.
 constexpr Duration kWait(1200);
-constexpr Duration kAnswerTimeout(600);
+constexpr Duration kAnswerTimeout(500);
+constexpr Duration kReadTimeout(500);
 constexpr Duration kFirstPause(50);
 constexpr Duration kLongestPause(500);
 
@@ -28,17 +29,14 @@
 void PrefixWatch::Start() { Load("", 0, {}); }
 
 void PrefixWatch::Tick(TimePoint now) {
-  if (!idle_ || now < retry_at_) return;
-  if (loaded_) {
-    Watch();
-  } else {
-    Load("", 0, {});
-  }
+  if (idle_ && now >= retry_at_) Load("", 0, {});
 }
 
 void PrefixWatch::Load(std::string after_key, std::int64_t revision, std::vector<StoreItem> items) {
   idle_ = false;
-  store_.Call(StoreCall::Range(prefix_, std::move(after_key)),
+  StoreCall call = StoreCall::Range(prefix_, std::move(after_key));
+  call.timeout = kReadTimeout;
+  store_.Call(call,
               [this, alive = alive_, revision, items = std::move(items)](StoreReply reply) mutable {
                 if (!*alive) return;
                 if (reply.status != StoreStatus::kOk) {
@@ -75,6 +73,11 @@
       Load("", 0, {});
       return;
     }
+    if (reply.status == StoreStatus::kUnknown) {
+      // The connection may be silent, or changes may be held back: reading tells what is there.
+      Load("", 0, {});
+      return;
+    }
     if (reply.status != StoreStatus::kOk) {
       Pause(reply);
       return;
--- a/src/fleet/store_access.cc
+++ b/src/fleet/store_access.cc
@@ -21,6 +21,9 @@
 constexpr Duration kRelayTime(150);
 // A peer that has a way to the store gets an answer within this time.
 constexpr Duration kRelayedCallTimeout(500);
+// A relayed watch waits only this long: the peer's own way may go bad meanwhile.
+constexpr Duration kRelayedWait(400);
+constexpr Duration kProbeTimeout(300);
 // A peer that gave no answer is left alone for this time.
 constexpr Duration kSilentPeerPause(3000);
 
@@ -61,13 +64,37 @@
 }
 
 void StoreAccess::Call(const StoreCall& call, StoreHandler handler) {
-  if (Clock::Now() < direct_bad_until_ && !peers_.empty()) {
-    Relay(call, std::move(handler), 0, true);
+  // A watch that waits in vain takes longer than any other call, so it is not the one to try a bad
+  // way again.
+  const bool watch = call.kind() == StoreOperation::kWatch;
+  const bool bad = watch ? !direct_good_ : Clock::Now() < direct_bad_until_;
+  if (bad && watch) ProbeDirect();
+  if (bad && !peers_.empty()) {
+    Relay(call, std::move(handler), 0, !watch);
   } else {
     Direct(call, std::move(handler), true);
   }
 }
 
+void StoreAccess::ProbeDirect() {
+  if (Clock::Now() < direct_bad_until_) return;
+  StoreCall probe = StoreCall::Get("basilspring/probe");
+  probe.timeout = kProbeTimeout;
+  Direct(
+      probe, [](const StoreReply&) {}, false);
+}
+
+void StoreAccess::CallForPeer(const StoreCall& call, StoreHandler handler) {
+  if (Clock::Now() < direct_bad_until_) {
+    StoreReply reply;
+    reply.status = StoreStatus::kUnavailable;
+    reply.message = "this process has no way to the store either";
+    handler(std::move(reply));
+    return;
+  }
+  Direct(call, std::move(handler), false);
+}
+
 void StoreAccess::CallDirectly(const StoreCall& call, StoreHandler handler) {
   Direct(call, std::move(handler), false);
 }
@@ -97,6 +124,14 @@
                      executor = executor_](StoreReply reply) {
     executor([this, alive, call, handler, may_relay, reply = std::move(reply)]() mutable {
       if (!*alive) return;
+      // A watch without an answer may only have waited on a silent connection; whoever watches
+      // reads again, and that call shows whether the way is bad.
+      const bool silent_watch =
+          call.kind() == StoreOperation::kWatch && reply.status == StoreStatus::kUnknown;
+      if (silent_watch) {
+        handler(std::move(reply));
+        return;
+      }
       MarkDirect(reply);
       const bool retry = reply.status == StoreStatus::kUnavailable ||
                          (reply.status == StoreStatus::kUnknown && IsRead(call));
@@ -139,6 +174,7 @@
   ++counts_.relayed_calls;
   StoreCall relayed = call;
   relayed.timeout = std::min(call.timeout, kRelayedCallTimeout);
+  relayed.wait = std::min(call.wait, kRelayedWait);
   peers_client_.Send(
       *peer, RelayedStoreCall::kPath, internal::EncodePeerBody(RelayedStoreCall{relayed}),
       relayed.timeout + relayed.wait + kRelayTime,
--- a/tests/fleet/store_users_test.cc
+++ b/tests/fleet/store_users_test.cc
@@ -155,6 +155,33 @@
   EXPECT_EQ(snapshots, (std::vector<bool>{true, false, true}));
 }
 
+// A configuration was seven seconds old, because a silent watch was repeated through peers that
+// were cut off, one after the other.
+TEST_F(StoreUsersTest, ASilentWatchReadsAllAgainAtOnce) {
+  int loads = 0;
+  PrefixWatch watch(
+      access_, inline_executor_, "p/",
+      [&](const std::vector<StoreItem>&, bool snapshot) { loads += snapshot ? 1 : 0; });
+  watch.Start();
+  access_.SetPeers({Address{"127.0.0.1", 9}});
+  ASSERT_EQ(store_.held.size(), 1U);
+  const StoreHandler silent = store_.held.front();
+  store_.held.pop_front();
+  silent(MakeReply(StoreStatus::kUnknown));
+  EXPECT_EQ(loads, 2);
+  EXPECT_EQ(access_.counts().relayed_calls, 0U);
+}
+
+TEST_F(StoreUsersTest, MakesNoCallForAPeerWhileTheOwnWayIsBad) {
+  store_.answer = [](const StoreCall&) { return MakeReply(StoreStatus::kUnavailable); };
+  access_.CallDirectly(StoreCall::Get("k"), [](const StoreReply&) {});
+  const std::size_t calls = store_.calls.size();
+  StoreStatus status = StoreStatus::kOk;
+  access_.CallForPeer(StoreCall::Get("k"), [&](const StoreReply& reply) { status = reply.status; });
+  EXPECT_EQ(status, StoreStatus::kUnavailable);
+  EXPECT_EQ(store_.calls.size(), calls);
+}
+
 TEST_F(StoreUsersTest, TheStoreCountsAsAwayOnlyAfterLastingFailures) {
   store_.answer = [](const StoreCall&) { return MakeReply(StoreStatus::kOk); };
   access_.Call(StoreCall::Get("k"), [](const StoreReply&) {});
