--- a/src/fleet/entry_duty.cc
+++ b/src/fleet/entry_duty.cc
@@ -64,6 +64,8 @@
 void EntryDuty::OnSummary(TimePoint now, const SummaryReply& reply) {
   if (!reply.accepted) {
     if (reply.term > term_) OnScheduler(reply.term, reply.scheduler);
+    // It has lost its lease, or is about to be ready: who holds it is looked up without patience.
+    last_contact_ = TimePoint();
     next_summary_ = now + kSummaryRetry;
     return;
   }
