--- a/include/basilspring/fleet/placement.h
+++ b/include/basilspring/fleet/placement.h
@@ -60,10 +60,6 @@
 std::optional<Placement> PlaceWithVictims(const StepSpec& step, std::int32_t count,
                                           const std::vector<Candidate>& candidates);
 
-/// Whether all `count` tasks would fit on the candidates if they were empty.
-bool FitsWhenEmpty(const StepSpec& step, std::int32_t count,
-                   const std::vector<Candidate>& candidates);
-
 }  // namespace basilspring::fleet
 
 #endif  // BASILSPRING_FLEET_PLACEMENT_H_
--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -24,8 +24,6 @@
   Duration lease = Duration(5000);
   /// Longest time that a backend server takes to stop a run.
   Duration stop_time = Duration(900);
-  /// A task takes this many times as long away from its data's rack, or with its step spread.
-  double far_factor = 3;
   /// An agent that has not reported for this long gets no new work.
   Duration silence_limit = Duration(1500);
   /// An unanswered stop is sent again after this time.
@@ -136,7 +134,6 @@
   /// Whether an answer to the agent's report should wait, because ends in it are being stored.
   bool HasUnsavedEnds(const NodeId& node) const;
   const SchedulerCounts& counts() const { return counts_; }
-  std::size_t worker_count() const { return workers_.size(); }
   /// Whether the agent may have runs: it reports, or its last lease has not run out yet.
   bool KnowsAgent(const NodeId& node) const { return workers_.count(node) > 0; }
 
@@ -150,10 +147,8 @@
   /// A run that may be going on at a worker and holds room there.
   struct Allocation {
     Resources needs;
-    TimePoint ordered_at;
     bool confirmed = false;
     bool stopping = false;
-    bool preempted = false;
     /// The next time to send its stop.
     TimePoint stop_due;
     /// When the backend server first confirmed that it stops the run.
@@ -212,7 +207,6 @@
     /// Runs that still hold room, also ones that were given up.
     std::int32_t live_runs = 0;
     TimePoint not_before;
-    bool ever_started = false;
     /// How often the task was stopped for others.
     std::uint32_t preemptions = 0;
   };
@@ -267,11 +261,11 @@
   struct View;
   struct Pass;
 
-  // scheduler_core.cc
+  // Jobs and their records, in scheduler_core.cc.
   static std::size_t StepIndex(const Job& job, const TaskId& task);
   static const StepSpec& SpecOf(const Job& job, std::size_t step);
   static TaskId IdOf(const Job& job, std::size_t step, std::size_t index);
-  /// The job and step of a task, or nullptr when there is no such task.
+  /// The job of a task, or nullptr when there is no such task.
   Job* FindJob(const TaskId& task);
   static Task& TaskOf(Job& job, const TaskId& task);
   void RefreshQueue(Job& job);
@@ -281,59 +275,76 @@
   void CollectSaves(SchedulerOutput& out);
   void RemoveOldJobs(SchedulerOutput& out);
 
-  // scheduler_runs.cc
+  // Reports, ends and losses, in scheduler_runs.cc.
+  void TakeLife(TimePoint now, Worker& worker, const AgentReport& report);
   void AdoptRow(TimePoint now, Worker& worker, const RunningRow& row, std::uint64_t poll);
+  void DropVanishedRuns(TimePoint now, Worker& worker, const AgentReport& report);
   void TakeEnd(TimePoint now, Worker& worker, const EndedRow& end);
   void ApplyEnd(TimePoint now, Worker& worker, const RunKey& key, RunEnd end,
                 const std::string& checkpoint);
+  void MarkDone(Job& job, const TaskId& task);
   void CountFailure(TimePoint now, Worker& worker, Job& job, const RunKey& key);
   void CountWorkerFailure(TimePoint now, Worker& worker, const JobId& job);
-  void MarkDone(Job& job, const TaskId& task);
-  void DropVanishedRuns(TimePoint now, Worker& worker, const AgentReport& report);
-  void TakeLife(TimePoint now, Worker& worker, const AgentReport& report);
   void LoseWorker(TimePoint now, Worker& worker, const std::string& reason);
-  void RequestStop(TimePoint now, Worker& worker, const RunKey& key, Allocation& run);
-  void StopStep(TimePoint now, Job& job, std::size_t step, bool preempted);
   void Release(TimePoint now, Worker& worker, const RunKey& key, bool lost);
+  void RequestStop(TimePoint now, Worker& worker, const RunKey& key, Allocation& run);
+  void StopStep(TimePoint now, Job& job, std::size_t step);
+  /// When runs count as gone whose lease was last extended at this time.
+  TimePoint LeaseHorizon(TimePoint granted) const;
+
+  // What is looked at in each pass, in scheduler_checks.cc.
   void StopUnwanted(TimePoint now);
   void CheckSilentWorkers(TimePoint now);
-  bool GangProgresses(TimePoint now, const Job& job, std::size_t step) const;
-  void CheckStalls(TimePoint now);
   void CheckDrains(TimePoint now);
+  void CheckStalls(TimePoint now);
+  bool GangProgresses(TimePoint now, const Job& job, std::size_t step) const;
+  /// Whether an agent that may have runs of the step has not shown yet what it has.
+  bool RecoveryPending(TimePoint now, const Step& step) const;
+
+  // Orders, in scheduler_orders.cc.
+  struct PendingOrder {
+    NodeId worker;
+    Order order;
+    /// A start waits until this version of its job's record is stored.
+    std::uint64_t version = 0;
+  };
+  bool MaySend(TimePoint now, const PendingOrder& pending);
+  bool MustWait(const PendingOrder& pending) const;
   void EmitOrders(TimePoint now, SchedulerOutput& out);
 
-  // scheduler_queue.cc
+  // Which step is served next, in scheduler_queue.cc.
+  void Schedule(TimePoint now);
   std::vector<ReadyStep> ReadySteps(TimePoint now, const Pass& pass);
   bool StepIsReady(const Job& job, std::size_t step) const;
   static std::vector<std::int32_t> WaitingTasks(const Job& job, std::size_t step, TimePoint now);
   std::set<JobId> GuaranteedJobs() const;
   Duration Chain(const Job& job) const;
   void Rank(TimePoint now, const Pass& pass, ReadyStep& ready) const;
-  bool IsUsable(TimePoint now, const Worker& worker, const ServiceId& service) const;
-  /// Whether an agent that may have runs of the step has not shown yet what it has.
-  bool RecoveryPending(TimePoint now, const Step& step) const;
-  TimePoint LeaseHorizon(TimePoint granted) const;
-  void Schedule(TimePoint now);
   void TryStart(TimePoint now, Pass& pass, const ReadyStep& ready);
   bool TryReserved(TimePoint now, Pass& pass, const ReadyStep& ready);
-  void BeginPass(TimePoint now, Pass& pass);
-  View BuildView(TimePoint now, const Pass& pass, const ReadyStep& ready) const;
-  void AddVictims(TimePoint now, const Pass& pass, const ReadyStep& ready, View& view) const;
   void Start(TimePoint now, Pass& pass, Job& job, std::size_t step,
              const std::vector<std::int32_t>& tasks, const std::vector<std::size_t>& rows);
   void StartTask(TimePoint now, Job& job, const TaskId& id, Worker& worker,
                  const std::string& checkpoint);
-  std::int32_t WithinHeadroom(TimePoint now, const Pass& pass, const ReadyStep& ready) const;
+  void ExplainWait(TimePoint now, const Pass& pass, const ReadyStep& ready, const View& view);
+
+  // Room on the workers, in scheduler_room.cc.
+  void BeginPass(TimePoint now, Pass& pass);
+  View BuildView(const Pass& pass, const ReadyStep& ready) const;
+  Resources FreeRoom(const Worker& worker) const;
+  bool IsUsable(TimePoint now, const Worker& worker, const ServiceId& service) const;
   void UpdateHeadroom(TimePoint now, Pass& pass);
+  std::int32_t WithinHeadroom(TimePoint now, const Pass& pass, const ReadyStep& ready) const;
   void AwaitRoom(TimePoint now, Pass& pass, const ReadyStep& ready, const View& view);
   Duration TimeUntilFits(TimePoint now, const Worker& worker, Resources room,
                          const Resources& needs) const;
   Duration RemainingTime(TimePoint now, const RunKey& key, const Allocation& run) const;
-  void ExplainWait(TimePoint now, const Pass& pass, const ReadyStep& ready, const View& view);
+
+  // What is stopped for others, in scheduler_preemption.cc.
+  void AddVictims(TimePoint now, const Pass& pass, const ReadyStep& ready, View& view) const;
   void Preempt(TimePoint now, Pass& pass, const View& view,
                const std::vector<std::size_t>& victims);
   double LostWork(const Job& job, const RunKey& key, const Allocation& run, TimePoint now) const;
-  Resources FreeRoom(const Worker& worker) const;
 
   void Say(std::string text) { decisions_.push_back({std::move(text)}); }
 
@@ -362,14 +373,6 @@
   };
   std::map<std::uint64_t, BatchInFlight> batches_;
   std::uint64_t next_batch_ = 1;
-  struct PendingOrder {
-    NodeId worker;
-    Order order;
-    /// A start waits until this version of its job's record is stored.
-    std::uint64_t version = 0;
-  };
-  bool MaySend(TimePoint now, const PendingOrder& pending);
-  bool MustWait(const PendingOrder& pending) const;
   std::vector<PendingOrder> pending_orders_;
   std::vector<Decision> decisions_;
   SchedulerCounts counts_;
--- a/src/fleet/node_settings.cc
+++ b/src/fleet/node_settings.cc
@@ -53,9 +53,6 @@
   options.stop_time = ReadDuration(reader, "limits.stop_time_ms", 1, 60000, options.stop_time);
   options.keep_finished =
       ReadDuration(reader, "limits.keep_finished_s", 1, 86400, options.keep_finished);
-  if (const auto factor = reader.Decimal("limits.far_factor", Presence::kOptional, 1, 1000)) {
-    options.far_factor = *factor;
-  }
   if (const auto share =
           reader.Decimal("limits.processor_share", Presence::kOptional, 0.001, 1024)) {
     settings.processor_share = *share;
--- a/src/fleet/placement.cc
+++ b/src/fleet/placement.cc
@@ -202,15 +202,4 @@
   return best;
 }
 
-bool FitsWhenEmpty(const StepSpec& step, std::int32_t count,
-                   const std::vector<Candidate>& candidates) {
-  if (!step.gang) count = 1;
-  std::int64_t slots = 0;
-  for (const Candidate& candidate : candidates) {
-    slots += Slots(step, candidate, candidate.capacity);
-    if (slots >= count) return true;
-  }
-  return false;
-}
-
 }  // namespace basilspring::fleet
--- /dev/null
+++ b/src/fleet/scheduler_orders.cc
@@ -0,0 +1,140 @@
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "basilspring/fleet/scheduler_core.h"
+
+// Orders to agents and their answers.
+namespace basilspring::fleet {
+namespace {
+
+// How long a worker that had no room, contrary to the books, is left alone.
+constexpr Duration kRefusalPause(500);
+
+}  // namespace
+
+bool SchedulerCore::MaySend(TimePoint now, const PendingOrder& pending) {
+  const auto worker = workers_.find(pending.worker);
+  if (worker == workers_.end()) return false;
+  const RunKey key{pending.order.task, pending.order.run};
+  const auto run = worker->second.runs.find(key);
+  if (run == worker->second.runs.end()) return false;
+  if (!pending.order.start || !run->second.stopping) return true;
+  // Stopped before its start was sent.
+  Release(now, worker->second, key, false);
+  return false;
+}
+
+bool SchedulerCore::MustWait(const PendingOrder& pending) const {
+  if (!pending.order.start) return false;
+  const auto job = jobs_.find(pending.order.task.job);
+  return job != jobs_.end() && job->second.saved < pending.version;
+}
+
+void SchedulerCore::EmitOrders(TimePoint now, SchedulerOutput& out) {
+  for (auto& [node, worker] : workers_) {
+    for (auto& [key, run] : worker.runs) {
+      if (run.stopping && now >= run.stop_due) RequestStop(now, worker, key, run);
+    }
+  }
+  std::map<NodeId, std::vector<Order>> by_worker;
+  std::vector<PendingOrder> waiting;
+  for (PendingOrder& pending : std::exchange(pending_orders_, {})) {
+    if (!MaySend(now, pending)) continue;
+    if (MustWait(pending)) {
+      waiting.push_back(std::move(pending));
+    } else {
+      by_worker[pending.worker].push_back(std::move(pending.order));
+    }
+  }
+  pending_orders_ = std::move(waiting);
+  for (auto& [node, orders] : by_worker) {
+    const auto found = workers_.find(node);
+    if (found == workers_.end() || !found->second.backend) continue;
+    const Worker& worker = found->second;
+    OutgoingOrders outgoing;
+    outgoing.batch = next_batch_++;
+    outgoing.agent = worker.address;
+    outgoing.message.term = term_;
+    outgoing.message.incarnation = worker.incarnation;
+    outgoing.message.report = worker.report_number;
+    outgoing.message.backend = worker.backend->id;
+    outgoing.message.born_unix_ms = worker.backend->born_unix_ms;
+    BatchInFlight& batch = batches_[outgoing.batch];
+    batch.node = node;
+    batch.incarnation = worker.incarnation;
+    batch.backend = worker.backend->id;
+    batch.born_unix_ms = worker.backend->born_unix_ms;
+    for (const Order& order : orders) {
+      batch.orders.push_back({{order.task, order.run}, order.start});
+      Say(fmt::format("task={} run={} worker={} batch={} report={} order={}", order.task.ToString(),
+                      order.run.value(), node.value(), outgoing.batch, worker.report_number,
+                      order.start ? "start" : "stop"));
+    }
+    outgoing.message.orders = std::move(orders);
+    out.orders.push_back(std::move(outgoing));
+  }
+}
+
+void SchedulerCore::OnOrdersAnswered(TimePoint now, std::uint64_t number,
+                                     const std::optional<OrderBatchReply>& reply) {
+  const auto found = batches_.find(number);
+  if (found == batches_.end()) return;
+  const BatchInFlight batch = std::move(found->second);
+  batches_.erase(found);
+  const auto row = workers_.find(batch.node);
+  if (row == workers_.end()) return;
+  Worker& worker = row->second;
+  const bool same_life = worker.backend && worker.backend->id == batch.backend &&
+                         worker.backend->born_unix_ms == batch.born_unix_ms;
+  if (!same_life) return;
+  const bool readable = reply && reply->statuses.size() == batch.orders.size();
+  for (std::size_t i = 0; i < batch.orders.size(); ++i) {
+    const auto& [key, start] = batch.orders[i];
+    const auto run = worker.runs.find(key);
+    if (run == worker.runs.end()) continue;
+    const auto status =
+        readable ? static_cast<BackendStatus>(reply->statuses[i]) : BackendStatus::kUnknown;
+    if (status == BackendStatus::kOk) {
+      // A stop that is repeated must not move the poll that shows its effect.
+      const bool first = start || !run->second.stop_confirmed_at;
+      if (first && worker.incarnation == batch.incarnation) {
+        run->second.visible_from = std::max(run->second.visible_from, reply->visible_from_poll);
+      }
+      if (start) {
+        run->second.confirmed = true;
+        run->second.working_since = now;
+        run->second.progressed_at = now;
+      } else {
+        if (!run->second.stop_confirmed_at) run->second.stop_confirmed_at = now;
+        run->second.stop_due = now + options_.stop_time + options_.stop_retry;
+      }
+      continue;
+    }
+    Say(fmt::format("task={} run={} worker={} batch={} order={} status={}", key.task.ToString(),
+                    key.run.value(), batch.node.value(), number, start ? "start" : "stop",
+                    BackendStatusName(status)));
+    if (!start) continue;
+    Job* job = FindJob(key.task);
+    if (status == BackendStatus::kStopped) {
+      run->second.stopping = true;
+      run->second.stop_confirmed_at = now;
+      run->second.stop_due = now + options_.stop_time + options_.stop_retry;
+      if (worker.incarnation == batch.incarnation) {
+        run->second.visible_from = std::max(run->second.visible_from, reply->visible_from_poll);
+      }
+    } else if (status == BackendStatus::kUnknown) {
+      if (!run->second.stopping) RequestStop(now, worker, key, run->second);
+    } else {
+      ++counts_.starts_refused;
+      worker.refused_until = now + kRefusalPause;
+      Release(now, worker, key, false);
+    }
+    if (job != nullptr && SpecOf(*job, StepIndex(*job, key.task)).gang) {
+      StopStep(now, *job, StepIndex(*job, key.task));
+    }
+  }
+}
+
+}  // namespace basilspring::fleet
--- /dev/null
+++ b/src/fleet/scheduler_preemption.cc
@@ -0,0 +1,108 @@
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+#include "fleet/scheduler_pass.h"
+
+// What is stopped for an urgent step. The load that this answers: urgent jobs that find all workers
+// taken by long ones, of which as little work as possible should be thrown away.
+namespace basilspring::fleet {
+namespace {
+
+// What stopping a member of a gang costs beside its own lost work, in seconds of its run time.
+constexpr double kGangReplaceSeconds = 2.0;
+// Work of the first priority beyond a guarantee is stopped only when nothing else helps.
+constexpr double kBorrowerPenalty = 1000.0;
+// A step that was stopped for others this often is as dear as if it had lost this much more.
+constexpr double kRepeatedPreemptionPenalty = 50.0;
+// A run that saves checkpoints saves one when it is stopped; what is lost is the time to restore
+// it.
+constexpr double kRestoreSeconds = 0.4;
+
+}  // namespace
+
+double SchedulerCore::LostWork(const Job& job, const RunKey& key, const Allocation& run,
+                               TimePoint now) const {
+  const std::size_t index = StepIndex(job, key.task);
+  const StepSpec& spec = SpecOf(job, index);
+  const Duration predicted = run_times_.Predict(job.spec.queue, key.task.step, spec.estimate);
+  double seconds = static_cast<double>((now - run.working_since).milliseconds()) / 1000.0;
+  const double by_percent =
+      static_cast<double>(predicted.milliseconds()) * run.percent / 100.0 / 1000.0;
+  seconds = std::min(seconds, by_percent);
+  if (spec.checkpoints) seconds = std::min(seconds, kRestoreSeconds);
+  return std::max(0.0, seconds) * spec.needs.Weight();
+}
+
+void SchedulerCore::AddVictims(TimePoint now, const Pass& pass, const ReadyStep& ready,
+                               View& view) const {
+  std::map<std::pair<JobId, std::size_t>, std::size_t> gangs;
+  for (std::size_t i = 0; i < view.rows.size(); ++i) {
+    const Worker& worker = *pass.rows[view.rows[i]].worker;
+    for (const auto& [key, run] : worker.runs) {
+      if (run.stopping || key.task.job == ready.job->spec.id) continue;
+      const auto found = jobs_.find(key.task.job);
+      if (found == jobs_.end()) continue;
+      const Job& job = found->second;
+      const bool borrower = job.queue.priority == 0;
+      const bool protected_run = pass.guaranteed.count(key.task.job) > 0;
+      if (borrower && (ready.tier != kTierGuaranteed || protected_run)) continue;
+      const std::size_t step = StepIndex(job, key.task);
+      Victim victim;
+      victim.room = run.needs;
+      victim.lost_work =
+          LostWork(job, key, run, now) + SpecOf(job, step).needs.Weight() * 0.1 +
+          (borrower ? kBorrowerPenalty : 0) +
+          kRepeatedPreemptionPenalty *
+              job.steps[step].tasks[static_cast<std::size_t>(key.task.index)].preemptions;
+      if (SpecOf(job, step).gang) {
+        // All members are stopped, and whole gangs find room again much later than single tasks.
+        victim.lost_work += SpecOf(job, step).needs.Weight() * kGangReplaceSeconds;
+        victim.lost_work *= SpecOf(job, step).task_count;
+        const auto [it, added] = gangs.try_emplace({key.task.job, step}, view.victims.size());
+        victim.handle = it->second;
+        if (added) view.victims.emplace_back(worker.node, key);
+      } else {
+        victim.handle = view.victims.size();
+        view.victims.emplace_back(worker.node, key);
+      }
+      view.candidates[i].victims.push_back(victim);
+    }
+    auto& victims = view.candidates[i].victims;
+    std::sort(victims.begin(), victims.end(), [](const Victim& left, const Victim& right) {
+      return left.lost_work < right.lost_work;
+    });
+  }
+}
+
+void SchedulerCore::Preempt(TimePoint now, Pass& pass, const View& view,
+                            const std::vector<std::size_t>& victims) {
+  for (const std::size_t handle : victims) {
+    const auto& [node, key] = view.victims[handle];
+    Worker& worker = workers_.at(node);
+    Job& job = jobs_.at(key.task.job);
+    const std::size_t step = StepIndex(job, key.task);
+    const std::uint32_t preemptions = ++TaskOf(job, key.task).preemptions;
+    ++counts_.runs_preempted;
+    Say(fmt::format("task={} run={} worker={} is preempted preemptions={}", key.task.ToString(),
+                    key.run.value(), node.value(), preemptions));
+    if (SpecOf(job, step).gang) {
+      for (Task& member : job.steps[step].tasks) member.preemptions = preemptions;
+      StopStep(now, job, step);
+    } else {
+      Allocation& run = worker.runs.at(key);
+      RequestStop(now, worker, key, run);
+    }
+  }
+  for (Pass::Row& row : pass.rows) {
+    row.stopping = Resources();
+    for (const auto& [key, run] : row.worker->runs) {
+      if (run.stopping) row.stopping += run.needs;
+    }
+  }
+}
+
+}  // namespace basilspring::fleet
--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -5,7 +5,7 @@
 
 #include "basilspring/fleet/scheduler_core.h"
 
-// What happens to runs: reports, answers to orders, ends, losses and stops.
+// What happens to runs: reports, ends and losses.
 namespace basilspring::fleet {
 namespace {
 
@@ -15,8 +15,6 @@
 constexpr Duration kLeaseMargin(300);
 // Wait before a failed or refused task is tried again, so that a fault that passes can pass.
 constexpr Duration kRetryDelay(100);
-// How long a worker that had no room, contrary to the books, is left alone.
-constexpr Duration kRefusalPause(500);
 // Distinct jobs that must fail on a worker in a row before it is put on probation.
 constexpr std::size_t kFailuresForProbation = 2;
 constexpr Duration kLongestProbation = Duration::Seconds(60);
@@ -135,7 +133,6 @@
   auto found = worker.runs.find(key);
   if (found == worker.runs.end()) {
     Allocation run;
-    run.ordered_at = now;
     run.working_since = now;
     run.progressed_at = now;
     run.visible_from = poll;
@@ -150,7 +147,6 @@
         task.phase = TaskPhase::kActive;
         task.run = row.run;
         task.worker = worker.node;
-        task.ever_started = true;
         job->started = true;
       }
       Say(fmt::format("task={} run={} worker={} percent={} found running, {}", row.task.ToString(),
@@ -249,7 +245,7 @@
     Finish(job, JobPhase::kFailed,
            fmt::format("task {} failed {} times", key.task.ToString(), failed.size()));
   } else if (spec.gang) {
-    StopStep(now, job, index, false);
+    StopStep(now, job, index);
   }
 }
 
@@ -314,7 +310,7 @@
   pending_orders_.push_back({worker.node, std::move(order)});
 }
 
-void SchedulerCore::StopStep(TimePoint now, Job& job, std::size_t step, bool preempted) {
+void SchedulerCore::StopStep(TimePoint now, Job& job, std::size_t step) {
   for (std::size_t i = 0; i < job.steps[step].tasks.size(); ++i) {
     Task& task = job.steps[step].tasks[i];
     if (task.phase != TaskPhase::kActive) continue;
@@ -322,245 +318,8 @@
     const RunKey key{IdOf(job, step, i), task.run};
     const auto found = worker.runs.find(key);
     if (found == worker.runs.end() || found->second.stopping) continue;
-    found->second.preempted = preempted;
     RequestStop(now, worker, key, found->second);
   }
 }
 
-void SchedulerCore::StopUnwanted(TimePoint now) {
-  for (auto& [node, worker] : workers_) {
-    for (auto& [key, run] : worker.runs) {
-      if (run.stopping) continue;
-      Job* job = FindJob(key.task);
-      const bool wanted = job != nullptr && !IsFinal(job->phase) &&
-                          TaskOf(*job, key.task).phase == TaskPhase::kActive &&
-                          TaskOf(*job, key.task).run == key.run;
-      if (wanted) continue;
-      // The other members of a gang that has ended are listed as ended by themselves.
-      const bool ends_itself = job != nullptr && job->phase == JobPhase::kCompleted &&
-                               SpecOf(*job, StepIndex(*job, key.task)).gang &&
-                               now - run.progressed_at < options_.stop_retry;
-      if (!ends_itself) RequestStop(now, worker, key, run);
-    }
-  }
-  for (const JobId& id : active_) {
-    Job& job = jobs_.at(id);
-    if (!job.started) continue;
-    for (std::size_t i = 0; i < job.steps.size(); ++i) {
-      if (!SpecOf(job, i).gang || RecoveryPending(now, job.steps[i])) continue;
-      const auto& tasks = job.steps[i].tasks;
-      const auto is = [](TaskPhase phase) {
-        return [phase](const Task& task) { return task.phase == phase; };
-      };
-      const bool partial = std::any_of(tasks.begin(), tasks.end(), is(TaskPhase::kActive)) &&
-                           std::any_of(tasks.begin(), tasks.end(), is(TaskPhase::kWaiting));
-      if (partial) StopStep(now, job, i, false);
-    }
-  }
-}
-
-bool SchedulerCore::RecoveryPending(TimePoint now, const Step& step) const {
-  if (now > LeaseHorizon(term_began_)) return false;
-  return std::any_of(step.agents.begin(), step.agents.end(), [this](const NodeId& node) {
-    const auto found = workers_.find(node);
-    return found != workers_.end() && !found->second.rows_seen;
-  });
-}
-
-void SchedulerCore::CheckSilentWorkers(TimePoint now) {
-  for (auto it = workers_.begin(); it != workers_.end();) {
-    Worker& worker = it->second;
-    const TimePoint alive = std::max(worker.last_alive, term_began_);
-    if (now > LeaseHorizon(alive)) {
-      if (!worker.runs.empty()) LoseWorker(now, worker, "its lease has run out");
-      if (!worker.reported || now > LeaseHorizon(worker.last_report)) {
-        it = workers_.erase(it);
-        continue;
-      }
-    }
-    ++it;
-  }
-}
-
-void SchedulerCore::CheckDrains(TimePoint now) {
-  for (auto& [node, worker] : workers_) {
-    if (!worker.backend || !worker.backend->draining) continue;
-    if (now < worker.drain_deadline - options_.stop_time - options_.drain_margin) continue;
-    for (auto& [key, run] : worker.runs) {
-      if (run.stopping) continue;
-      Say(fmt::format("task={} run={} worker={} is stopped: the worker leaves", key.task.ToString(),
-                      key.run.value(), node.value()));
-      Job* job = FindJob(key.task);
-      const std::size_t step = job == nullptr ? 0 : StepIndex(*job, key.task);
-      if (job != nullptr && SpecOf(*job, step).gang) {
-        StopStep(now, *job, step, false);
-      } else {
-        RequestStop(now, worker, key, run);
-      }
-    }
-  }
-}
-
-bool SchedulerCore::GangProgresses(TimePoint now, const Job& job, std::size_t step) const {
-  if (!SpecOf(job, step).gang) return false;
-  // Members that have done their share wait for the slower ones, because all end together.
-  for (std::size_t i = 0; i < job.steps[step].tasks.size(); ++i) {
-    const Task& task = job.steps[step].tasks[i];
-    const auto worker = workers_.find(task.worker);
-    if (task.phase != TaskPhase::kActive || worker == workers_.end()) continue;
-    const auto run = worker->second.runs.find({IdOf(job, step, i), task.run});
-    if (run == worker->second.runs.end()) continue;
-    if (now - run->second.progressed_at < options_.stall_limit) return true;
-  }
-  return false;
-}
-
-void SchedulerCore::CheckStalls(TimePoint now) {
-  for (auto& [node, worker] : workers_) {
-    if (now - worker.last_report > options_.silence_limit) continue;
-    for (auto& [key, run] : worker.runs) {
-      if (run.stopping || !run.confirmed) continue;
-      if (now - std::max(run.progressed_at, run.working_since) < options_.stall_limit) continue;
-      Job* job = FindJob(key.task);
-      if (job == nullptr || SpecOf(*job, StepIndex(*job, key.task)).long_running) continue;
-      if (GangProgresses(now, *job, StepIndex(*job, key.task))) continue;
-      ++counts_.runs_stalled;
-      Say(fmt::format("task={} run={} worker={} percent={} stands still for {} ms: stopped",
-                      key.task.ToString(), key.run.value(), node.value(), run.percent,
-                      (now - run.progressed_at).milliseconds()));
-      CountWorkerFailure(now, worker, key.task.job);
-      TaskOf(*job, key.task).failed_on.insert(node);
-      const std::size_t step = StepIndex(*job, key.task);
-      if (SpecOf(*job, step).gang) {
-        StopStep(now, *job, step, false);
-      } else {
-        RequestStop(now, worker, key, run);
-      }
-    }
-  }
-}
-
-bool SchedulerCore::MaySend(TimePoint now, const PendingOrder& pending) {
-  const auto worker = workers_.find(pending.worker);
-  if (worker == workers_.end()) return false;
-  const RunKey key{pending.order.task, pending.order.run};
-  const auto run = worker->second.runs.find(key);
-  if (run == worker->second.runs.end()) return false;
-  if (!pending.order.start || !run->second.stopping) return true;
-  // Stopped before its start was sent.
-  Release(now, worker->second, key, false);
-  return false;
-}
-
-bool SchedulerCore::MustWait(const PendingOrder& pending) const {
-  if (!pending.order.start) return false;
-  const auto job = jobs_.find(pending.order.task.job);
-  return job != jobs_.end() && job->second.saved < pending.version;
-}
-
-void SchedulerCore::EmitOrders(TimePoint now, SchedulerOutput& out) {
-  for (auto& [node, worker] : workers_) {
-    for (auto& [key, run] : worker.runs) {
-      if (run.stopping && now >= run.stop_due) RequestStop(now, worker, key, run);
-    }
-  }
-  std::map<NodeId, std::vector<Order>> by_worker;
-  std::vector<PendingOrder> waiting;
-  for (PendingOrder& pending : std::exchange(pending_orders_, {})) {
-    if (!MaySend(now, pending)) continue;
-    if (MustWait(pending)) {
-      waiting.push_back(std::move(pending));
-    } else {
-      by_worker[pending.worker].push_back(std::move(pending.order));
-    }
-  }
-  pending_orders_ = std::move(waiting);
-  for (auto& [node, orders] : by_worker) {
-    const auto found = workers_.find(node);
-    if (found == workers_.end() || !found->second.backend) continue;
-    const Worker& worker = found->second;
-    OutgoingOrders outgoing;
-    outgoing.batch = next_batch_++;
-    outgoing.agent = worker.address;
-    outgoing.message.term = term_;
-    outgoing.message.incarnation = worker.incarnation;
-    outgoing.message.report = worker.report_number;
-    outgoing.message.backend = worker.backend->id;
-    outgoing.message.born_unix_ms = worker.backend->born_unix_ms;
-    BatchInFlight& batch = batches_[outgoing.batch];
-    batch.node = node;
-    batch.incarnation = worker.incarnation;
-    batch.backend = worker.backend->id;
-    batch.born_unix_ms = worker.backend->born_unix_ms;
-    for (const Order& order : orders) {
-      batch.orders.push_back({{order.task, order.run}, order.start});
-      Say(fmt::format("task={} run={} worker={} batch={} report={} order={}", order.task.ToString(),
-                      order.run.value(), node.value(), outgoing.batch, worker.report_number,
-                      order.start ? "start" : "stop"));
-    }
-    outgoing.message.orders = std::move(orders);
-    out.orders.push_back(std::move(outgoing));
-  }
-}
-
-void SchedulerCore::OnOrdersAnswered(TimePoint now, std::uint64_t number,
-                                     const std::optional<OrderBatchReply>& reply) {
-  const auto found = batches_.find(number);
-  if (found == batches_.end()) return;
-  const BatchInFlight batch = std::move(found->second);
-  batches_.erase(found);
-  const auto row = workers_.find(batch.node);
-  if (row == workers_.end()) return;
-  Worker& worker = row->second;
-  const bool same_life = worker.backend && worker.backend->id == batch.backend &&
-                         worker.backend->born_unix_ms == batch.born_unix_ms;
-  if (!same_life) return;
-  const bool readable = reply && reply->statuses.size() == batch.orders.size();
-  for (std::size_t i = 0; i < batch.orders.size(); ++i) {
-    const auto& [key, start] = batch.orders[i];
-    const auto run = worker.runs.find(key);
-    if (run == worker.runs.end()) continue;
-    const auto status =
-        readable ? static_cast<BackendStatus>(reply->statuses[i]) : BackendStatus::kUnknown;
-    if (status == BackendStatus::kOk) {
-      // A stop that is repeated must not move the poll that shows its effect.
-      const bool first = start || !run->second.stop_confirmed_at;
-      if (first && worker.incarnation == batch.incarnation) {
-        run->second.visible_from = std::max(run->second.visible_from, reply->visible_from_poll);
-      }
-      if (start) {
-        run->second.confirmed = true;
-        run->second.working_since = now;
-        run->second.progressed_at = now;
-      } else {
-        if (!run->second.stop_confirmed_at) run->second.stop_confirmed_at = now;
-        run->second.stop_due = now + options_.stop_time + options_.stop_retry;
-      }
-      continue;
-    }
-    Say(fmt::format("task={} run={} worker={} batch={} order={} status={}", key.task.ToString(),
-                    key.run.value(), batch.node.value(), number, start ? "start" : "stop",
-                    BackendStatusName(status)));
-    if (!start) continue;
-    Job* job = FindJob(key.task);
-    if (status == BackendStatus::kStopped) {
-      run->second.stopping = true;
-      run->second.stop_confirmed_at = now;
-      run->second.stop_due = now + options_.stop_time + options_.stop_retry;
-      if (worker.incarnation == batch.incarnation) {
-        run->second.visible_from = std::max(run->second.visible_from, reply->visible_from_poll);
-      }
-    } else if (status == BackendStatus::kUnknown) {
-      if (!run->second.stopping) RequestStop(now, worker, key, run->second);
-    } else {
-      ++counts_.starts_refused;
-      worker.refused_until = now + kRefusalPause;
-      Release(now, worker, key, false);
-    }
-    if (job != nullptr && SpecOf(*job, StepIndex(*job, key.task)).gang) {
-      StopStep(now, *job, StepIndex(*job, key.task), false);
-    }
-  }
-}
-
 }  // namespace basilspring::fleet
