--- a/src/fleet/node.cc
+++ b/src/fleet/node.cc
@@ -9,20 +9,9 @@
 #include <thread>
 #include <utility>
 
-#include "basilspring/connection/http_server.h"
 #include "basilspring/fleet/agent_core.h"
-#include "basilspring/fleet/entry_duty.h"
-#include "basilspring/fleet/leadership.h"
-#include "basilspring/fleet/peer_client.h"
-#include "basilspring/fleet/prefix_watch.h"
-#include "basilspring/fleet/scheduler_duty.h"
-#include "basilspring/fleet/store_access.h"
-#include "basilspring/process/duty.h"
-#include "basilspring/process/io_thread.h"
 #include "basilspring/process/log.h"
-#include "basilspring/process/metrics.h"
-#include "fleet/agent_driver.h"
-#include "fleet/peer_call.h"
+#include "fleet/node_process.h"
 
 namespace basilspring::fleet {
 namespace {
@@ -46,68 +35,7 @@
 // Polls of the state of a stopping process.
 constexpr Duration kStopPoll(20);
 
-HttpResponse PlainResponse(int status, std::string text) {
-  HttpResponse response;
-  response.status = status;
-  response.content_type = "text/plain; charset=utf-8";
-  response.body = std::move(text);
-  return response;
-}
-
-/// The parts of one process. All state belongs to the duty's thread; handlers of the I/O thread
-/// only hand work to it.
-class Node {
- public:
-  Node(const NodeSettings& settings, const CarrierFactory& make_carriers);
-  ~Node();
-  Node(const Node&) = delete;
-  Node& operator=(const Node&) = delete;
-
-  void RunUntilStopped();
-
- private:
-  using Responder = std::shared_ptr<HttpResponder>;
-
-  void Post(std::function<void()> work);
-  void PostAfter(Duration delay, std::function<void()> work);
-  void Tick();
-  void Listen();
-  void OnPeer(const HttpRequest& request, const Responder& responder);
-  template <typename Request, typename Handle>
-  void Serve(const std::string& body, const Responder& responder, Handle handle);
-  template <typename Reply>
-  static void Reply200(const Responder& responder, const Reply& reply);
-  void RelayStoreCall(const RelayedStoreCall& request, const Responder& responder);
-  void OnAnnouncement(const HttpRequest& request, const Responder& responder);
-  void OnOperatorItems(const std::vector<StoreItem>& items, bool snapshot);
-  void BecomeScheduler(Term term, std::int64_t revision);
-  void LoseScheduler();
-  void OnScheduler(Term term, const Address& address);
-  void SetPeers();
-  void UpdateMetrics();
-  TimePoint LastContact() const;
-  bool Drained() const;
-
-  const NodeSettings settings_;
-  const bool entry_role_;
-  std::atomic<bool> running_{false};
-  std::promise<void> stop_signal_;
-  MetricRegistry metrics_;
-  IoThread io_;
-  std::unique_ptr<Duty> duty_;
-  std::unique_ptr<HttpClient> http_;
-  Carriers carriers_;
-  std::unique_ptr<PeerClient> peers_;
-  std::unique_ptr<StoreAccess> store_;
-  std::unique_ptr<Leadership> leadership_;
-  std::unique_ptr<PrefixWatch> operator_watch_;
-  std::shared_ptr<const OperatorState> operators_;
-  std::unique_ptr<SchedulerDuty> scheduler_;
-  std::unique_ptr<EntryDuty> entry_;
-  std::unique_ptr<AgentDriver> agent_;
-  Address scheduler_address_;
-  std::vector<std::unique_ptr<HttpServer>> servers_;
-};
+}  // namespace
 
 Node::Node(const NodeSettings& settings, const CarrierFactory& make_carriers)
     : settings_(settings), entry_role_(settings.role == NodeRole::kEntry) {
@@ -282,163 +210,6 @@
   if (agent_) agent_->Tick(now);
 }
 
-void Node::Listen() {
-  const auto on_duty = [this](auto handle) {
-    return [this, handle](HttpRequest request, Responder responder) {
-      Post([handle, request = std::move(request), responder = std::move(responder)]() mutable {
-        handle(std::move(request), std::move(responder));
-      });
-    };
-  };
-  HttpLimits peer_limits;
-  peer_limits.max_body_bytes = 8 * 1024 * 1024;
-  servers_.push_back(std::make_unique<HttpServer>(
-      io_, settings_.peers, on_duty([this](const HttpRequest& request, const Responder& responder) {
-        OnPeer(request, responder);
-      }),
-      peer_limits));
-  if (entry_) {
-    servers_.push_back(std::make_unique<HttpServer>(
-        io_, settings_.callers, on_duty([this](HttpRequest request, Responder responder) {
-          entry_->OnCaller(std::move(request), std::move(responder));
-        })));
-    servers_.push_back(std::make_unique<HttpServer>(
-        io_, settings_.readiness, on_duty([this](const HttpRequest&, const Responder& responder) {
-          responder->Respond(entry_->ready() ? PlainResponse(200, "ready\n")
-                                             : PlainResponse(503, "not ready\n"));
-        })));
-  }
-  if (agent_) {
-    servers_.push_back(std::make_unique<HttpServer>(
-        io_, settings_.announcements,
-        on_duty([this](const HttpRequest& request, const Responder& responder) {
-          OnAnnouncement(request, responder);
-        })));
-  }
-  if (!settings_.metrics.empty()) {
-    servers_.push_back(std::make_unique<HttpServer>(
-        io_, settings_.metrics, on_duty([this](const HttpRequest&, const Responder& responder) {
-          UpdateMetrics();
-          responder->Respond(PlainResponse(200, metrics_.Render()));
-        })));
-  }
-}
-
-template <typename Reply>
-void Node::Reply200(const Responder& responder, const Reply& reply) {
-  HttpResponse response;
-  response.content_type = "application/octet-stream";
-  response.body = internal::EncodePeerBody(reply);
-  responder->Respond(std::move(response));
-}
-
-template <typename Request, typename Handle>
-void Node::Serve(const std::string& body, const Responder& responder, Handle handle) {
-  Request request;
-  try {
-    request = internal::DecodePeerBody<Request>(body);
-  } catch (const Error& error) {
-    Log(EventId::kFleetPeer, "path={} unreadable request: {}", Request::kPath, error.what());
-    responder->Respond(PlainResponse(400, error.what()));
-    return;
-  }
-  handle(request);
-}
-
-void Node::OnPeer(const HttpRequest& request, const Responder& responder) {
-  if (request.path == AgentReport::kPath) {
-    Serve<AgentReport>(request.body, responder, [&](const AgentReport& report) {
-      if (scheduler_) {
-        scheduler_->OnReport(
-            report, [responder](const AgentReportReply& reply) { Reply200(responder, reply); });
-        return;
-      }
-      AgentReportReply reply;
-      reply.scheduler = scheduler_address_ == settings_.peers ? Address() : scheduler_address_;
-      Reply200(responder, reply);
-    });
-  } else if (request.path == OrderBatch::kPath && agent_) {
-    Serve<OrderBatch>(request.body, responder, [&](const OrderBatch& batch) {
-      OnScheduler(batch.term, batch.scheduler);
-      agent_->OnOrders(batch,
-                       [responder](const OrderBatchReply& reply) { Reply200(responder, reply); });
-    });
-  } else if (request.path == JobQuery::kPath) {
-    Serve<JobQuery>(request.body, responder, [&](const JobQuery& query) {
-      Reply200(responder, scheduler_ ? scheduler_->OnQuery(query) : JobQueryReply());
-    });
-  } else if (request.path == SummaryQuery::kPath) {
-    Serve<SummaryQuery>(request.body, responder, [&](const SummaryQuery& query) {
-      Reply200(responder, scheduler_ ? scheduler_->OnSummary(query) : SummaryReply());
-    });
-  } else if (request.path == RelayedStoreCall::kPath) {
-    Serve<RelayedStoreCall>(request.body, responder,
-                            [&](const RelayedStoreCall& call) { RelayStoreCall(call, responder); });
-  } else {
-    responder->Respond(PlainResponse(404, "no such path\n"));
-  }
-}
-
-void Node::RelayStoreCall(const RelayedStoreCall& request, const Responder& responder) {
-  if (request.call.operation > static_cast<std::uint8_t>(StoreOperation::kEndLease)) {
-    responder->Respond(PlainResponse(400, "no such operation\n"));
-    return;
-  }
-  store_->CallForPeer(request.call, [responder](const StoreReply& reply) {
-    RelayedStoreReply relayed;
-    relayed.status = static_cast<std::uint8_t>(reply.status);
-    relayed.items = reply.items;
-    relayed.revision = reply.revision;
-    relayed.more = reply.more;
-    relayed.lease = reply.lease;
-    relayed.lease_time = reply.lease_time;
-    relayed.message = reply.message;
-    Reply200(responder, relayed);
-  });
-}
-
-void Node::OnAnnouncement(const HttpRequest& request, const Responder& responder) {
-  const AnnouncementCall call = carriers_.announcements->Decode(request);
-  if (const auto* fault = std::get_if<NotAnAnnouncement>(&call)) {
-    Log(EventId::kFleetAgent, "path={} is no announcement: {}", request.path, fault->reason);
-    responder->Respond(PlainResponse(fault->status, fault->reason));
-    return;
-  }
-  if (const auto* leave = std::get_if<BackendLeave>(&call)) {
-    agent_->OnLeave(leave->id);
-  } else {
-    agent_->OnAnnouncement(std::get<BackendAnnouncement>(call));
-  }
-  HttpResponse response;
-  response.body = "{}";
-  responder->Respond(std::move(response));
-}
-
-void Node::UpdateMetrics() {
-  const auto set = [this](const char* name, std::uint64_t value) {
-    metrics_.GetGauge(name).Set(static_cast<std::int64_t>(value));
-  };
-  set("basilspring_store_direct_calls", store_->counts().direct_calls);
-  set("basilspring_store_relayed_calls", store_->counts().relayed_calls);
-  set("basilspring_store_failures", store_->counts().failures);
-  set("basilspring_scheduler_holds_lease", scheduler_ ? 1 : 0);
-  set("basilspring_config_version",
-      operators_ ? static_cast<std::uint64_t>(operators_->config.version) : 0);
-  if (!scheduler_) return;
-  const SchedulerCounts& counts = scheduler_->core().counts();
-  set("basilspring_runs_started", counts.runs_started);
-  set("basilspring_starts_refused", counts.starts_refused);
-  set("basilspring_runs_done", counts.runs_done);
-  set("basilspring_runs_failed", counts.runs_failed);
-  set("basilspring_runs_lost", counts.runs_lost);
-  set("basilspring_runs_preempted", counts.runs_preempted);
-  set("basilspring_runs_stalled", counts.runs_stalled);
-  set("basilspring_jobs_completed", counts.jobs_completed);
-  set("basilspring_jobs_failed", counts.jobs_failed);
-  set("basilspring_jobs_cancelled", counts.jobs_cancelled);
-  set("basilspring_wasted_core_ms", counts.wasted_core_ms);
-}
-
 bool Node::Drained() const { return entry_ ? entry_->open_requests() == 0 : !agent_->busy(); }
 
 void Node::RunUntilStopped() {
@@ -465,8 +236,6 @@
   Log(EventId::kProcessStopped, "role={} drained={}", entry_role_ ? "entry" : "agent", drained);
 }
 
-}  // namespace
-
 int RunNode(const NodeSettings& settings, const CarrierFactory& make_carriers) {
   Node node(settings, make_carriers);
   node.RunUntilStopped();
--- /dev/null
+++ b/src/fleet/node_process.h
@@ -0,0 +1,83 @@
+#ifndef BASILSPRING_SRC_FLEET_NODE_PROCESS_H_
+#define BASILSPRING_SRC_FLEET_NODE_PROCESS_H_
+
+#include <atomic>
+#include <functional>
+#include <future>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "basilspring/connection/http_server.h"
+#include "basilspring/fleet/entry_duty.h"
+#include "basilspring/fleet/leadership.h"
+#include "basilspring/fleet/node.h"
+#include "basilspring/fleet/peer_client.h"
+#include "basilspring/fleet/prefix_watch.h"
+#include "basilspring/fleet/scheduler_duty.h"
+#include "basilspring/fleet/store_access.h"
+#include "basilspring/process/duty.h"
+#include "basilspring/process/io_thread.h"
+#include "basilspring/process/metrics.h"
+#include "fleet/agent_driver.h"
+
+namespace basilspring::fleet {
+
+/// The parts of one process. All state belongs to the duty's thread; handlers of the I/O thread
+/// only hand work to it.
+class Node {
+ public:
+  Node(const NodeSettings& settings, const CarrierFactory& make_carriers);
+  ~Node();
+  Node(const Node&) = delete;
+  Node& operator=(const Node&) = delete;
+
+  void RunUntilStopped();
+
+ private:
+  using Responder = std::shared_ptr<HttpResponder>;
+
+  void Post(std::function<void()> work);
+  void PostAfter(Duration delay, std::function<void()> work);
+  void Tick();
+  void Listen();
+  void OnPeer(const HttpRequest& request, const Responder& responder);
+  template <typename Request, typename Handle>
+  void Serve(const std::string& body, const Responder& responder, Handle handle);
+  template <typename Reply>
+  static void Reply200(const Responder& responder, const Reply& reply);
+  void RelayStoreCall(const RelayedStoreCall& request, const Responder& responder);
+  void OnAnnouncement(const HttpRequest& request, const Responder& responder);
+  void OnOperatorItems(const std::vector<StoreItem>& items, bool snapshot);
+  void BecomeScheduler(Term term, std::int64_t revision);
+  void LoseScheduler();
+  void OnScheduler(Term term, const Address& address);
+  void SetPeers();
+  void UpdateMetrics();
+  TimePoint LastContact() const;
+  bool Drained() const;
+
+  const NodeSettings settings_;
+  const bool entry_role_;
+  std::atomic<bool> running_{false};
+  std::promise<void> stop_signal_;
+  MetricRegistry metrics_;
+  IoThread io_;
+  std::unique_ptr<Duty> duty_;
+  std::unique_ptr<HttpClient> http_;
+  Carriers carriers_;
+  std::unique_ptr<PeerClient> peers_;
+  std::unique_ptr<StoreAccess> store_;
+  std::unique_ptr<Leadership> leadership_;
+  std::unique_ptr<PrefixWatch> operator_watch_;
+  std::shared_ptr<const OperatorState> operators_;
+  std::unique_ptr<SchedulerDuty> scheduler_;
+  std::unique_ptr<EntryDuty> entry_;
+  std::unique_ptr<AgentDriver> agent_;
+  Address scheduler_address_;
+  std::vector<std::unique_ptr<HttpServer>> servers_;
+};
+
+}  // namespace basilspring::fleet
+
+#endif  // BASILSPRING_SRC_FLEET_NODE_PROCESS_H_
