--- a/include/basilspring/fleet/store_access.h
+++ b/include/basilspring/fleet/store_access.h
@@ -40,6 +40,8 @@
 
   /// Whether calls have failed, by every way, for so long that the next one will fail too.
   bool IsAway(TimePoint now) const;
+  /// When a call last failed by every way that was tried.
+  TimePoint last_failure() const { return last_failure_; }
   const StoreAccessCounts& counts() const { return counts_; }
 
  private:
--- a/src/fleet/entry_duty.cc
+++ b/src/fleet/entry_duty.cc
@@ -33,6 +33,8 @@
 // Outages of the store last several seconds.
 constexpr Duration kStoreComeBack(2000);
 constexpr Duration kProbeTimeout(350);
+// A failure this recent answers for another try. The configuration's watch tries all the time.
+constexpr Duration kFreshFailure(400);
 
 bool IsJobId(const std::string& text) {
   return text.size() == kJobIdLength && std::all_of(text.begin(), text.end(), [](unsigned char c) {
@@ -207,7 +209,12 @@
   job.workspace = exchange->workspace;
   job.accepted_unix_ms = Clock::WallMilliseconds();
   const std::string bytes = EncodeJobSpec(job);
-  if (context_.store.IsAway(Clock::Now())) {
+  const TimePoint now = Clock::Now();
+  const bool away = context_.store.IsAway(now);
+  if (away && now - context_.store.last_failure() < kFreshFailure) {
+    Refuse(exchange, ErrorKind::kStoreUnavailable, "the store has been away until just now",
+           kStoreComeBack);
+  } else if (away) {
     ProbeThenStore(exchange, bytes);
   } else {
     StoreJob(exchange, bytes);
