Read settings files in one place; a million runs a term; test the settings of a fleet's host

Cause: two readers of settings repeated each other; a lasting task that fails at once could pass a thousand starts in one term, and its runs in the next would be refused as old.

--- a/src/fleet/node_settings.cc
+++ b/src/fleet/node_settings.cc
@@ -3,8 +3,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <fstream>
-#include <sstream>
 
 #include "process/settings_reader.h"
 
@@ -66,15 +64,9 @@
 
 NodeSettingsOutcome ParseNodeSettings(const std::string& text, const std::string& name) {
   NodeSettingsOutcome outcome;
-  toml::table root;
-  try {
-    root = toml::parse(text, name);
-  } catch (const toml::parse_error& error) {
-    outcome.faults.push_back(
-        {fmt::format("{}:{}: syntax: {}", name, error.source().begin.line, error.description())});
-    return outcome;
-  }
-  SettingsReader reader(root, name, &outcome.faults);
+  const auto root = basilspring::internal::ParseSettingsText(text, name, outcome.faults);
+  if (!root) return outcome;
+  SettingsReader reader(*root, name, &outcome.faults);
   NodeSettings& settings = outcome.settings;
   const auto role = reader.Choice("process.role", Presence::kRequired, "entry|agent");
   settings.role = role == "entry" ? NodeRole::kEntry : NodeRole::kAgent;
@@ -92,15 +84,9 @@
 }
 
 NodeSettingsOutcome LoadNodeSettings(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  std::ostringstream text;
-  text << file.rdbuf();
-  if (!file) {
-    NodeSettingsOutcome outcome;
-    outcome.faults.push_back({fmt::format("{}:1: the file can't be read", path)});
-    return outcome;
-  }
-  return ParseNodeSettings(text.str(), path);
+  NodeSettingsOutcome outcome;
+  const auto text = basilspring::internal::ReadSettingsFile(path, outcome.faults);
+  return text ? ParseNodeSettings(*text, path) : outcome;
 }
 
 }  // namespace basilspring::fleet
--- a/src/fleet/scheduler_queue.cc
+++ b/src/fleet/scheduler_queue.cc
@@ -12,10 +12,10 @@
 namespace basilspring::fleet {
 namespace {
 
-// Run numbers of one term, so that those of the next are higher without a record of each start.
-constexpr std::uint64_t kRunsPerTerm = 1000;
-// Rejections of a start by one worker's books are rare; a reservation that takes longer than the
-// stops it waits for is planned anew.
+// Run numbers of one term, so that those of the next are higher without a record of each start. A
+// lasting task that fails at once starts about ten times a second, so this is a day of such starts.
+constexpr std::uint64_t kRunsPerTerm = 1000000;
+// A reservation that takes this much longer than the stops it waits for is planned anew.
 constexpr Duration kReservationSlack(1500);
 // Jobs beyond their workspace's guarantee stop others only for less lost work than this multiple of
 // their own: past it, all callers together wait longer for the sake of one.
--- a/src/process/process_settings.cc
+++ b/src/process/process_settings.cc
@@ -2,8 +2,6 @@
 
 #include <fmt/format.h>
 
-#include <fstream>
-#include <sstream>
 #include <utility>
 
 #include "process/settings_reader.h"
@@ -101,15 +99,9 @@
 
 SettingsOutcome ParseProcessSettings(const std::string& text, const std::string& name) {
   SettingsOutcome outcome;
-  toml::table root;
-  try {
-    root = toml::parse(text, name);
-  } catch (const toml::parse_error& error) {
-    outcome.faults.push_back(
-        {fmt::format("{}:{}: syntax: {}", name, error.source().begin.line, error.description())});
-    return outcome;
-  }
-  SettingsReader reader(root, name, &outcome.faults);
+  const auto root = internal::ParseSettingsText(text, name, outcome.faults);
+  if (!root) return outcome;
+  SettingsReader reader(*root, name, &outcome.faults);
   ReadIdentity(reader, outcome.settings);
   ReadNetwork(reader, outcome.settings);
   ReadStore(reader, outcome.settings);
@@ -119,15 +111,9 @@
 }
 
 SettingsOutcome LoadProcessSettings(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  std::ostringstream text;
-  text << file.rdbuf();
-  if (!file) {
-    SettingsOutcome outcome;
-    outcome.faults.push_back({fmt::format("{}:1: the file can't be read", path)});
-    return outcome;
-  }
-  return ParseProcessSettings(text.str(), path);
+  SettingsOutcome outcome;
+  const auto text = internal::ReadSettingsFile(path, outcome.faults);
+  return text ? ParseProcessSettings(*text, path) : outcome;
 }
 
 }  // namespace basilspring
--- a/src/process/settings_reader.cc
+++ b/src/process/settings_reader.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
+#include <fstream>
 #include <sstream>
 #include <utility>
 
@@ -51,6 +52,27 @@
   return node;
 }
 
+std::optional<toml::table> ParseSettingsText(const std::string& text, const std::string& name,
+                                             std::vector<SettingsFault>& faults) {
+  try {
+    return toml::parse(text, name);
+  } catch (const toml::parse_error& error) {
+    faults.push_back(
+        {fmt::format("{}:{}: syntax: {}", name, error.source().begin.line, error.description())});
+    return std::nullopt;
+  }
+}
+
+std::optional<std::string> ReadSettingsFile(const std::string& path,
+                                            std::vector<SettingsFault>& faults) {
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream text;
+  text << file.rdbuf();
+  if (file) return text.str();
+  faults.push_back({fmt::format("{}:1: the file can't be read", path)});
+  return std::nullopt;
+}
+
 std::optional<std::string> SettingsReader::Text(std::string_view key, Presence presence) {
   const toml::node* const node = Find(key, presence, "a text");
   if (node == nullptr) return std::nullopt;
--- a/src/process/settings_reader.h
+++ b/src/process/settings_reader.h
@@ -15,6 +15,14 @@
 
 namespace basilspring::internal {
 
+/// The text as TOML; adds a fault and returns nothing when it has another syntax.
+std::optional<toml::table> ParseSettingsText(const std::string& text, const std::string& name,
+                                             std::vector<SettingsFault>& faults);
+
+/// The whole file; adds a fault and returns nothing when it can't be read.
+std::optional<std::string> ReadSettingsFile(const std::string& path,
+                                            std::vector<SettingsFault>& faults);
+
 /// Whether a key has to be there.
 enum class Presence { kRequired, kOptional };
 
--- /dev/null
+++ b/tests/fleet/node_settings_test.cc
@@ -0,0 +1,70 @@
+#include "basilspring/fleet/node_settings.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace basilspring::fleet {
+namespace {
+
+constexpr const char* kAgent = R"(
+[process]
+role = "agent"
+name = "a-1"
+data_centre = "here"
+[network]
+peers = "127.0.0.1:7000"
+announcements = "127.0.0.1:7001"
+backend = "127.0.0.1:7002"
+store = "127.0.0.1:7003"
+seeds = []
+[limits]
+longest_lease_ms = 4000
+stop_grace_s = 2.5
+processor_share = 0.15
+)";
+
+std::string Replace(std::string text, const std::string& from, const std::string& to) {
+  const auto at = text.find(from);
+  return at == std::string::npos ? text : text.replace(at, from.size(), to);
+}
+
+bool HasFault(const NodeSettingsOutcome& outcome, const std::string& part) {
+  return std::any_of(outcome.faults.begin(), outcome.faults.end(),
+                     [&](const auto& fault) { return fault.text.find(part) != std::string::npos; });
+}
+
+// Limits come from the platform as whole numbers or with a fraction.
+TEST(NodeSettingsTest, ReadsLimitsWithFractions) {
+  const NodeSettingsOutcome outcome = ParseNodeSettings(kAgent, "file");
+  ASSERT_TRUE(outcome.faults.empty()) << outcome.faults.front().text;
+  EXPECT_EQ(outcome.settings.drain_limit, Duration(2000));
+  EXPECT_DOUBLE_EQ(outcome.settings.processor_share, 0.15);
+}
+
+// A lease longer than backend servers grant would count runs as going on that have ended.
+TEST(NodeSettingsTest, KeepsTheLeaseBelowTheLongestOne) {
+  EXPECT_LT(ParseNodeSettings(kAgent, "file").settings.scheduler.lease, Duration(4000));
+}
+
+TEST(NodeSettingsTest, ListsAllFaultsWithTheirLines) {
+  std::string text = Replace(kAgent, "role = \"agent\"", "role = \"captain\"");
+  text = Replace(text, "127.0.0.1:7003", "nowhere");
+  text = Replace(text, "stop_grace_s = 2.5", "stop_grace_s = \"soon\"");
+  text += "colour = 3\n";
+  const NodeSettingsOutcome outcome = ParseNodeSettings(text, "file");
+  EXPECT_TRUE(HasFault(outcome, "file:3: process.role"));
+  EXPECT_TRUE(HasFault(outcome, "network.store"));
+  EXPECT_TRUE(HasFault(outcome, "limits.stop_grace_s"));
+  EXPECT_TRUE(HasFault(outcome, "colour"));
+}
+
+TEST(NodeSettingsTest, AnEntryNeedsItsAddresses) {
+  const NodeSettingsOutcome outcome =
+      ParseNodeSettings(Replace(kAgent, "role = \"agent\"", "role = \"entry\""), "file");
+  EXPECT_TRUE(HasFault(outcome, "network.callers"));
+  EXPECT_TRUE(HasFault(outcome, "network.readiness"));
+}
+
+}  // namespace
+}  // namespace basilspring::fleet
