Compute the time for a caller's store call in one place

Cause: the same bounds on a call's time stood five times in entry_duty.cc, in two spellings of the same value, with an unnamed lower bound. Behaviour is unchanged.

--- a/src/fleet/entry_duty.cc
+++ b/src/fleet/entry_duty.cc
@@ -36,6 +36,12 @@
 // A failure this recent answers for another try. The configuration's watch tries all the time.
 constexpr Duration kFreshFailure(400);
 
+// A call of the store is given at least this long, also when its caller's time is nearly over.
+constexpr Duration kLeastStoreTime(100);
+
+/// The time for one call of the store, of what is left of the caller's.
+Duration StoreTime(Duration left) { return std::clamp(left, kLeastStoreTime, kStoreTimeout); }
+
 bool IsJobId(const std::string& text) {
   return text.size() == kJobIdLength && std::all_of(text.begin(), text.end(), [](unsigned char c) {
            return std::isxdigit(c) != 0;
@@ -242,7 +248,7 @@
 void EntryDuty::StoreJob(const ExchangePtr& exchange, const std::string& bytes) {
   const std::string key = StoreKeys::Job(exchange->job);
   StoreCall call = StoreCall::Transaction().If(key, 0).Set(key, bytes);
-  call.timeout = std::min(kStoreTimeout, std::max(TimeLeft(*exchange), Duration(100)));
+  call.timeout = StoreTime(TimeLeft(*exchange));
   ++exchange->attempts;
   context_.store.Call(call, [this, alive = alive_, exchange, bytes](const StoreReply& reply) {
     if (!*alive) return;
@@ -308,7 +314,7 @@
 
 void EntryDuty::LookInStore(const ExchangePtr& exchange) {
   StoreCall call = StoreCall::Get(StoreKeys::Progress(exchange->job));
-  call.timeout = std::max(std::min(kStoreTimeout, TimeLeft(*exchange)), Duration(100));
+  call.timeout = StoreTime(TimeLeft(*exchange));
   context_.store.Call(call, [this, alive = alive_, exchange](const StoreReply& reply) {
     if (!*alive) return;
     if (reply.status == StoreStatus::kOk && !reply.items.empty()) {
@@ -326,7 +332,7 @@
       return;
     }
     StoreCall next = StoreCall::Get(StoreKeys::Job(exchange->job));
-    next.timeout = std::max(std::min(kStoreTimeout, TimeLeft(*exchange)), Duration(100));
+    next.timeout = StoreTime(TimeLeft(*exchange));
     context_.store.Call(next, [this, alive, exchange](const StoreReply& job) {
       if (!*alive) return;
       if (job.status == StoreStatus::kOk) {
@@ -342,7 +348,7 @@
 
 void EntryDuty::Cancel(const ExchangePtr& exchange) {
   StoreCall call = StoreCall::Get(StoreKeys::Job(exchange->job));
-  call.timeout = std::max(std::min(kStoreTimeout, TimeLeft(*exchange)), Duration(100));
+  call.timeout = StoreTime(TimeLeft(*exchange));
   context_.store.Call(call, [this, alive = alive_, exchange](const StoreReply& reply) {
     if (!*alive) return;
     if (reply.status == StoreStatus::kNotFound) {
@@ -360,7 +366,7 @@
 void EntryDuty::StoreCancel(const ExchangePtr& exchange) {
   const std::string key = StoreKeys::Cancel(exchange->job);
   StoreCall call = StoreCall::Transaction().If(key, 0).Set(key, "");
-  call.timeout = std::max(std::min(kStoreTimeout, TimeLeft(*exchange)), Duration(100));
+  call.timeout = StoreTime(TimeLeft(*exchange));
   ++exchange->attempts;
   context_.store.Call(call, [this, alive = alive_, exchange](const StoreReply& reply) {
     if (!*alive) return;
