Count room that is being freed in plans; leave draining workers by what can still finish

Four ran on workers that were taken away at short notice and worked on until 0.6 s before the end, though they could not finish; one planned its preemption three times, because room that an earlier plan was freeing did not count and other runs were stopped for it again (126 runs stopped for one gang of 9).

Change: a plan uses room that is about to be freed before it stops anything else. A run without checkpoints on a leaving worker moves at once when it can't finish there, and is left alone when it can; the prediction uses the run's own pace.

Tests that failed first: SchedulerLoadTest.ALostWorkerOfAReservationIsReplacedAlone (64 runs stopped instead of 40), AGangThatCannotFinishOnALeavingWorkerMovesAtOnce, ARunThatEndsBeforeItsWorkerLeavesIsLeftAlone.

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -28,12 +28,18 @@
   Duration silence_limit = Duration(1500);
   /// An unanswered stop is sent again after this time.
   Duration stop_retry = Duration(500);
+  /// Beyond the stop time, how long a stopped run may take to be listed as ended before work is
+  /// planned elsewhere: a poll and a report of its agent on a busy host.
+  Duration stop_slack = Duration(600);
   /// A run whose progress stands still for this long is stopped and started elsewhere.
   Duration stall_limit = Duration(3000);
   /// First time that a backend server which fails what it starts gets nothing new; doubles.
   Duration first_probation = Duration(4000);
   /// How long before a draining backend server leaves its runs are stopped to save their state.
   Duration drain_margin = Duration(600);
+  /// On a draining backend server, a run that can't continue elsewhere is left alone if it is
+  /// expected to end this long before the server leaves; covers small errors of the prediction.
+  Duration finish_margin = Duration(200);
   /// How long a finished job is kept for its callers.
   Duration keep_finished = Duration(120000);
   /// In a fleet that is less than half used, a job of which nothing runs waits no longer than this
@@ -146,6 +152,8 @@
     Resources needs;
     bool confirmed = false;
     bool stopping = false;
+    /// When its stop was first asked for.
+    TimePoint stopping_since;
     /// The next time to send its stop.
     TimePoint stop_due;
     /// When the backend server first confirmed that it stops the run.
@@ -154,6 +162,9 @@
     std::uint64_t visible_from = 0;
     std::string checkpoint;
     std::int32_t percent = 0;
+    /// The first progress that was listed, and when; the run's own pace counts from it.
+    std::optional<std::int32_t> first_percent;
+    TimePoint first_percent_at;
     TimePoint progressed_at;
     TimePoint working_since;
     /// Its run time tells how long such tasks take: started here, from the beginning, near its
@@ -291,6 +302,8 @@
   void StopUnwanted(TimePoint now);
   void CheckSilentWorkers(TimePoint now);
   void CheckDrains(TimePoint now);
+  bool MustLeave(TimePoint now, const Worker& worker, const RunKey& key) const;
+  Duration TimeToFinish(TimePoint now, const Job& job, const RunKey& key) const;
   void CheckStalls(TimePoint now);
   bool GangProgresses(TimePoint now, const Job& job, std::size_t step) const;
   /// Whether an agent that may have runs of the step has not shown yet what it has.
@@ -334,6 +347,8 @@
   Duration TimeUntilFits(TimePoint now, const Worker& worker, Resources room,
                          const Resources& needs) const;
   Duration RemainingTime(TimePoint now, const RunKey& key, const Allocation& run) const;
+  /// Whether the room of a run that is being stopped can still be expected soon.
+  bool FreesSoon(TimePoint now, const Allocation& run) const;
 
   // What is stopped for others, in scheduler_preemption.cc.
   void AddVictims(TimePoint now, const Pass& pass, const ReadyStep& ready, View& view) const;
--- a/src/fleet/scheduler_checks.cc
+++ b/src/fleet/scheduler_checks.cc
@@ -67,9 +67,8 @@
 void SchedulerCore::CheckDrains(TimePoint now) {
   for (auto& [node, worker] : workers_) {
     if (!worker.backend || !worker.backend->draining) continue;
-    if (now < worker.drain_deadline - options_.stop_time - options_.drain_margin) continue;
     for (auto& [key, run] : worker.runs) {
-      if (run.stopping) continue;
+      if (run.stopping || !MustLeave(now, worker, key)) continue;
       Say(fmt::format("task={} run={} worker={} is stopped: the worker leaves", key.task.ToString(),
                       key.run.value(), node.value()));
       Job* job = FindJob(key.task);
@@ -83,6 +82,34 @@
   }
 }
 
+Duration SchedulerCore::TimeToFinish(TimePoint now, const Job& job, const RunKey& key) const {
+  const std::size_t step = StepIndex(job, key.task);
+  Duration longest;
+  for (std::size_t i = 0; i < job.steps[step].tasks.size(); ++i) {
+    const TaskId id = IdOf(job, step, i);
+    // The members of a gang end together, so the slowest one decides.
+    if (!SpecOf(job, step).gang && id != key.task) continue;
+    const Task& task = job.steps[step].tasks[i];
+    const auto worker = workers_.find(task.worker);
+    if (task.phase != TaskPhase::kActive || worker == workers_.end()) continue;
+    const auto run = worker->second.runs.find({id, task.run});
+    if (run == worker->second.runs.end()) continue;
+    longest = std::max(longest, RemainingTime(now, run->first, run->second));
+  }
+  return longest;
+}
+
+bool SchedulerCore::MustLeave(TimePoint now, const Worker& worker, const RunKey& key) const {
+  const Duration left = worker.drain_deadline - now;
+  const bool last_call = left <= options_.stop_time + options_.drain_margin;
+  const auto job = jobs_.find(key.task.job);
+  if (job == jobs_.end()) return last_call;
+  const StepSpec& spec = SpecOf(job->second, StepIndex(job->second, key.task));
+  // A lasting run is of use to the end, and one with checkpoints loses nothing by working on.
+  if (spec.long_running || spec.checkpoints) return last_call;
+  return TimeToFinish(now, job->second, key) + options_.finish_margin > left;
+}
+
 bool SchedulerCore::GangProgresses(TimePoint now, const Job& job, std::size_t step) const {
   if (!SpecOf(job, step).gang) return false;
   // Members that have done their share wait for the slower ones, because all end together.
--- a/src/fleet/scheduler_orders.cc
+++ b/src/fleet/scheduler_orders.cc
@@ -118,6 +118,7 @@
     if (!start) continue;
     Job* job = FindJob(key.task);
     if (status == BackendStatus::kStopped) {
+      if (!run->second.stopping) run->second.stopping_since = now;
       run->second.stopping = true;
       run->second.stop_confirmed_at = now;
       run->second.stop_due = now + options_.stop_time + options_.stop_retry;
--- a/src/fleet/scheduler_pass.h
+++ b/src/fleet/scheduler_pass.h
@@ -25,7 +25,7 @@
   struct Row {
     Worker* worker = nullptr;
     Resources free;
-    /// Of what runs here, the part that is being stopped.
+    /// Of what runs here, the part that is being stopped and should end soon.
     Resources stopping;
     /// Held for steps that wait for that.
     Resources reserved;
@@ -48,6 +48,8 @@
   std::vector<Candidate> candidates;
   /// For each candidate its row of the pass.
   std::vector<std::size_t> rows;
+  /// For each candidate what is unclaimed once the stops under way have taken effect.
+  std::vector<Resources> room_after_stops;
   /// For each victim handle one of its runs.
   std::vector<std::pair<NodeId, RunKey>> victims;
 };
--- a/src/fleet/scheduler_preemption.cc
+++ b/src/fleet/scheduler_preemption.cc
@@ -42,6 +42,8 @@
   std::map<std::pair<JobId, std::size_t>, std::size_t> gangs;
   for (std::size_t i = 0; i < view.rows.size(); ++i) {
     const Worker& worker = *pass.rows[view.rows[i]].worker;
+    // Room that an earlier plan has freed is used before anything else is stopped.
+    view.candidates[i].room = view.room_after_stops[i];
     for (const auto& [key, run] : worker.runs) {
       if (run.stopping || key.task.job == ready.job->spec.id) continue;
       const auto found = jobs_.find(key.task.job);
@@ -100,7 +102,7 @@
   for (Pass::Row& row : pass.rows) {
     row.stopping = Resources();
     for (const auto& [key, run] : row.worker->runs) {
-      if (run.stopping) row.stopping += run.needs;
+      if (FreesSoon(now, run)) row.stopping += run.needs;
     }
   }
 }
--- a/src/fleet/scheduler_queue.cc
+++ b/src/fleet/scheduler_queue.cc
@@ -15,8 +15,6 @@
 // Run numbers of one term, so that those of the next are higher without a record of each start. A
 // lasting task that fails at once starts about ten times a second, so this is a day of such starts.
 constexpr std::uint64_t kRunsPerTerm = 1000000;
-// A reservation that takes this much longer than the stops it waits for is planned anew.
-constexpr Duration kReservationSlack(1500);
 // Jobs beyond their workspace's guarantee stop others only for less lost work than this multiple of
 // their own: past it, all callers together wait longer for the sake of one.
 constexpr double kWorthStopping = 2.0;
@@ -196,7 +194,7 @@
   }
   const bool valid = rows.size() == step.reserved.size() &&
                      step.reserved.size() == ready.waiting.size() &&
-                     now - step.reserved_at <= options_.stop_time + kReservationSlack;
+                     now - step.reserved_at <= options_.stop_time + options_.stop_slack;
   const bool fits = std::all_of(counts.begin(), counts.end(), [&](const auto& row) {
     return Times(spec.needs, row.second).FitsIn(pass.rows[row.first].free);
   });
--- a/src/fleet/scheduler_room.cc
+++ b/src/fleet/scheduler_room.cc
@@ -10,6 +10,12 @@
 // What room there is for a step, and what is kept for others. The load that this answers: bursts of
 // urgent jobs, and gangs that wait for whole workers while small tasks refill every gap.
 namespace basilspring::fleet {
+namespace {
+
+// Progress after which a run's own pace says more than what other runs have taken.
+constexpr std::int32_t kPacePercent = 10;
+
+}  // namespace
 
 Resources SchedulerCore::FreeRoom(const Worker& worker) const {
   Resources room = worker.backend->capacity;
@@ -17,6 +23,10 @@
   return room;
 }
 
+bool SchedulerCore::FreesSoon(TimePoint now, const Allocation& run) const {
+  return run.stopping && now - run.stopping_since <= options_.stop_time + options_.stop_slack;
+}
+
 bool SchedulerCore::IsUsable(TimePoint now, const Worker& worker, const ServiceId& service) const {
   return worker.rows_seen && worker.backend && worker.backend->service == service &&
          !worker.backend->draining && now - worker.last_report <= options_.silence_limit &&
@@ -34,7 +44,7 @@
     row.worker = &worker;
     row.free = FreeRoom(worker);
     for (const auto& [key, run] : worker.runs) {
-      if (run.stopping) row.stopping += run.needs;
+      if (FreesSoon(now, run)) row.stopping += run.needs;
     }
     pass.index[node] = pass.rows.size();
     pass.rows.push_back(row);
@@ -109,6 +119,7 @@
     candidate.suspect = !worker.failed_jobs.empty() || failed_on.count(worker.node) > 0;
     view.candidates.push_back(std::move(candidate));
     view.rows.push_back(i);
+    view.room_after_stops.push_back(later);
   }
   return view;
 }
@@ -122,6 +133,12 @@
   const StepSpec& spec = SpecOf(job, StepIndex(job, key.task));
   const Duration whole = run_times_.Predict(job.spec.queue, key.task.step, spec.estimate);
   constexpr std::int32_t kWhole = 100;
+  const std::int32_t progress = run.percent - run.first_percent.value_or(run.percent);
+  if (progress >= kPacePercent) {
+    const Duration at_own_pace =
+        (run.progressed_at - run.first_percent_at) * (kWhole - run.percent) / progress;
+    return std::max(Duration(0), at_own_pace - (now - run.progressed_at));
+  }
   const Duration by_percent = whole * (kWhole - run.percent) / kWhole;
   const Duration by_time = run.working_since + whole - now;
   return std::max(Duration(0), std::min(by_percent, by_time));
--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -158,6 +158,10 @@
   run.confirmed = true;
   if (run.visible_from == 0) run.visible_from = poll;
   if (!row.checkpoint.empty()) run.checkpoint = row.checkpoint;
+  if (!run.first_percent) {
+    run.first_percent = row.percent;
+    run.first_percent_at = now;
+  }
   if (row.percent != run.percent) {
     run.percent = row.percent;
     run.progressed_at = now;
@@ -301,6 +305,7 @@
 }
 
 void SchedulerCore::RequestStop(TimePoint now, Worker& worker, const RunKey& key, Allocation& run) {
+  if (!run.stopping) run.stopping_since = now;
   run.stopping = true;
   run.stop_due = now + options_.stop_retry;
   Order order;
--- a/tests/fleet/scheduler_load_test.cc
+++ b/tests/fleet/scheduler_load_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <stdexcept>
+
 #include "fleet_harness.h"
 
 // Plays the loads that the policy answers and checks what callers get.
@@ -32,6 +34,21 @@
     return -1;
   }
 
+  /// An agent that has a run of the job.
+  FleetHarness::Agent& AgentOf(const JobId& job) {
+    for (const auto& [name, run] : fleet_.starts()) {
+      if (run.task.job == job) return fleet_.agent(name);
+    }
+    throw std::logic_error("the job has not begun");
+  }
+
+  static void AnnounceDrain(FleetHarness::Agent& agent, std::int64_t remaining_ms) {
+    BackendAnnouncement& backend = agent.report.backend.front();
+    backend.draining = true;
+    backend.drain_remaining = Duration(remaining_ms);
+    ++backend.sequence;
+  }
+
   FleetHarness fleet_;
 };
 
@@ -102,6 +119,50 @@
   EXPECT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, 25 * kSecond));
 }
 
+// The worker of one member of an urgent gang left while the others were still being freed: the
+// whole reservation was given up, and as much work was stopped again elsewhere.
+TEST_F(SchedulerLoadTest, ALostWorkerOfAReservationIsReplacedAlone) {
+  for (int i = 6; i < 12; ++i) fleet_.AddAgent("a" + std::to_string(i), "rack2");
+  const JobId borrowed = fleet_.Submit("batch", "other", MakeStep(96, 1, 10 * kSecond));
+  fleet_.Advance(kSecond);
+  ASSERT_EQ(fleet_.Running(borrowed), 96U);
+  StepSpec gang = MakeStep(4, 8, 8 * kSecond);
+  gang.gang = true;
+  const JobId urgent = fleet_.Submit("urgent", "other", gang);
+  while (fleet_.core().counts().runs_preempted == 0) fleet_.Advance(20);
+  fleet_.Advance(100);
+  for (int i = 0; i < 12; ++i) {
+    FleetHarness::Agent& agent = fleet_.agent("a" + std::to_string(i));
+    if (agent.runs.empty() || agent.runs.front().stop_at_ms < 0) continue;
+    AnnounceDrain(agent, 9 * kSecond);
+    break;
+  }
+  EXPECT_GE(TimeToBegin(urgent, 4, 2 * kSecond), 0);
+  EXPECT_EQ(fleet_.core().counts().runs_preempted, 40U);
+}
+
+// Gangs on a worker that was taken away at short notice worked on until it left, and lost all of
+// it.
+TEST_F(SchedulerLoadTest, AGangThatCannotFinishOnALeavingWorkerMovesAtOnce) {
+  StepSpec gang = MakeStep(3, 8, 6 * kSecond);
+  gang.gang = true;
+  const JobId job = fleet_.Submit("urgent", "other", gang);
+  fleet_.Advance(kSecond);
+  ASSERT_EQ(fleet_.Running(job), 3U);
+  AnnounceDrain(AgentOf(job), 2 * kSecond);
+  EXPECT_GE(TimeToBegin(job, 6, 1000), 0);
+  EXPECT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, 7 * kSecond));
+}
+
+// Runs that would have ended before their worker left were stopped half a second too early.
+TEST_F(SchedulerLoadTest, ARunThatEndsBeforeItsWorkerLeavesIsLeftAlone) {
+  const JobId job = fleet_.Submit("urgent", "other", MakeStep(1, 8, 5 * kSecond));
+  fleet_.Advance(3200);
+  AnnounceDrain(AgentOf(job), 2100);
+  EXPECT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, 2100));
+  EXPECT_EQ(fleet_.StartsOf(job), 1U);
+}
+
 // One worker fails everything it starts and so attracts all work.
 TEST_F(SchedulerLoadTest, AWorkerThatFailsEverythingGetsNoMoreWork) {
   fleet_.end_of = [](const std::string& agent, const TaskId&) {
