Refuse at once what no worker can ever hold

Cause: a job that needs more than any worker has, or a label that none has, was accepted and waited in silence.

Change: the scheduler tells the entries the kinds of workers it has seen, once all agents of earlier terms have reported and ten seconds have passed; an entry refuses a job that fits none of them with 422 and the step that does not fit, after a read that shows that no former attempt was accepted. The size of a gang is not judged, because workers come and go. QueueSummary::overload, which nothing read, is gone. The entry's way of taking in a job has a file of its own.

Tests: AdmissionTest; scripts/platform-path.sh (failed before: the job was accepted).

--- a/include/basilspring/fleet/entry_duty.h
+++ b/include/basilspring/fleet/entry_duty.h
@@ -76,6 +76,7 @@
   void Submit(const ExchangePtr& exchange, const Queue& queue);
   void OnJobNotStored(const ExchangePtr& exchange, const std::string& bytes,
                       const StoreReply& reply);
+  void RefuseUnlessStored(const ExchangePtr& exchange, const std::string& reason);
   void ProbeThenStore(const ExchangePtr& exchange, const std::string& bytes);
   void StoreJob(const ExchangePtr& exchange, const std::string& bytes);
   void Look(const ExchangePtr& exchange);
--- a/include/basilspring/fleet/peer_messages.h
+++ b/include/basilspring/fleet/peer_messages.h
@@ -8,6 +8,7 @@
 #include "basilspring/clock.h"
 #include "basilspring/connection/address.h"
 #include "basilspring/connection/serialize.h"
+#include "basilspring/fleet/admission.h"
 #include "basilspring/fleet/backend.h"
 #include "basilspring/fleet/job_model.h"
 #include "basilspring/fleet/store.h"
@@ -115,9 +116,7 @@
   QueueId queue;
   /// Accepted jobs of which no task has started; repeated jobs don't count.
   std::int64_t pending = 0;
-  /// Estimated wait of a job that arrives now, beyond what its callers allow for.
-  Duration overload;
-  BASILSPRING_SERIALIZE(queue, pending, overload)
+  BASILSPRING_SERIALIZE(queue, pending)
 };
 
 struct SummaryReply {
@@ -125,9 +124,11 @@
   Term term;
   Address scheduler;
   std::vector<QueueSummary> queues;
+  /// The kinds of workers, once the scheduler has been in office long enough to know all of them.
+  std::vector<WorkerShape> shapes;
   /// Processes that the scheduler knows, to reach the store through when the own way is cut.
   std::vector<Address> peers;
-  BASILSPRING_SERIALIZE(accepted, term, scheduler, queues, peers)
+  BASILSPRING_SERIALIZE(accepted, term, scheduler, queues, shapes, peers)
 };
 
 /// A process without a way to the store asks a peer to make a call for it.
--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -132,6 +132,8 @@
   /// is shown once it is stored.
   std::optional<JobPhase> PhaseOf(const JobId& job) const;
   std::vector<QueueSummary> Summaries() const;
+  /// The kinds of workers that were seen in this term; empty while some may still be missing.
+  std::vector<WorkerShape> Shapes(TimePoint now) const;
   /// The number up to which the ends of this agent's backend server are stored.
   std::int64_t AcknowledgedEnd(const NodeId& node) const;
   /// Whether an answer to the agent's report should wait, because ends in it are being stored.
@@ -282,6 +284,7 @@
   void RemoveOldJobs(SchedulerOutput& out);
 
   // Reports, ends and losses, in scheduler_runs.cc.
+  void RememberShape(const BackendAnnouncement& life);
   void TakeLife(TimePoint now, Worker& worker, const AgentReport& report);
   void AdoptRow(TimePoint now, Worker& worker, const RunningRow& row, std::uint64_t poll);
   void DropVanishedRuns(TimePoint now, Worker& worker, const AgentReport& report);
@@ -368,6 +371,9 @@
   std::set<JobId> active_;
   std::set<JobId> cancelled_early_;
   std::map<NodeId, Worker> workers_;
+  /// Agents of earlier terms that have not reported in this one.
+  std::set<NodeId> unheard_agents_;
+  std::vector<WorkerShape> shapes_;
   RunTimeModel run_times_;
   /// Recent peak of the accelerators that jobs of the first priority use or wait for.
   double urgent_peak_ = 0;
--- a/scripts/platform-path.sh
+++ b/scripts/platform-path.sh
@@ -134,6 +134,17 @@
 until_true 10 in_state $served 0000000000000005 cancelled || fail "job 5 is not shown as cancelled"
 sleep 1
 
+# A job that no worker can hold is refused at once, and a repeat of an accepted one is not.
+unservable='{"spec":"1","steps":[{"count":1,"cpu":1000,"mem_mb":1000,"gpu":9,"estimate_ms":1}]}'
+tried=0
+# Each try is another job: one that was accepted before the scheduler knew all workers stays accepted.
+refused_for_good() {
+  tried=$((tried + 1))
+  [[ $(call "$1" POST "/q/$(printf '%016x' $((0xf000 + tried)))" "$unservable") == 422* ]]
+}
+until_true 15 refused_for_good $served || fail "a job that fits nowhere is not refused: $(cat "$run_dir/answer")"
+submitted $served 0000000000000005 "$unservable" || fail "the repeat of job 5 is not accepted"
+
 # From what the backend servers have seen: no task worked twice at a time, and each of 13 ended once.
 : >"$run_dir/history"
 for ip in "${agents[@]}"; do curl -fsS "http://$ip:7956/history" >>"$run_dir/history"; done
--- a/src/fleet/entry_duty.cc
+++ b/src/fleet/entry_duty.cc
@@ -7,9 +7,15 @@
 #include <utility>
 
 #include "basilspring/process/log.h"
+#include "fleet/entry_timing.h"
 #include "fleet/peer_call.h"
 
 namespace basilspring::fleet {
+
+using internal::kComeBack;
+using internal::kStoreTimeout;
+using internal::StoreTime;
+
 namespace {
 
 constexpr std::size_t kJobIdLength = 16;
@@ -17,9 +23,6 @@
 constexpr Duration kDefaultPatience(3000);
 // Kept of a caller's time for the way back.
 constexpr Duration kAnswerMargin(200);
-// One write of a job; the rest of the caller's time is for repeats.
-constexpr Duration kStoreTimeout(900);
-constexpr Duration kStoreRetry(60);
 // The scheduler answers from memory.
 constexpr Duration kSchedulerTimeout(450);
 constexpr Duration kSummaryInterval(700);
@@ -27,21 +30,6 @@
 constexpr Duration kSummaryTimeout(600);
 // Counts that callers are shown may be this old.
 constexpr Duration kSummaryAge(1900);
-// A caller that was refused because the store or the scheduler is away comes back after this time:
-// a new scheduler takes over within about three seconds.
-constexpr Duration kComeBack(1000);
-// Outages of the store last several seconds.
-constexpr Duration kStoreComeBack(2000);
-constexpr Duration kProbeTimeout(350);
-// A failure this recent answers for another try. The configuration's watch tries all the time.
-constexpr Duration kFreshFailure(400);
-
-// A call of the store is given at least this long, also when its caller's time is nearly over.
-constexpr Duration kLeastStoreTime(100);
-
-/// The time for one call of the store, of what is left of the caller's.
-Duration StoreTime(Duration left) { return std::clamp(left, kLeastStoreTime, kStoreTimeout); }
-
 bool IsJobId(const std::string& text) {
   return text.size() == kJobIdLength && std::all_of(text.begin(), text.end(), [](unsigned char c) {
            return std::isxdigit(c) != 0;
@@ -198,89 +186,6 @@
   }
 }
 
-void EntryDuty::Submit(const ExchangePtr& exchange, const Queue& queue) {
-  if (stopping_) {
-    Refuse(exchange, ErrorKind::kShuttingDown, "this entry is stopping", kComeBack);
-    return;
-  }
-  JobSpec job;
-  try {
-    job = context_.format.DecodeJob(exchange->request.body);
-  } catch (const Error& error) {
-    Refuse(exchange, ErrorKind::kInvalidArgument, error.what());
-    return;
-  }
-  job.id = exchange->job;
-  job.queue = queue.id;
-  job.workspace = exchange->workspace;
-  job.accepted_unix_ms = Clock::WallMilliseconds();
-  const std::string bytes = EncodeJobSpec(job);
-  const TimePoint now = Clock::Now();
-  const bool away = context_.store.IsAway(now);
-  if (away && now - context_.store.last_failure() < kFreshFailure) {
-    Refuse(exchange, ErrorKind::kStoreUnavailable, "the store has been away until just now",
-           kStoreComeBack);
-  } else if (away) {
-    ProbeThenStore(exchange, bytes);
-  } else {
-    StoreJob(exchange, bytes);
-  }
-}
-
-void EntryDuty::ProbeThenStore(const ExchangePtr& exchange, const std::string& bytes) {
-  // A read tells whether the store is back. A write that fails could still be carried out, and the
-  // caller could not be told that the job never runs.
-  StoreCall probe = StoreCall::Get(Leadership::LeaderKey());
-  probe.timeout = kProbeTimeout;
-  context_.store.CallDirectly(probe, [this, alive = alive_, exchange,
-                                      bytes](const StoreReply& reply) {
-    if (!*alive) return;
-    const bool back = reply.status == StoreStatus::kOk || reply.status == StoreStatus::kNotFound;
-    if (back) {
-      StoreJob(exchange, bytes);
-    } else {
-      Refuse(exchange, ErrorKind::kStoreUnavailable, "the store is away: " + reply.message,
-             kStoreComeBack);
-    }
-  });
-}
-
-void EntryDuty::StoreJob(const ExchangePtr& exchange, const std::string& bytes) {
-  const std::string key = StoreKeys::Job(exchange->job);
-  StoreCall call = StoreCall::Transaction().If(key, 0).Set(key, bytes);
-  call.timeout = StoreTime(TimeLeft(*exchange));
-  ++exchange->attempts;
-  context_.store.Call(call, [this, alive = alive_, exchange, bytes](const StoreReply& reply) {
-    if (!*alive) return;
-    // A key that exists was written by an earlier attempt of the same request: it is one job.
-    if (reply.status == StoreStatus::kOk || reply.status == StoreStatus::kConflict) {
-      Answer(exchange, JobAcceptedAnswer{});
-      return;
-    }
-    OnJobNotStored(exchange, bytes, reply);
-  });
-}
-
-void EntryDuty::OnJobNotStored(const ExchangePtr& exchange, const std::string& bytes,
-                               const StoreReply& reply) {
-  exchange->in_doubt = exchange->in_doubt || reply.status == StoreStatus::kUnknown;
-  const bool away = context_.store.IsAway(Clock::Now());
-  // A job that is certainly not stored is refused at once when the store is away. One in doubt is
-  // written again as long as its caller waits, because only that settles it.
-  const bool again = TimeLeft(*exchange) > kStoreTimeout / 2 && (exchange->in_doubt || !away);
-  if (again) {
-    context_.run_later(kStoreRetry, [this, alive = alive_, exchange, bytes] {
-      if (*alive) StoreJob(exchange, bytes);
-    });
-  } else if (exchange->in_doubt) {
-    Refuse(exchange, ErrorKind::kStoreOutcomeUnknown,
-           "the store did not say whether the job was stored: " + reply.message);
-  } else {
-    Refuse(exchange, ErrorKind::kStoreUnavailable, "the store is away: " + reply.message,
-           kStoreComeBack);
-  }
-}
-
 void EntryDuty::Look(const ExchangePtr& exchange) {
   const JobQuery query{exchange->job};
   const auto use = [this, exchange](const JobQueryReply& reply) {
--- a/src/fleet/scheduler_core.cc
+++ b/src/fleet/scheduler_core.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace basilspring::fleet {
@@ -10,6 +11,9 @@
 
 // A job that is older than this when it is read was accepted by a clock that is wrong.
 constexpr Duration kMaxAge = Duration::Seconds(3600);
+// After this long in office, agents that no earlier term knew have announced themselves too:
+// several intervals of a backend server's announcements.
+constexpr Duration kShapesSettle(10000);
 
 }  // namespace
 
@@ -129,6 +133,7 @@
   Worker& worker = workers_[node];
   worker.node = node;
   worker.address = address;
+  if (!worker.reported) unheard_agents_.insert(node);
 }
 
 void SchedulerCore::Finish(Job& job, JobPhase phase, const std::string& reason) {
@@ -237,10 +242,29 @@
   }
   std::vector<QueueSummary> rows;
   rows.reserve(pending.size());
-  for (const auto& [queue, count] : pending) rows.push_back({queue, count, Duration(0)});
+  for (const auto& [queue, count] : pending) rows.push_back({queue, count});
   return rows;
 }
 
+std::vector<WorkerShape> SchedulerCore::Shapes(TimePoint now) const {
+  const bool settled = now - term_began_ >= kShapesSettle && unheard_agents_.empty();
+  return settled ? shapes_ : std::vector<WorkerShape>();
+}
+
+void SchedulerCore::RememberShape(const BackendAnnouncement& life) {
+  auto found = std::find_if(shapes_.begin(), shapes_.end(), [&](const WorkerShape& shape) {
+    return shape.service == life.service && shape.capacity == life.capacity;
+  });
+  if (found == shapes_.end()) {
+    shapes_.push_back({life.service, life.capacity, {}});
+    found = std::prev(shapes_.end());
+  }
+  for (const std::string& label : life.labels) {
+    auto& labels = found->labels;
+    if (std::find(labels.begin(), labels.end(), label) == labels.end()) labels.push_back(label);
+  }
+}
+
 std::int64_t SchedulerCore::AcknowledgedEnd(const NodeId& node) const {
   const auto found = workers_.find(node);
   if (found == workers_.end()) return 0;
--- a/src/fleet/scheduler_duty.cc
+++ b/src/fleet/scheduler_duty.cc
@@ -393,6 +393,7 @@
   reply.term = term_;
   reply.scheduler = context_.own_address;
   reply.queues = core_.Summaries();
+  reply.shapes = core_.Shapes(Clock::Now());
   entries_[query.node] = query.address;
   for (const auto& [node, address] : entries_) reply.peers.push_back(address);
   reply.peers.push_back(context_.own_address);
--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -36,6 +36,7 @@
   Worker& worker = workers_[report.node];
   const bool stale = worker.incarnation == report.incarnation && worker.reported &&
                      report.number <= worker.report_number;
+  unheard_agents_.erase(report.node);
   if (!stale) {
     worker.node = report.node;
     worker.address = report.address;
@@ -88,6 +89,7 @@
   const bool was_draining = same && worker.backend->draining;
   const bool news = !same || worker.backend->sequence != life.sequence;
   worker.backend = life;
+  if (!same) RememberShape(life);
   if (life.draining) {
     // What remains counts from the announcement, not from each report that repeats it.
     if (news) worker.drain_deadline = now + life.drain_remaining;
