--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -47,7 +47,7 @@
   Duration rack_wait = Duration(1000);
   /// A job of the first priority that is beyond its workspace's guarantee stops other work only
   /// after waiting this long.
-  Duration borrow_wait = Duration(300);
+  Duration borrow_wait = Duration(100);
   /// Time in which the remembered peak of the first priority's use falls to about a third.
   Duration headroom_memory = Duration(6000);
   /// Waiting gangs, the most urgent ones, for which workers are kept from refilling.
--- a/src/fleet/scheduler_queue.cc
+++ b/src/fleet/scheduler_queue.cc
@@ -17,7 +17,7 @@
 constexpr std::uint64_t kRunsPerTerm = 1000000;
 // Jobs beyond their workspace's guarantee stop others only for less lost work than this multiple of
 // their own: past it, all callers together wait longer for the sake of one.
-constexpr double kWorthStopping = 2.0;
+constexpr double kWorthStopping = 4.0;
 // A job is of use to its caller up to this multiple of the time in which it is on time.
 constexpr double kUsefulFactor = 3.0;
 // How often the log says why a step waits.
--- a/tests/fleet/scheduler_load_test.cc
+++ b/tests/fleet/scheduler_load_test.cc
@@ -82,6 +82,17 @@
   EXPECT_TRUE(fleet_.RunUntil(urgent, JobPhase::kCompleted, 6 * kSecond));
 }
 
+// Urgent jobs beyond a guarantee waited until they were late, because what they would have stopped
+// had worked for some seconds; late they are worth a fifth to their callers.
+TEST_F(SchedulerLoadTest, AnUrgentJobBeyondAGuaranteeIsOnTimeAmongLongTasks) {
+  fleet_.Submit("batch", "other", MakeStep(48, 1, 30 * kSecond));
+  fleet_.Advance(6 * kSecond);
+  StepSpec gang = MakeStep(2, 8, 2500);
+  gang.gang = true;
+  const JobId urgent = fleet_.Submit("urgent", "other", gang);
+  EXPECT_TRUE(fleet_.RunUntil(urgent, JobPhase::kCompleted, 2500 * 3 / 2 + 400));
+}
+
 // A gang that needs whole workers starved while small tasks refilled every gap.
 TEST_F(SchedulerLoadTest, AWaitingGangGetsRoomThoughSmallTasksKeepComing) {
   for (int i = 0; i < 48; ++i)
