Take over changed settings while running

Cause: a SIGHUP only wrote a line that the settings take effect at the next start, and a file that changed without a signal was not looked at.

Change: the file is read again at a SIGHUP and when its time of change differs (looked at every two seconds). Seeds, log level, stop grace and the scheduler's options are taken over, the last from its next term on; addresses and names are named in the log as waiting for a restart. A file with faults keeps the former settings, with a line for each fault.

--- a/include/basilspring/fleet/node.h
+++ b/include/basilspring/fleet/node.h
@@ -25,8 +25,10 @@
 
 using CarrierFactory = std::function<Carriers(HttpClient&, const NodeSettings&)>;
 
-/// Runs a process of the fleet until SIGTERM; returns its exit code.
-int RunNode(const NodeSettings& settings, const CarrierFactory& make_carriers);
+/// Runs a process of the fleet until SIGTERM; returns its exit code. The settings were read from
+/// the file, which is read again at a SIGHUP and when it has changed.
+int RunNode(const NodeSettings& settings, const std::string& file,
+            const CarrierFactory& make_carriers);
 
 }  // namespace basilspring::fleet
 
--- a/include/basilspring/fleet/node_settings.h
+++ b/include/basilspring/fleet/node_settings.h
@@ -47,6 +47,18 @@
   std::vector<SettingsFault> faults;
 };
 
+/// Keys whose value differs in newly read settings.
+struct NodeSettingsChange {
+  /// Taken over by the running process.
+  std::vector<std::string> applied;
+  /// In force only after the next start: addresses, names and what they depend on.
+  std::vector<std::string> deferred;
+};
+
+/// Takes over from `next` what a running process can change. The scheduler's options are used from
+/// its next term on, because runs of the present one were granted leases by the present ones.
+NodeSettingsChange ApplyChanges(const NodeSettings& next, NodeSettings& current);
+
 NodeSettingsOutcome LoadNodeSettings(const std::string& path);
 NodeSettingsOutcome ParseNodeSettings(const std::string& text, const std::string& name);
 
--- a/include/basilspring/process/log.h
+++ b/include/basilspring/process/log.h
@@ -20,6 +20,9 @@
 /// on lines go to standard output instead of standard error.
 void ConfigureLog(LogLevel lowest, std::string process);
 
+/// Changes the lowest level that is written; from any thread.
+void SetLogLevel(LogLevel lowest);
+
 /// Writes one line: time, level, event number and name, process, message. One write call a line, so
 /// that lines of several threads don't mix. Never waits: lines beyond a rate, and lines that the
 /// reader does not take, are left out, and the next line that is written tells how many.
--- a/src/fleet/node.cc
+++ b/src/fleet/node.cc
@@ -1,6 +1,7 @@
 #include "basilspring/fleet/node.h"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <algorithm>
 #include <atomic>
@@ -32,19 +33,28 @@
 constexpr Duration kStartJitter(400);
 // The balancer stops sending new connections after two missed questions, a second apart.
 constexpr Duration kStopListening(2300);
+// The settings file may change without a signal; a look at its time of change costs one system
+// call.
+constexpr Duration kSettingsCheck(2000);
 // Polls of the state of a stopping process.
 constexpr Duration kStopPoll(20);
 
+/// When the file was last written; the earliest time when that can't be told.
+std::filesystem::file_time_type WriteTime(const std::string& file) {
+  std::error_code error;
+  const auto written = std::filesystem::last_write_time(file, error);
+  return error ? std::filesystem::file_time_type::min() : written;
+}
+
 }  // namespace
 
-Node::Node(const NodeSettings& settings, const CarrierFactory& make_carriers)
-    : settings_(settings), entry_role_(settings.role == NodeRole::kEntry) {
+Node::Node(const NodeSettings& settings, std::string file, const CarrierFactory& make_carriers)
+    : settings_(settings),
+      settings_file_(std::move(file)),
+      settings_written_(WriteTime(settings_file_)),
+      entry_role_(settings.role == NodeRole::kEntry) {
   io_.OnStopSignal([this] { stop_signal_.set_value(); });
-  io_.OnReloadSignal([] {
-    // Addresses and limits of a running process don't change; the operators' configuration comes
-    // from the store. The next start reads the file anew.
-    Log(EventId::kSettingsReloaded, "SIGHUP: the settings take effect at the next start");
-  });
+  io_.OnReloadSignal([this] { Post([this] { ReloadSettings("SIGHUP"); }); });
   http_ = std::make_unique<HttpClient>(io_);
   carriers_ = make_carriers(*http_, settings_);
   const Executor executor = [this](std::function<void()> work) { Post(std::move(work)); };
@@ -146,6 +156,29 @@
   store_->SetPeers(std::move(peers));
 }
 
+void Node::CheckSettingsFile(TimePoint now) {
+  if (now < next_settings_check_) return;
+  next_settings_check_ = now + kSettingsCheck;
+  if (WriteTime(settings_file_) != settings_written_) ReloadSettings("the file has changed");
+}
+
+void Node::ReloadSettings(std::string_view cause) {
+  settings_written_ = WriteTime(settings_file_);
+  const NodeSettingsOutcome outcome = LoadNodeSettings(settings_file_);
+  if (!outcome.faults.empty()) {
+    for (const SettingsFault& fault : outcome.faults) {
+      Log(EventId::kSettingsReloaded, "cause=\"{}\" kept the former settings: {}", cause,
+          fault.text);
+    }
+    return;
+  }
+  const NodeSettingsChange change = ApplyChanges(outcome.settings, settings_);
+  SetLogLevel(settings_.log_level);
+  SetPeers();
+  Log(EventId::kSettingsReloaded, "cause=\"{}\" applied={} after_restart={}", cause,
+      fmt::join(change.applied, ","), fmt::join(change.deferred, ","));
+}
+
 void Node::OnOperatorItems(const std::vector<StoreItem>& items, bool snapshot) {
   auto state = std::make_shared<OperatorState>();
   if (operators_) *state = *operators_;
@@ -208,6 +241,7 @@
   if (scheduler_) scheduler_->Tick(now);
   if (entry_) entry_->Tick(now);
   if (agent_) agent_->Tick(now);
+  CheckSettingsFile(now);
 }
 
 bool Node::Drained() const { return entry_ ? entry_->open_requests() == 0 : !agent_->busy(); }
@@ -217,15 +251,18 @@
       entry_role_ ? "entry" : "agent", settings_.peers.ToString(), settings_.store.ToString(),
       settings_.data_centre.value());
   stop_signal_.get_future().wait();
-  Log(EventId::kProcessStopping, "role={} drain_limit_ms={}", entry_role_ ? "entry" : "agent",
-      settings_.drain_limit.milliseconds());
   const TimePoint begun = Clock::Now();
-  Post([this] {
+  std::promise<Duration> limit;
+  Post([this, &limit] {
     if (entry_) entry_->BeginStop();
     leadership_->Resign();
+    limit.set_value(settings_.drain_limit);
   });
+  const Duration drain_limit = limit.get_future().get();
+  Log(EventId::kProcessStopping, "role={} drain_limit_ms={}", entry_role_ ? "entry" : "agent",
+      drain_limit.milliseconds());
   bool drained = false;
-  while (!drained && Clock::Now() - begun < settings_.drain_limit) {
+  while (!drained && Clock::Now() - begun < drain_limit) {
     std::this_thread::sleep_for(std::chrono::milliseconds(kStopPoll.milliseconds()));
     const bool waits_for_balancer = entry_role_ && Clock::Now() - begun < kStopListening;
     std::promise<bool> idle;
@@ -236,8 +273,9 @@
   Log(EventId::kProcessStopped, "role={} drained={}", entry_role_ ? "entry" : "agent", drained);
 }
 
-int RunNode(const NodeSettings& settings, const CarrierFactory& make_carriers) {
-  Node node(settings, make_carriers);
+int RunNode(const NodeSettings& settings, const std::string& file,
+            const CarrierFactory& make_carriers) {
+  Node node(settings, file, make_carriers);
   node.RunUntilStopped();
   return 0;
 }
--- a/src/fleet/node_process.h
+++ b/src/fleet/node_process.h
@@ -2,10 +2,12 @@
 #define BASILSPRING_SRC_FLEET_NODE_PROCESS_H_
 
 #include <atomic>
+#include <filesystem>
 #include <functional>
 #include <future>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "basilspring/connection/http_server.h"
@@ -27,7 +29,7 @@
 /// only hand work to it.
 class Node {
  public:
-  Node(const NodeSettings& settings, const CarrierFactory& make_carriers);
+  Node(const NodeSettings& settings, std::string file, const CarrierFactory& make_carriers);
   ~Node();
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
@@ -53,11 +55,17 @@
   void LoseScheduler();
   void OnScheduler(Term term, const Address& address);
   void SetPeers();
+  /// Reads the settings file again when it has changed since it was last read.
+  void CheckSettingsFile(TimePoint now);
+  void ReloadSettings(std::string_view cause);
   void UpdateMetrics();
   TimePoint LastContact() const;
   bool Drained() const;
 
-  const NodeSettings settings_;
+  NodeSettings settings_;
+  const std::string settings_file_;
+  std::filesystem::file_time_type settings_written_;
+  TimePoint next_settings_check_;
   const bool entry_role_;
   std::atomic<bool> running_{false};
   std::promise<void> stop_signal_;
--- a/src/fleet/node_settings.cc
+++ b/src/fleet/node_settings.cc
@@ -83,6 +83,36 @@
   return outcome;
 }
 
+NodeSettingsChange ApplyChanges(const NodeSettings& next, NodeSettings& current) {
+  NodeSettingsChange change;
+  const auto apply = [&](const char* key, const auto& value, auto& held) {
+    if (value == held) return;
+    held = value;
+    change.applied.emplace_back(key);
+  };
+  const auto defer = [&](const char* key, const auto& value, const auto& held) {
+    if (value != held) change.deferred.emplace_back(key);
+  };
+  apply("network.seeds", next.seeds, current.seeds);
+  apply("log.level", next.log_level, current.log_level);
+  apply("limits.stop_grace_s", next.drain_limit, current.drain_limit);
+  apply("limits.longest_lease_ms", next.scheduler.lease, current.scheduler.lease);
+  apply("limits.stop_time_ms", next.scheduler.stop_time, current.scheduler.stop_time);
+  apply("limits.keep_finished_s", next.scheduler.keep_finished, current.scheduler.keep_finished);
+  defer("process.role", next.role, current.role);
+  defer("process.name", next.name, current.name);
+  defer("process.data_centre", next.data_centre, current.data_centre);
+  defer("network.peers", next.peers, current.peers);
+  defer("network.callers", next.callers, current.callers);
+  defer("network.readiness", next.readiness, current.readiness);
+  defer("network.announcements", next.announcements, current.announcements);
+  defer("network.backend", next.backend, current.backend);
+  defer("network.metrics", next.metrics, current.metrics);
+  defer("network.store", next.store, current.store);
+  defer("limits.processor_share", next.processor_share, current.processor_share);
+  return change;
+}
+
 NodeSettingsOutcome LoadNodeSettings(const std::string& path) {
   NodeSettingsOutcome outcome;
   const auto text = basilspring::internal::ReadSettingsFile(path, outcome.faults);
--- a/src/process/command_line.cc
+++ b/src/process/command_line.cc
@@ -62,7 +62,7 @@
     return kExitDone;
   }
   ConfigureLog(outcome.settings.log_level, outcome.settings.name.value());
-  return fleet::RunNode(outcome.settings, make_carriers);
+  return fleet::RunNode(outcome.settings, file.getValue(), make_carriers);
 }
 
 int RunCheckConfig(const Arguments& arguments) {
--- a/src/process/log.cc
+++ b/src/process/log.cc
@@ -85,6 +85,8 @@
   TheOutput().descriptor = STDOUT_FILENO;
 }
 
+void SetLogLevel(LogLevel lowest) { lowest_level.store(static_cast<int>(lowest)); }
+
 bool LogEnabled(EventId event) { return EventLevel(event) >= lowest_level.load(); }
 
 namespace {
--- a/tests/fleet/node_settings_test.cc
+++ b/tests/fleet/node_settings_test.cc
@@ -47,6 +47,20 @@
   EXPECT_LT(ParseNodeSettings(kAgent, "file").settings.scheduler.lease, Duration(4000));
 }
 
+// A changed file was only logged; limits and seeds stayed those of the start.
+TEST(NodeSettingsTest, ARunningProcessTakesOverWhatItCan) {
+  NodeSettings running = ParseNodeSettings(kAgent, "file").settings;
+  std::string text = Replace(kAgent, "stop_grace_s = 2.5", "stop_grace_s = 4.5");
+  text = Replace(text, "seeds = []", "seeds = [\"127.0.0.9:7000\"]");
+  text = Replace(text, "127.0.0.1:7003", "127.0.0.1:7009");
+  const NodeSettingsChange change = ApplyChanges(ParseNodeSettings(text, "file").settings, running);
+  EXPECT_EQ(running.drain_limit, Duration(4000));
+  EXPECT_EQ(running.seeds.size(), 1U);
+  EXPECT_EQ(change.applied, (std::vector<std::string>{"network.seeds", "limits.stop_grace_s"}));
+  EXPECT_EQ(running.store.port, 7003);
+  EXPECT_EQ(change.deferred, std::vector<std::string>{"network.store"});
+}
+
 TEST(NodeSettingsTest, ListsAllFaultsWithTheirLines) {
   std::string text = Replace(kAgent, "role = \"agent\"", "role = \"captain\"");
   text = Replace(text, "127.0.0.1:7003", "nowhere");
