--- a/scripts/platform-path.sh
+++ b/scripts/platform-path.sh
@@ -128,10 +128,10 @@
 until_true 20 in_state $served 0000000000000003 completed || fail "job 3 is not completed after the outage"
 
 # Changed settings are taken over without a restart, at a signal and without one.
-sed -i 's/^longest_lease_ms = .*/longest_lease_ms = 9000/' "$run_dir/entry-$served.toml"
+sed -i 's/^stop_time_ms = .*/stop_time_ms = 250/' "$run_dir/entry-$served.toml"
 kill -HUP "${process_ids[entry-$served]}"
 reloaded() { grep -q "SettingsReloaded.*$1" "$run_dir/$2.log"; }
-until_true 5 reloaded 'cause="SIGHUP" applied=limits.longest_lease_ms' "entry-$served" || fail "no reload at SIGHUP"
+until_true 5 reloaded 'cause="SIGHUP" applied=limits.stop_time_ms' "entry-$served" || fail "no reload at SIGHUP"
 echo 'no settings' >"$run_dir/agent-1.toml"
 until_true 10 reloaded 'kept the former settings' agent-1 || fail "no look at a settings file that can't be read"
 
