Add a fault soak of the fleet's real programs

scripts/soak.sh runs entries and agents as separate processes under load. The store, the backend servers and a relay on each way to them are in the soak's own process. Faults follow from a seed, come in series and overlap: processes are killed, paused, stopped and reloaded, also the scheduler and all at once; the store is busy, silent, loses answers, carries writes out late or drops its history; ways are cut, cut one way, reset or silenced; backend servers crash, their clocks run up to 2% slow; the configuration changes and data centres are taken out.

--- /dev/null
+++ b/scripts/soak.sh
@@ -0,0 +1,27 @@
+#!/usr/bin/env bash
+# Runs the programs as separate processes on this machine under load and faults that follow from a seed, and judges
+# what callers and backend servers saw: soak.sh [--seed N] [--minutes M | --seconds S] [--agents N] [--entries N].
+# Exits 0 only when every promise was kept. The folder with logs stays when one was broken, or with KEEP=1.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+seed=$RANDOM seconds=60 agents=5 entries=3
+while [ "$#" -gt 1 ]; do
+  case $1 in
+    --seed) seed=$2 ;;
+    --minutes) seconds=$(($2 * 60)) ;;
+    --seconds) seconds=$2 ;;
+    --agents) agents=$2 ;;
+    --entries) entries=$2 ;;
+    *) echo "usage: soak.sh [--seed N] [--minutes M | --seconds S] [--agents N] [--entries N]" >&2 && exit 2 ;;
+  esac
+  shift 2
+done
+build_dir=${BUILD_DIR:-build}
+run_dir=$(mktemp -d)
+echo "soak seed $seed for $seconds s, logs in $run_dir"
+status=0
+"$build_dir/basilspring-standin" soak --program "$build_dir/basilspring" --folder "$run_dir" --seed "$seed" \
+  --network "$((20 + seed % 200))" --seconds "$seconds" --agents "$agents" --entries "$entries" >"$run_dir/soak.log" 2>&1 || status=$?
+grep -E '^(checked|BROKEN|soak)' "$run_dir/soak.log" || tail -n 5 "$run_dir/soak.log"
+if [ "$status" -eq 0 ] && [ -z "${KEEP:-}" ]; then rm -r "$run_dir"; fi
+exit "$status"
--- a/standin/main.cc
+++ b/standin/main.cc
@@ -9,6 +9,7 @@
 #include "standin/load.h"
 #include "standin/operators_record.h"
 #include "standin/platform_main.h"
+#include "standin/soak_main.h"
 #include "standin/store_main.h"
 
 int main(int argc, char** argv) {
@@ -17,6 +18,7 @@
     if (role == "store") return basilspring::standin::RunStoreStandin(argc - 1, argv + 1);
     if (role == "backend") return basilspring::standin::RunBackendStandin(argc - 1, argv + 1);
     if (role == "platform") return basilspring::standin::RunPlatformStandin(argc - 1, argv + 1);
+    if (role == "soak") return basilspring::standin::RunSoak(argc - 1, argv + 1);
     if (role == "load") return basilspring::standin::RunLoad(argc - 1, argv + 1);
     if (role == "latency") return basilspring::standin::RunLatency(argc - 1, argv + 1);
     if (role == "check-history") return basilspring::standin::RunCheckHistory(argc - 1, argv + 1);
@@ -27,6 +29,6 @@
   }
   fmt::print(stderr,
              "usage: basilspring-standin "
-             "store|backend|platform|load|latency|check-history|record-event ...\n");
+             "store|backend|platform|soak|load|latency|check-history|record-event ...\n");
   return 2;
 }
--- a/standin/platform_store.cc
+++ b/standin/platform_store.cc
@@ -14,6 +14,8 @@
 namespace json = boost::json;
 
 constexpr std::size_t kPage = 500;
+// How much later a late write is carried out; longer than callers of the store wait.
+constexpr std::int64_t kLateMs = 2500;
 
 HttpResponse Reply(int status, const json::value& body) {
   HttpResponse response;
@@ -66,18 +68,37 @@
   FeedWatches();
 }
 
+void PlatformStoreStandin::Erase(const std::string& key) {
+  ++revision_;
+  Remove(key);
+  FeedWatches();
+}
+
+void PlatformStoreStandin::SetMode(const std::string& mode) {
+  mode_ = mode;
+  if (mode_ == "none") held_.clear();
+}
+
+void PlatformStoreStandin::ForgetHistory() {
+  history_.clear();
+  history_begins_after_ = revision_;
+}
+
+std::string PlatformStoreStandin::Value(const std::string& key) const {
+  const auto found = items_.find(key);
+  return found == items_.end() ? "" : found->second.value;
+}
+
 void PlatformStoreStandin::Handle(const HttpRequest& request,
                                   const std::shared_ptr<HttpResponder>& responder,
                                   std::int64_t now_ms) {
   if (request.path == "/fault") {
-    mode_ = TextOf(json::parse(request.body).as_object().at("mode"));
-    if (mode_ == "none") held_.clear();
+    SetMode(TextOf(json::parse(request.body).as_object().at("mode")));
     responder->Respond(Reply(200, json::object()));
     return;
   }
   if (request.path == "/forget") {
-    history_.clear();
-    history_begins_after_ = revision_;
+    ForgetHistory();
     responder->Respond(Reply(200, json::object()));
     return;
   }
@@ -91,6 +112,9 @@
     responder->Respond(Reply(503, json::object()));
   } else if (mode_ == "silent") {
     held_.push_back(responder);
+  } else if (mode_ == "late" && write) {
+    late_writes_.emplace_back(now_ms + kLateMs, request);
+    held_.push_back(responder);
   } else if (request.path == "/kv-watch") {
     StartWatch(request, responder, now_ms);
   } else {
@@ -220,6 +244,15 @@
 }
 
 void PlatformStoreStandin::Tick(std::int64_t now_ms) {
+  std::vector<std::pair<std::int64_t, HttpRequest>> waiting;
+  for (auto& [due_ms, request] : std::exchange(late_writes_, {})) {
+    if (now_ms >= due_ms) {
+      Answer(request, now_ms);
+    } else {
+      waiting.emplace_back(due_ms, std::move(request));
+    }
+  }
+  late_writes_ = std::move(waiting);
   for (auto it = leases_.begin(); it != leases_.end();) {
     if (now_ms < it->second.ends_ms) {
       ++it;
--- a/standin/platform_store.h
+++ b/standin/platform_store.h
@@ -13,8 +13,8 @@
 
 /// The users' metadata store, as its published protocol describes it: items with revisions,
 /// conditional transactions, leases and watches with a bounded history. Faults are set over HTTP:
-/// POST /fault with {"mode": "none" | "busy" | "silent" | "lost"}; "lost" carries writes out and
-/// does not answer. POST /forget drops the history.
+/// POST /fault with {"mode": "none" | "busy" | "silent" | "lost" | "late"}; "lost" carries writes
+/// out and does not answer, "late" does so seconds later. POST /forget drops the history.
 class PlatformStoreStandin {
  public:
   void Handle(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder,
@@ -23,6 +23,13 @@
   void Tick(std::int64_t now_ms);
   /// Writes as the operator does.
   void Put(const std::string& key, const std::string& value);
+  /// Removes as the operator does.
+  void Erase(const std::string& key);
+  /// The same as POST /fault and POST /forget.
+  void SetMode(const std::string& mode);
+  void ForgetHistory();
+  /// Value of a key; empty when there is none.
+  std::string Value(const std::string& key) const;
 
  private:
   struct Item {
@@ -64,6 +71,8 @@
   std::int64_t history_begins_after_ = 0;
   std::vector<Watch> watches_;
   std::vector<std::shared_ptr<HttpResponder>> held_;
+  /// Writes that are carried out later, with the time of each.
+  std::vector<std::pair<std::int64_t, HttpRequest>> late_writes_;
   std::int64_t revision_ = 1;
   std::int64_t next_lease_ = 1;
   std::string mode_ = "none";
--- a/standin/platform_worker.cc
+++ b/standin/platform_worker.cc
@@ -36,7 +36,7 @@
   return json::serialize(json::object{
       {"service", "planner"},
       {"address", address},
-      {"zone", "here"},
+      {"zone", zone_},
       {"version", "v1"},
       {"slots", 8},
       {"state", "ready"},
@@ -117,7 +117,11 @@
   fence_ = NumberOf(body, "fence_token");
   lease_until_ms_ = std::max(lease_until_ms_, NumberOf(body, "deadline_ms"));
   const std::int64_t seen = NumberOf(body, "last_seen");
-  std::erase_if(ends_, [&](const End& end) { return end.number <= seen; });
+  std::erase_if(ends_, [&](const End& end) {
+    if (end.number > seen) return false;
+    acknowledged_.push_back(fmt::format("{} {} {}", now_ms, end.task, end.run));
+    return true;
+  });
   const std::int64_t wait = NumberOf(body, "wait_ms");
   if (wait > 0 && ends_.empty()) {
     polls_.push_back({now_ms + wait, responder});
--- a/standin/platform_worker.h
+++ b/standin/platform_worker.h
@@ -17,8 +17,8 @@
 /// each start and end to `history`, from which tests conclude.
 class PlatformWorkerStandin {
  public:
-  PlatformWorkerStandin(std::string id, std::int64_t born_unix_ms)
-      : id_(std::move(id)), born_unix_ms_(born_unix_ms) {}
+  PlatformWorkerStandin(std::string id, std::int64_t born_unix_ms, std::string zone = "here")
+      : id_(std::move(id)), zone_(std::move(zone)), born_unix_ms_(born_unix_ms) {}
 
   void Handle(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder,
               std::int64_t now_ms);
@@ -28,7 +28,10 @@
   std::string Announcement(const std::string& address);
 
   const std::string& id() const { return id_; }
+  /// Lines "MILLISECONDS start|END TASK RUN".
   const std::vector<std::string>& history() const { return history_; }
+  /// Lines "MILLISECONDS TASK RUN" of the ends that were acknowledged.
+  const std::vector<std::string>& acknowledged() const { return acknowledged_; }
 
  private:
   struct Run {
@@ -56,6 +59,7 @@
   void Finish(const std::string& task, const Run& run, const std::string& how, std::int64_t now_ms);
 
   std::string id_;
+  std::string zone_;
   std::int64_t born_unix_ms_;
   std::int64_t sequence_ = 0;
   std::int64_t fence_ = 0;
@@ -67,6 +71,7 @@
   std::map<std::string, std::int64_t> closed_;
   std::vector<Poll> polls_;
   std::vector<std::string> history_;
+  std::vector<std::string> acknowledged_;
 };
 
 }  // namespace basilspring::standin
--- /dev/null
+++ b/standin/soak_fleet.cc
@@ -0,0 +1,300 @@
+#include "standin/soak_fleet.h"
+
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <fstream>
+#include <future>
+#include <map>
+#include <random>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+#include "basilspring/clock.h"
+#include "basilspring/fleet/leadership.h"
+
+namespace basilspring::standin {
+namespace {
+
+constexpr Duration kTick(20);
+// Backend servers of the users' platform announce themselves every 1.5 s.
+constexpr std::int64_t kAnnounceTicks = 75;
+constexpr Duration kPoll(20);
+// Ports of a node, the same on each of its addresses.
+constexpr std::uint16_t kPeerPort = 7961;
+constexpr std::uint16_t kCallerPort = 7962;
+constexpr std::uint16_t kReadyPort = 7963;
+constexpr std::uint16_t kControlPort = 7965;
+constexpr std::uint16_t kWorkerPort = 7966;
+// Backend servers' clocks may be 2% slow.
+constexpr std::int64_t kSlowestClockPermille = 980;
+constexpr std::int64_t kWholePermille = 1000;
+
+void Sleep(Duration duration) {
+  std::this_thread::sleep_for(std::chrono::milliseconds(duration.milliseconds()));
+}
+
+}  // namespace
+
+std::string SoakFleet::IpOf(bool entry, std::size_t index) const {
+  return fmt::format("127.{}.{}.{}", options_.network, entry ? 1 : 2, index + 1);
+}
+
+std::int64_t SoakFleet::Worker::ClockAt(std::int64_t now_ms) const {
+  return clock_offset_ms + now_ms * clock_permille / kWholePermille;
+}
+
+std::int64_t SoakFleet::Worker::TimeOf(std::int64_t clock_ms) const {
+  return (clock_ms - clock_offset_ms) * kWholePermille / clock_permille;
+}
+
+SoakFleet::SoakFleet(const SoakFleetOptions& options) : options_(options) {
+  std::mt19937_64 random(options.seed);
+  store_address_ = Address{fmt::format("127.{}.3.1", options.network), kPeerPort};
+  store_server_ = std::make_unique<HttpServer>(
+      io_, store_address_,
+      [this](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
+        store_.Handle(request, responder, Clock::Now().milliseconds());
+      });
+  workers_.resize(static_cast<std::size_t>(options.agents));
+  for (std::size_t i = 0; i < workers_.size(); ++i) {
+    Worker& worker = workers_[i];
+    worker.address = Address{IpOf(false, i), kWorkerPort};
+    worker.clock_permille =
+        kSlowestClockPermille +
+        static_cast<std::int64_t>(random() % (kWholePermille - kSlowestClockPermille + 1));
+    worker.clock_offset_ms = static_cast<std::int64_t>(random() % 1000000);
+    worker.life = std::make_unique<PlatformWorkerStandin>(fmt::format("i-{}-0", i),
+                                                          Clock::WallMilliseconds(), ZoneOf(i));
+    worker.server = std::make_unique<HttpServer>(
+        io_, worker.address,
+        [this, i](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
+          Worker& row = workers_[i];
+          row.life->Handle(request, responder, row.ClockAt(Clock::Now().milliseconds()));
+        });
+  }
+  const auto count = static_cast<std::size_t>(options.entries + options.agents);
+  nodes_.resize(count);
+  for (std::size_t i = 0; i < count; ++i) {
+    SoakNode& node = nodes_[i];
+    node.entry = i < static_cast<std::size_t>(options.entries);
+    const std::size_t index = node.entry ? i : i - static_cast<std::size_t>(options.entries);
+    const std::string ip = IpOf(node.entry, index);
+    node.name = fmt::format("{}-{}", node.entry ? "entry" : "agent", index);
+    node.store_relay = std::make_unique<Relay>(io_, store_address_);
+    if (node.entry) {
+      node.callers = Address{ip, kCallerPort};
+      node.caller_relay = std::make_unique<Relay>(io_, node.callers);
+      WriteSettings(node, index,
+                    fmt::format("callers = \"{0}:{1}\"\nreadiness = \"{0}:{2}\"\n", ip, kCallerPort,
+                                kReadyPort));
+    } else {
+      node.worker_relay = std::make_unique<Relay>(io_, workers_[index].address);
+      WriteSettings(node, index,
+                    fmt::format("announcements = \"{}:{}\"\nbackend = \"{}\"\n", ip, kControlPort,
+                                node.worker_relay->address().ToString()));
+    }
+  }
+  ScheduleTick();
+}
+
+SoakFleet::~SoakFleet() {
+  for (SoakNode& node : nodes_) {
+    Signal(node, SIGCONT);
+    Signal(node, SIGKILL);
+    WaitForEnd(node, Duration::Seconds(5));
+  }
+  running_ = false;
+  RunOnIo([] {});
+  // Servers and relays need the I/O thread for their end.
+  store_server_.reset();
+  for (Worker& worker : workers_) worker.server.reset();
+  nodes_.clear();
+}
+
+void SoakFleet::WriteSettings(SoakNode& node, std::size_t index, const std::string& network) {
+  node.settings_file = fmt::format("{}/{}.toml", options_.folder, node.name);
+  node.log_file = fmt::format("{}/{}.log", options_.folder, node.name);
+  std::ofstream file(node.settings_file);
+  file << fmt::format(
+      "[process]\nrole = \"{}\"\nname = \"{}\"\ndata_centre = \"{}\"\n\n"
+      "[network]\npeers = \"{}:{}\"\nstore = \"{}\"\nseeds = [\"{}:{}\", \"{}:{}\"]\n{}\n"
+      "[limits]\nlongest_lease_ms = 10000\nstop_time_ms = 200\nstop_grace_s = 6\n",
+      node.entry ? "entry" : "agent", node.name, ZoneOf(index), IpOf(node.entry, index), kPeerPort,
+      node.store_relay->address().ToString(), IpOf(true, 0), kPeerPort, IpOf(true, 1), kPeerPort,
+      network);
+}
+
+void SoakFleet::RunOnIo(const std::function<void()>& function) {
+  std::promise<void> done;
+  io_.Post([&] {
+    function();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+void SoakFleet::ScheduleTick() {
+  io_.PostAfter(kTick, [this] {
+    if (!running_) return;
+    const std::int64_t now_ms = Clock::Now().milliseconds();
+    store_.Tick(now_ms);
+    for (Worker& worker : workers_) worker.life->Tick(worker.ClockAt(now_ms));
+    if (ticks_++ % kAnnounceTicks == 0) Announce();
+    ScheduleTick();
+  });
+}
+
+void SoakFleet::Announce() {
+  for (std::size_t i = 0; i < workers_.size(); ++i) {
+    const SoakNode& agent = nodes_[static_cast<std::size_t>(options_.entries) + i];
+    HttpClientRequest request;
+    request.server = Address{IpOf(false, i), kControlPort};
+    request.method = "PUT";
+    request.target = "/instances/" + workers_[i].life->id();
+    request.headers["content-type"] = "application/json";
+    request.body = workers_[i].life->Announcement(agent.worker_relay->address().ToString());
+    request.timeout = Duration(1000);
+    http_.Send(std::move(request), [](const HttpResult&) {});
+  }
+}
+
+std::vector<Address> SoakFleet::CallerAddresses() const {
+  std::vector<Address> addresses;
+  for (const SoakNode& node : nodes_) {
+    if (node.entry) addresses.push_back(node.caller_relay->address());
+  }
+  return addresses;
+}
+
+std::size_t SoakFleet::SchedulerOr(std::size_t index) {
+  std::string holder;
+  WithStore(
+      [&](PlatformStoreStandin& store) { holder = store.Value(fleet::Leadership::LeaderKey()); });
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    // The record is binary; the name of its node stands in it as text.
+    if (holder.find(nodes_[i].name) != std::string::npos) return i;
+  }
+  return index;
+}
+
+void SoakFleet::Start(SoakNode& node) {
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, node.log_file.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
+  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  std::array<std::string, 4> words = {options_.program, "node", "--settings", node.settings_file};
+  std::array<char*, 5> arguments = {words[0].data(), words[1].data(), words[2].data(),
+                                    words[3].data(), nullptr};
+  const int failed = posix_spawn(&node.pid, options_.program.c_str(), &actions, nullptr,
+                                 arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  if (failed != 0) throw std::runtime_error("can't start " + options_.program);
+  node.paused = false;
+}
+
+void SoakFleet::Signal(const SoakNode& node, int signal) {
+  if (node.pid > 0) ::kill(node.pid, signal);
+}
+
+bool SoakFleet::WaitForEnd(SoakNode& node, Duration limit) {
+  for (Duration waited; node.pid > 0; waited = waited + kPoll) {
+    if (::waitpid(node.pid, nullptr, WNOHANG) == node.pid) {
+      node.pid = -1;
+    } else if (waited > limit) {
+      return false;
+    } else {
+      Sleep(kPoll);
+    }
+  }
+  return true;
+}
+
+std::vector<std::string> SoakFleet::EndedByThemselves() {
+  std::vector<std::string> names;
+  for (SoakNode& node : nodes_) {
+    if (node.pid <= 0 || ::waitpid(node.pid, nullptr, WNOHANG) != node.pid) continue;
+    node.pid = -1;
+    names.push_back(node.name);
+  }
+  return names;
+}
+
+void SoakFleet::WithStore(const std::function<void(PlatformStoreStandin&)>& function) {
+  RunOnIo([&] { function(store_); });
+}
+
+void SoakFleet::RestartWorker(std::size_t index) {
+  RunOnIo([&] {
+    Worker& worker = workers_[index];
+    std::vector<SoakRun> runs = RunsOfLife(index);
+    const std::int64_t now_ms = Clock::Now().milliseconds();
+    for (SoakRun& run : runs) {
+      if (!run.end.empty()) continue;
+      run.end = "crashed";
+      run.ended_ms = now_ms;
+    }
+    worker.past.insert(worker.past.end(), runs.begin(), runs.end());
+    worker.life = std::make_unique<PlatformWorkerStandin>(fmt::format("i-{}-{}", index, now_ms),
+                                                          Clock::WallMilliseconds(), ZoneOf(index));
+  });
+}
+
+std::vector<SoakRun> SoakFleet::RunsOfLife(std::size_t index) const {
+  const Worker& worker = workers_[index];
+  std::map<std::pair<std::string, std::int64_t>, SoakRun> runs;
+  for (const std::string& line : worker.life->history()) {
+    std::istringstream words(line);
+    std::int64_t clock_ms = 0;
+    std::string what;
+    std::string task;
+    std::int64_t number = 0;
+    words >> clock_ms >> what >> task >> number;
+    SoakRun& run = runs[{task, number}];
+    if (what == "start") {
+      run.job = task.substr(0, task.find('.'));
+      run.task = task;
+      run.run = number;
+      run.worker = fmt::format("agent-{}", index);
+      run.zone = ZoneOf(index);
+      run.begun_ms = worker.TimeOf(clock_ms);
+    } else {
+      run.end = what;
+      run.ended_ms = worker.TimeOf(clock_ms);
+    }
+  }
+  for (const std::string& line : worker.life->acknowledged()) {
+    std::istringstream words(line);
+    std::int64_t clock_ms = 0;
+    std::string task;
+    std::int64_t number = 0;
+    words >> clock_ms >> task >> number;
+    const auto found = runs.find({task, number});
+    if (found != runs.end()) found->second.acknowledged_ms = worker.TimeOf(clock_ms);
+  }
+  std::vector<SoakRun> rows;
+  rows.reserve(runs.size());
+  for (auto& [key, run] : runs) rows.push_back(std::move(run));
+  return rows;
+}
+
+std::vector<SoakRun> SoakFleet::Runs() {
+  std::vector<SoakRun> all;
+  RunOnIo([&] {
+    for (std::size_t i = 0; i < workers_.size(); ++i) {
+      all.insert(all.end(), workers_[i].past.begin(), workers_[i].past.end());
+      const std::vector<SoakRun> runs = RunsOfLife(i);
+      all.insert(all.end(), runs.begin(), runs.end());
+    }
+  });
+  return all;
+}
+
+}  // namespace basilspring::standin
