Tell only ends of jobs without a valid scheduler's lease

An entry that held the lease was paused beyond it; when it went on it told callers from memory that a job was running which its successor had shown as completed. Ruled out: late answers (the question was sent after the other answer).

Test that failed first: SchedulerCoreTest.TellsOnlyEndsWithoutAValidLease.

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -131,6 +131,9 @@
   /// The phase that callers may be shown, or nothing when the job is not known here. A final phase
   /// is shown once it is stored.
   std::optional<JobPhase> PhaseOf(const JobId& job) const;
+  /// The answer to an entry's question. Without a valid lease only an end is told: another
+  /// scheduler may have seen the job end since, but an end stays.
+  JobQueryReply AnswerQuery(const JobId& job, bool lease_valid) const;
   std::vector<QueueSummary> Summaries() const;
   /// The kinds of workers that were seen in this term; empty while some may still be missing.
   std::vector<WorkerShape> Shapes(TimePoint now) const;
--- a/include/basilspring/fleet/scheduler_duty.h
+++ b/include/basilspring/fleet/scheduler_duty.h
@@ -74,7 +74,8 @@
   SummaryReply OnSummary(const SummaryQuery& query);
 
   const SchedulerCore& core() const { return core_; }
-  bool ready() const { return ready_; }
+  /// Has read all jobs and holds the lease, so that what it knows is what holds.
+  bool InOffice() const { return ready_ && Valid(Clock::Now()); }
   Term term() const { return term_; }
 
  private:
--- a/src/fleet/entry_duty.cc
+++ b/src/fleet/entry_duty.cc
@@ -287,7 +287,8 @@
 
 void EntryDuty::Count(const ExchangePtr& exchange) {
   const TimePoint now = Clock::Now();
-  if (const SchedulerDuty* local = context_.local_scheduler(); local != nullptr && local->ready()) {
+  if (const SchedulerDuty* local = context_.local_scheduler();
+      local != nullptr && local->InOffice()) {
     summary_.queues = local->core().Summaries();
     summary_at_ = now;
   }
--- a/src/fleet/scheduler_core.cc
+++ b/src/fleet/scheduler_core.cc
@@ -233,6 +233,15 @@
   return job.started ? JobPhase::kRunning : JobPhase::kQueued;
 }
 
+JobQueryReply SchedulerCore::AnswerQuery(const JobId& job, bool lease_valid) const {
+  JobQueryReply reply;
+  const auto phase = PhaseOf(job);
+  reply.accepted = lease_valid || (phase && IsFinal(*phase));
+  reply.known = phase.has_value();
+  if (phase) reply.phase = static_cast<std::uint8_t>(*phase);
+  return reply;
+}
+
 std::vector<QueueSummary> SchedulerCore::Summaries() const {
   std::map<QueueId, std::int64_t> pending;
   for (const JobId& id : active_) {
--- a/src/fleet/scheduler_duty.cc
+++ b/src/fleet/scheduler_duty.cc
@@ -378,18 +378,12 @@
 }
 
 JobQueryReply SchedulerDuty::OnQuery(const JobQuery& query) const {
-  JobQueryReply reply;
-  // Also without a valid lease: what is final stays so, and what ran a moment ago may be shown.
-  reply.accepted = ready_;
-  const auto phase = core_.PhaseOf(query.job);
-  reply.known = phase.has_value();
-  if (phase) reply.phase = static_cast<std::uint8_t>(*phase);
-  return reply;
+  return ready_ ? core_.AnswerQuery(query.job, Valid(Clock::Now())) : JobQueryReply();
 }
 
 SummaryReply SchedulerDuty::OnSummary(const SummaryQuery& query) {
   SummaryReply reply;
-  reply.accepted = ready_ && Valid(Clock::Now());
+  reply.accepted = InOffice();
   reply.term = term_;
   reply.scheduler = context_.own_address;
   reply.queues = core_.Summaries();
--- a/tests/fleet/scheduler_core_test.cc
+++ b/tests/fleet/scheduler_core_test.cc
@@ -262,6 +262,19 @@
   EXPECT_EQ(fleet_.StartsOf(job), 1U);
 }
 
+// A deposed scheduler that had been paused showed a job as running that others had shown as
+// completed (soak seed 14).
+TEST_F(SchedulerCoreTest, TellsOnlyEndsWithoutAValidLease) {
+  AddAgents(1);
+  const JobId ended = fleet_.Submit("batch", "shop", MakeStep(1, 1, 100));
+  ASSERT_TRUE(fleet_.RunUntil(ended, JobPhase::kCompleted, 2 * kSecond));
+  const JobId running = fleet_.Submit("batch", "shop", MakeStep(1, 1, 30 * kSecond));
+  fleet_.Advance(kSecond);
+  EXPECT_TRUE(fleet_.core().AnswerQuery(running, true).accepted);
+  EXPECT_FALSE(fleet_.core().AnswerQuery(running, false).accepted);
+  EXPECT_TRUE(fleet_.core().AnswerQuery(ended, false).accepted);
+}
+
 TEST_F(SchedulerCoreTest, StartsNothingInAnEvacuatedDataCentre) {
   AddAgents(1);
   auto state = std::make_shared<OperatorState>();
