--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,9 +1,19 @@
 #!/usr/bin/env bash
 # Runs the programs as separate processes on this machine under load and faults that follow from a seed, and judges
 # what callers and backend servers saw: soak.sh [--seed N] [--minutes M | --seconds S] [--agents N] [--entries N].
-# Exits 0 only when every promise was kept. The folder with logs stays when one was broken, or with KEEP=1.
+# soak.sh --kept runs the seeds of scripts/soak-seeds.txt, all at once. Exits 0 only when every promise was kept. The
+# folder with logs stays when one was broken, or with KEEP=1.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+if [ "${1:-}" = --kept ]; then
+  ids=() failed=0
+  while read -r seed seconds _; do
+    scripts/soak.sh --seed "$seed" --seconds "$seconds" &
+    ids+=($!)
+  done < <(grep -v '^#' scripts/soak-seeds.txt)
+  for id in "${ids[@]}"; do wait "$id" || failed=1; done
+  exit "$failed"
+fi
 seed=$RANDOM seconds=60 agents=5 entries=3
 while [ "$#" -gt 1 ]; do
   case $1 in
