--- a/src/process/cell_duty.cc
+++ b/src/process/cell_duty.cc
@@ -190,8 +190,9 @@
 void CellDuty::Impl::LoseCell(std::string_view reason) {
   Log(EventId::kCellLost, "cell={} epoch={} reason=\"{}\"", settings.cell.value(),
       scheduler->epoch().value(), reason);
-  if (auto configuration = scheduler->configuration())
+  if (auto configuration = scheduler->configuration()) {
     kept_configuration = std::move(configuration);
+  }
   scheduler->Stop();
   scheduler.reset();
   holds.store(false);
--- a/standin/soak_fleet.cc
+++ b/standin/soak_fleet.cc
@@ -79,7 +79,8 @@
           row.life->Handle(request, responder, row.ClockAt(Clock::Now().milliseconds()));
         });
   }
-  const auto count = static_cast<std::size_t>(options.entries + options.agents);
+  const std::size_t count =
+      static_cast<std::size_t>(options.entries) + static_cast<std::size_t>(options.agents);
   nodes_.resize(count);
   for (std::size_t i = 0; i < count; ++i) {
     SoakNode& node = nodes_[i];
--- a/tests/fleet/scheduler_load_test.cc
+++ b/tests/fleet/scheduler_load_test.cc
@@ -95,8 +95,9 @@
 
 // A gang that needs whole workers starved while small tasks refilled every gap.
 TEST_F(SchedulerLoadTest, AWaitingGangGetsRoomThoughSmallTasksKeepComing) {
-  for (int i = 0; i < 48; ++i)
+  for (int i = 0; i < 48; ++i) {
     fleet_.Submit("batch", "other", MakeStep(1, 1, 2 * kSecond + i * 40));
+  }
   fleet_.Advance(kSecond);
   StepSpec gang = MakeStep(3, 8, 2 * kSecond);
   gang.gang = true;
