--- a/src/fleet/entry_duty.cc
+++ b/src/fleet/entry_duty.cc
@@ -14,6 +14,7 @@
 
 using internal::kComeBack;
 using internal::kStoreTimeout;
+using internal::kSummaryAge;
 using internal::StoreTime;
 
 namespace {
@@ -28,8 +29,6 @@
 constexpr Duration kSummaryInterval(700);
 constexpr Duration kSummaryRetry(200);
 constexpr Duration kSummaryTimeout(600);
-// Counts that callers are shown may be this old.
-constexpr Duration kSummaryAge(1900);
 bool IsJobId(const std::string& text) {
   return text.size() == kJobIdLength && std::all_of(text.begin(), text.end(), [](unsigned char c) {
            return std::isxdigit(c) != 0;
--- a/src/fleet/entry_submit.cc
+++ b/src/fleet/entry_submit.cc
@@ -10,6 +10,7 @@
 
 using internal::kComeBack;
 using internal::kStoreTimeout;
+using internal::kSummaryAge;
 using internal::StoreTime;
 
 namespace {
@@ -42,8 +43,12 @@
   const std::string bytes = EncodeJobSpec(job);
   const TimePoint now = Clock::Now();
   const bool away = context_.store.IsAway(now);
-  if (const auto reason = WhyNeverFits(job, queue.service, summary_.shapes)) {
-    RefuseUnlessStored(exchange, *reason);
+  // Workers of another kind may have joined since an older summary.
+  const bool shapes_known = now - last_contact_ <= kSummaryAge;
+  const auto never_fits = shapes_known ? WhyNeverFits(job, queue.service, summary_.shapes)
+                                       : std::optional<std::string>();
+  if (never_fits) {
+    RefuseUnlessStored(exchange, *never_fits);
   } else if (away && now - context_.store.last_failure() < kFreshFailure) {
     Refuse(exchange, ErrorKind::kStoreUnavailable, "the store has been away until just now",
            kStoreComeBack);
--- a/src/fleet/entry_timing.h
+++ b/src/fleet/entry_timing.h
@@ -15,6 +15,8 @@
 /// A caller that was refused because the scheduler is away or this entry stops comes back after
 /// this time: a new scheduler takes over within about three seconds.
 inline constexpr Duration kComeBack(1000);
+/// What a summary of the scheduler tells may be this old.
+inline constexpr Duration kSummaryAge(1900);
 
 /// The time for one call of the store, of what is left of the caller's.
 inline Duration StoreTime(Duration left) {
--- a/standin/soak_main.cc
+++ b/standin/soak_main.cc
@@ -68,6 +68,7 @@
   using Undo = std::function<void()>;
   struct Kind {
     const char* name;
+    /// nullptr for a graceful stop, which is judged and so must not overlap with other faults.
     Undo (Soak::*begin)();
   };
 
@@ -257,6 +258,7 @@
       const Kind& kind = kKinds[Draw(kKinds.size())];
       fmt::print("{} {}\n", NowMs(), kind.name);
       if (kind.begin == nullptr) {
+        // Faults of this round that have not ended yet would be blamed on the stop.
         if (undos.empty()) StopAlone();
         continue;
       }
