Log and count steps that are left out of placement, and the limit that fails a job

Cause: the report of LOST does not say whether a job was failed wrongly or never placed, and the logs could not tell. A step that waits for an agent, for an earlier run or for a queue that is not in the configuration left no line; a failed job named neither its limit nor the configuration that set it. No decision changes.

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -106,6 +106,10 @@
   std::uint64_t jobs_cancelled = 0;
   /// Core-milliseconds of run time whose results were lost.
   std::uint64_t wasted_core_ms = 0;
+  /// Steps with tasks to place in the last pass, whether or not they were placed.
+  std::uint64_t steps_ready = 0;
+  /// Steps whose turn had come in the last pass and that were not considered for placement.
+  std::uint64_t steps_blocked = 0;
 };
 
 /// Decides which task runs on which worker during one term of the scheduler's lease. Performs no
@@ -263,10 +267,23 @@
     /// task. The runs there are not stopped, but the capacity that they free is not given to other
     /// steps below the urgent tier.
     std::vector<NodeId> held_back_workers;
+    /// Since when the step is blocked; std::nullopt if it is not.
+    std::optional<TimePoint> blocked_since;
     /// When the reason for the wait was last logged.
     TimePoint wait_logged_at;
   };
 
+  /// Why a step whose turn has come is not considered for placement.
+  enum class BlockCause : std::uint8_t {
+    kNone,
+    /// The configuration does not contain the job's queue.
+    kQueueUnknown,
+    /// An agent that may have runs of an earlier term has not listed them.
+    kAgentsNotListed,
+    /// Runs of an earlier start still occupy capacity.
+    kEarlierRuns,
+  };
+
   struct Job {
     JobSpec spec;
     Queue queue;
@@ -368,6 +385,9 @@
   // Order of the ready steps and their starts, in scheduler_queue.cc.
   void Schedule(TimePoint now);
   std::vector<ReadyStep> ReadySteps(TimePoint now, const Pass& pass);
+  BlockCause FindBlockCause(TimePoint now, const Job& job, std::size_t step) const;
+  /// Counts the step if it is blocked, and logs the cause at intervals.
+  void CheckBlocked(TimePoint now, Job& job, std::size_t step);
   bool StepIsReady(const Job& job, std::size_t step) const;
   static std::vector<std::int32_t> WaitingTasks(const Job& job, std::size_t step, TimePoint now);
   /// Returns the jobs of priority 0 that are within the guarantee of their workspace. The oldest
--- a/include/basilspring/fleet/scheduler_driver.h
+++ b/include/basilspring/fleet/scheduler_driver.h
@@ -134,6 +134,8 @@
   /// Revision of each job's record. Each write is conditional on it, so that a write whose answer
   /// was lost can't replace a later one if the store applies it late.
   std::map<JobId, std::int64_t> progress_revisions_;
+  /// Version of the operators' configuration that the scheduler uses; 0 if it knows none.
+  std::int64_t config_version_ = 0;
   std::int64_t agents_revision_ = 0;
   bool inbox_loaded_ = false;
   bool progress_loaded_ = false;
--- a/src/fleet/node_requests.cc
+++ b/src/fleet/node_requests.cc
@@ -176,6 +176,8 @@
   set("basilspring_jobs_failed", counts.jobs_failed);
   set("basilspring_jobs_cancelled", counts.jobs_cancelled);
   set("basilspring_wasted_core_ms", counts.wasted_core_ms);
+  set("basilspring_steps_ready", counts.steps_ready);
+  set("basilspring_steps_blocked", counts.steps_blocked);
 }
 
 }  // namespace basilspring::fleet
--- a/src/fleet/scheduler_driver.cc
+++ b/src/fleet/scheduler_driver.cc
@@ -53,6 +53,7 @@
 bool SchedulerDriver::IsLeaseValid(TimePoint now) const { return now < context_.valid_until(); }
 
 void SchedulerDriver::SetOperatorState(std::shared_ptr<const OperatorState> state) {
+  config_version_ = state->config.version;
   core_.SetOperatorState(std::move(state));
 }
 
@@ -114,8 +115,8 @@
   if (ready_ || !progress_loaded_ || !agents_loaded_ || !inbox_loaded_) return;
   ready_ = true;
   loaded_progress_.clear();
-  Log(EventId::kFleetScheduler, "term={} ready members={} jobs_revision={}", term_.value(),
-      agents_.size(), inbox_->revision());
+  Log(EventId::kFleetScheduler, "term={} ready members={} jobs_revision={} config={}",
+      term_.value(), agents_.size(), inbox_->revision(), config_version_);
   // Once agents know the new scheduler, they report to it at once and refuse the orders of older
   // ones.
   for (const auto& [node, address] : agents_) {
--- a/src/fleet/scheduler_queue.cc
+++ b/src/fleet/scheduler_queue.cc
@@ -1,6 +1,8 @@
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <tuple>
 #include <utility>
@@ -23,6 +25,10 @@
 constexpr double kUsefulStretchFactor = 3.0;
 // Minimum interval between two log lines about why a step waits.
 constexpr Duration kWaitLogInterval(3000);
+// In the order of SchedulerCore::BlockCause.
+constexpr std::array<std::string_view, 4> kBlockCauseNames = {
+    "none", "its queue is not in the configuration", "agents have not listed their runs",
+    "runs of an earlier start have not ended"};
 
 }  // namespace
 
@@ -128,7 +134,6 @@
   std::vector<ReadyStep> ready;
   for (const JobId& id : active_) {
     Job& job = jobs_.at(id);
-    if (job.queue.service.empty()) continue;
     const bool live = std::any_of(job.steps.begin(), job.steps.end(), [](const Step& step) {
       return std::any_of(step.tasks.begin(), step.tasks.end(),
                          [](const Task& task) { return task.live_runs > 0; });
@@ -137,11 +142,16 @@
     for (std::size_t i = 0; i < job.steps.size(); ++i) {
       if (!StepIsReady(job, i)) continue;
       Step& step = job.steps[i];
-      if (RecoveryPending(now, step)) continue;
-      if (!step.ready_at) step.ready_at = now;
       ReadyStep ready_step;
-      ready_step.waiting = WaitingTasks(job, i, now);
-      if (ready_step.waiting.empty()) continue;
+      if (!job.queue.service.empty() && !RecoveryPending(now, step)) {
+        if (!step.ready_at) step.ready_at = now;
+        ready_step.waiting = WaitingTasks(job, i, now);
+      }
+      if (ready_step.waiting.empty()) {
+        CheckBlocked(now, job, i);
+        continue;
+      }
+      step.blocked_since.reset();
       ready_step.job = &job;
       ready_step.step = i;
       Rank(now, pass, ready_step);
@@ -155,6 +165,43 @@
   return ready;
 }
 
+SchedulerCore::BlockCause SchedulerCore::FindBlockCause(TimePoint now, const Job& job,
+                                                        std::size_t step) const {
+  if (job.queue.service.empty()) return BlockCause::kQueueUnknown;
+  if (RecoveryPending(now, job.steps[step])) return BlockCause::kAgentsNotListed;
+  const auto& tasks = job.steps[step].tasks;
+  const bool active = std::any_of(tasks.begin(), tasks.end(), [](const Task& task) {
+    return task.phase == TaskPhase::kActive;
+  });
+  const bool earlier_runs = std::any_of(tasks.begin(), tasks.end(), [](const Task& task) {
+    return task.phase == TaskPhase::kWaiting && task.live_runs != 0;
+  });
+  return !active && earlier_runs ? BlockCause::kEarlierRuns : BlockCause::kNone;
+}
+
+void SchedulerCore::CheckBlocked(TimePoint now, Job& job, std::size_t index) {
+  Step& step = job.steps[index];
+  const BlockCause cause = FindBlockCause(now, job, index);
+  if (cause == BlockCause::kNone) {
+    step.blocked_since.reset();
+    return;
+  }
+  ++counts_.steps_blocked;
+  if (!step.blocked_since) step.blocked_since = now;
+  const TimePoint since = std::max(step.wait_logged_at, *step.blocked_since);
+  if (now - since < kWaitLogInterval) return;
+  step.wait_logged_at = now;
+  std::int32_t live_runs = 0;
+  for (const Task& task : step.tasks) live_runs += task.live_runs;
+  std::vector<std::string> agents;
+  for (const NodeId& node : step.agents) agents.push_back(node.value());
+  LogDecision(fmt::format(
+      "job={} step={} blocked_ms={} cause=\"{}\" queue={} config={} live_runs={} agents={}",
+      job.spec.id.value(), index, (now - *step.blocked_since).milliseconds(),
+      kBlockCauseNames.at(static_cast<std::size_t>(cause)), job.spec.queue.value(),
+      operator_state_->config.version, live_runs, fmt::join(agents, ",")));
+}
+
 void SchedulerCore::LogWaitReason(TimePoint now, const Pass& pass, const ReadyStep& ready,
                                   const PlacementView& view) {
   Step& step = ready.job->steps[ready.step];
@@ -333,11 +380,18 @@
 }
 
 void SchedulerCore::Schedule(TimePoint now) {
-  if (active_.empty()) return;
+  if (active_.empty()) {
+    counts_.steps_ready = 0;
+    counts_.steps_blocked = 0;
+    return;
+  }
   Pass pass;
   BeginPass(now, pass);
   UpdateHeadroom(now, pass);
-  for (const ReadyStep& ready : ReadySteps(now, pass)) TryStart(now, pass, ready);
+  counts_.steps_blocked = 0;
+  const std::vector<ReadyStep> steps = ReadySteps(now, pass);
+  counts_.steps_ready = steps.size();
+  for (const ReadyStep& ready : steps) TryStart(now, pass, ready);
 }
 
 }  // namespace basilspring::fleet
--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -255,7 +255,8 @@
   }
   if (static_cast<std::int32_t>(failed.size()) >= job.queue.max_attempts) {
     FinishJob(job, JobPhase::kFailed,
-              fmt::format("task {} failed {} times", key.task.ToString(), failed.size()));
+              fmt::format("task {} failed {} times, limit {} in config {}", key.task.ToString(),
+                          failed.size(), job.queue.max_attempts, operator_state_->config.version));
   } else if (spec.gang) {
     StopStep(now, job, index);
   }
--- a/tests/fleet/scheduler_core_test.cc
+++ b/tests/fleet/scheduler_core_test.cc
@@ -218,6 +218,19 @@
   EXPECT_EQ(fleet_.StartsOf(old_job), 1U);
 }
 
+// Guards against a step that is left out of placement without a trace in logs and metrics.
+TEST_F(SchedulerCoreTest, CountsAStepThatWaitsForAnAgentToListItsRuns) {
+  AddAgents(2);
+  fleet_.Submit("batch", "shop", MakeStep(1, 8, 20 * kSecond));
+  fleet_.Advance(500);
+  fleet_.agent(fleet_.starts().front().first).reachable = false;
+  fleet_.ChangeScheduler(2);
+  fleet_.Advance(kSecond);
+  EXPECT_EQ(fleet_.core().counts().steps_blocked, 1U);
+  fleet_.Advance(8 * kSecond);
+  EXPECT_EQ(fleet_.core().counts().steps_blocked, 0U);
+}
+
 TEST_F(SchedulerCoreTest, RunNumbersIncreaseAcrossSchedulers) {
   AddAgents(1);
   const JobId job = fleet_.Submit("batch", "shop", MakeStep(1, 8, 20 * kSecond));
