Fail a job only by a limit that is known

Callers saw an accepted job as failed after one failed run, though its queue allows three or four. Cause: a job whose queue is not in the scheduler's configuration has default settings, with a limit of one attempt. That is the case for a queue that was removed before the scheduler changed, and for all queues while a new scheduler has not read the configuration. The class of fault is a decision by a default in place of an unknown setting. Change: the limit is checked only if a configuration of the term has contained the queue, and again for all open jobs when a configuration arrives or a job is read, so that a task whose attempts were used up meanwhile is not started again. Evidence: AFailedRunOfAnUnknownQueueDoesNotFailTheJob failed before (the phase was failed after one of four attempts) and passes now. FailsAJobOnceItsQueueShowsThatItsAttemptsAreUsedUp passes before and after; it guards against the reverse error of this change.

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -286,7 +286,10 @@
 
   struct Job {
     JobSpec spec;
+    /// The last known settings of the job's queue. Once the queue is removed, the service is empty.
     Queue queue;
+    /// Whether a configuration of this term contained the queue. If false, its limits are unknown.
+    bool queue_known = false;
     TimePoint accepted_at;
     JobPhase phase = JobPhase::kQueued;
     bool phase_stored = false;
@@ -345,6 +348,10 @@
                 const std::string& checkpoint);
   void MarkDone(Job& job, const TaskId& task);
   void CountFailure(TimePoint now, Worker& worker, Job& job, const RunKey& key);
+  /// Fails the job if the attempts of the task, or of its gang, are known to be used up.
+  void FailIfAttemptsUsedUp(Job& job, std::size_t step, std::size_t index);
+  /// Does the same for all tasks of the job.
+  void FailIfAttemptsUsedUp(Job& job);
   void CountWorkerFailure(TimePoint now, Worker& worker, const JobId& job);
   void MarkWorkerLost(TimePoint now, Worker& worker, const std::string& reason);
   void ReleaseRun(TimePoint now, Worker& worker, const RunKey& key, bool lost);
--- a/src/fleet/scheduler_core.cc
+++ b/src/fleet/scheduler_core.cc
@@ -55,13 +55,17 @@
 
 void SchedulerCore::SetOperatorState(std::shared_ptr<const OperatorState> state) {
   operator_state_ = std::move(state);
-  for (auto& [id, job] : jobs_) RefreshQueue(job);
+  for (auto& [id, job] : jobs_) {
+    RefreshQueue(job);
+    FailIfAttemptsUsedUp(job);
+  }
 }
 
 void SchedulerCore::RefreshQueue(Job& job) {
   // Jobs of a removed queue keep its last settings except the service, so they are not scheduled.
   if (const Queue* queue = operator_state_->config.FindQueue(job.spec.queue)) {
     job.queue = *queue;
+    job.queue_known = true;
   } else {
     job.queue.id = job.spec.queue;
     job.queue.service = ServiceId();
@@ -117,6 +121,7 @@
   if (added.cancelled && !IsFinal(added.phase)) {
     FinishJob(added, JobPhase::kCancelled, "cancelled by its caller");
   }
+  FailIfAttemptsUsedUp(added);
 }
 
 void SchedulerCore::CancelJob(const JobId& id) {
--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -247,18 +247,34 @@
   task.not_before = now + kRetryDelay;
   if (spec.long_running || !task.failed_runs.insert(key.run).second) return;
   ++job.version;
+  FailIfAttemptsUsedUp(job, index, static_cast<std::size_t>(key.task.index));
+  if (spec.gang && !IsFinal(job.phase)) StopStep(now, job, index);
+}
+
+void SchedulerCore::FailIfAttemptsUsedUp(Job& job, std::size_t step, std::size_t index) {
+  // The limit of an unknown queue is checked once the configuration contains the queue.
+  if (IsFinal(job.phase) || !job.queue_known) return;
+  const Task& task = job.steps[step].tasks[index];
+  if (task.phase == TaskPhase::kDone || task.failed_runs.empty()) return;
   std::set<RunNumber> failed = task.failed_runs;
-  if (spec.gang) {
-    for (const Task& member : job.steps[index].tasks) {
+  if (SpecOf(job, step).gang) {
+    for (const Task& member : job.steps[step].tasks) {
       failed.insert(member.failed_runs.begin(), member.failed_runs.end());
     }
   }
-  if (static_cast<std::int32_t>(failed.size()) >= job.queue.max_attempts) {
-    FinishJob(job, JobPhase::kFailed,
-              fmt::format("task {} failed {} times, limit {} in config {}", key.task.ToString(),
-                          failed.size(), job.queue.max_attempts, operator_state_->config.version));
-  } else if (spec.gang) {
-    StopStep(now, job, index);
+  if (static_cast<std::int32_t>(failed.size()) < job.queue.max_attempts) return;
+  FinishJob(job, JobPhase::kFailed,
+            fmt::format("task {} failed {} times, limit {} in config {}",
+                        IdOf(job, step, index).ToString(), failed.size(), job.queue.max_attempts,
+                        operator_state_->config.version));
+}
+
+void SchedulerCore::FailIfAttemptsUsedUp(Job& job) {
+  if (IsFinal(job.phase)) return;
+  for (std::size_t step = 0; step < job.steps.size(); ++step) {
+    for (std::size_t index = 0; index < job.steps[step].tasks.size(); ++index) {
+      FailIfAttemptsUsedUp(job, step, index);
+    }
   }
 }
 
--- a/tests/fleet/fleet_harness.cc
+++ b/tests/fleet/fleet_harness.cc
@@ -75,6 +75,12 @@
   PublishOperatorState();
 }
 
+void FleetHarness::RemoveQueue(const std::string& name) {
+  std::erase_if(operators_.config.queues,
+                [&](const Queue& queue) { return queue.id == QueueId(name); });
+  PublishOperatorState();
+}
+
 void FleetHarness::AddWorkspace(const std::string& name, std::int64_t guaranteed) {
   operators_.config.workspaces.push_back({WorkspaceId(name), {}, guaranteed});
   PublishOperatorState();
--- a/tests/fleet/fleet_harness.h
+++ b/tests/fleet/fleet_harness.h
@@ -48,6 +48,7 @@
   Agent& agent(const std::string& name) { return agents_.at(name); }
   void AddQueue(const std::string& name, std::int32_t priority, double stretch,
                 std::int64_t slack_ms, std::int32_t max_attempts = 4);
+  void RemoveQueue(const std::string& name);
   void AddWorkspace(const std::string& name, std::int64_t guaranteed);
   /// Submits a job of one step.
   JobId Submit(const std::string& queue, const std::string& workspace, const StepSpec& step);
--- a/tests/fleet/scheduler_core_test.cc
+++ b/tests/fleet/scheduler_core_test.cc
@@ -191,6 +191,41 @@
   EXPECT_EQ(fleet_.StartsOf(job), 2U);
 }
 
+// Guards against failing a job by the limit of a queue that the scheduler does not know.
+TEST_F(SchedulerCoreTest, AFailedRunOfAnUnknownQueueDoesNotFailTheJob) {
+  AddAgents(2);
+  fleet_.AddQueue("passing", 2, 3.0, 3000, 4);
+  bool fail = true;
+  fleet_.outcome_of = [&](const std::string&, const TaskId&) {
+    return std::exchange(fail, false) ? RunEnd::kFailed : RunEnd::kDone;
+  };
+  const JobId job = fleet_.Submit("passing", "shop", MakeStep(1, 1, kSecond));
+  fleet_.Advance(500);
+  fleet_.RemoveQueue("passing");
+  fleet_.ChangeScheduler(2);
+  fleet_.Advance(2 * kSecond);
+  ASSERT_FALSE(fail);
+  EXPECT_EQ(fleet_.PhaseOf(job), JobPhase::kRunning);
+  fleet_.AddQueue("passing", 2, 3.0, 3000, 4);
+  EXPECT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, 10 * kSecond));
+}
+
+// Guards against starting a task again whose attempts were used up while its queue was unknown.
+TEST_F(SchedulerCoreTest, FailsAJobOnceItsQueueShowsThatItsAttemptsAreUsedUp) {
+  AddAgents(2);
+  fleet_.AddQueue("passing", 2, 3.0, 3000, 1);
+  fleet_.outcome_of = [](const std::string&, const TaskId&) { return RunEnd::kFailed; };
+  const JobId job = fleet_.Submit("passing", "shop", MakeStep(1, 1, kSecond));
+  fleet_.Advance(500);
+  fleet_.RemoveQueue("passing");
+  fleet_.ChangeScheduler(2);
+  fleet_.Advance(2 * kSecond);
+  fleet_.ChangeScheduler(3);
+  fleet_.AddQueue("passing", 2, 3.0, 3000, 1);
+  ASSERT_TRUE(fleet_.RunUntil(job, JobPhase::kFailed, 10 * kSecond));
+  EXPECT_EQ(fleet_.StartsOf(job), 1U);
+}
+
 TEST_F(SchedulerCoreTest, TakesOverRunsWithoutRestartingThem) {
   AddAgents(3);
   const JobId job = fleet_.Submit("batch", "shop", MakeStep(4, 4, 6 * kSecond));
