Begin a scheduler's term only with the configuration that was read in it

Callers saw an accepted job as failed after its first failed run, and operators could see a task start in a data centre that is out of service. Cause: a scheduler was ready once it had read jobs, records and agents. An agent that is elected begins to follow the configuration only then, and one that was elected before kept the configuration of its former term. The ends of the whole gap between two terms arrive in the first reports, so a configuration that is read a few milliseconds later is too late. The class of fault is state that one duty needs and another loads, without an order between the two. Change: the driver is active only after a configuration was read after the election; until then reports are refused and agents send them again. Each new scheduler starts the watch of the operators' keys again; a watch that is started again ignores its former calls, and an agent that loses the lease stops it, which it did not before.

--- a/include/basilspring/fleet/prefix_watch.h
+++ b/include/basilspring/fleet/prefix_watch.h
@@ -26,8 +26,12 @@
   PrefixWatch(const PrefixWatch&) = delete;
   PrefixWatch& operator=(const PrefixWatch&) = delete;
 
+  /// Reads all keys and then watches them. If the watch has been started before, answers to its
+  /// former calls are ignored.
   void Start();
-  /// Starts again after a failure once the retry delay is over; call it periodically.
+  /// Ignores answers to calls in flight and makes no further calls.
+  void Stop();
+  /// Tries again after a failure once the retry delay is over; call it periodically.
   void Tick(TimePoint now);
 
   bool loaded() const { return loaded_; }
@@ -49,12 +53,15 @@
   std::string prefix_;
   Handler handler_;
   bool loaded_ = false;
+  bool started_ = false;
   /// Whether no call is in flight.
   bool idle_ = true;
   TimePoint retry_at_;
   Duration retry_delay_;
   std::int64_t revision_ = 0;
   TimePoint current_at_;
+  /// Each call holds a copy, and its answer is ignored once the value is false. Start() replaces
+  /// it.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/include/basilspring/fleet/scheduler_driver.h
+++ b/include/basilspring/fleet/scheduler_driver.h
@@ -70,6 +70,8 @@
   SchedulerDriver(const SchedulerDriver&) = delete;
   SchedulerDriver& operator=(const SchedulerDriver&) = delete;
 
+  /// Sets the operators' configuration. The first call must pass one that was read after the lease
+  /// was acquired; the scheduler is not active before.
   void SetOperatorState(std::shared_ptr<const OperatorState> state);
   /// Starts loading again after a failure and runs a scheduling pass if one is due; call it
   /// periodically.
@@ -84,7 +86,8 @@
   SummaryReply OnSummary(const SummaryQuery& query);
 
   const SchedulerCore& core() const { return core_; }
-  /// Whether the scheduler has read all jobs and holds a valid lease, so that its state is current.
+  /// Whether the scheduler has read all jobs and the configuration and holds a valid lease, so that
+  /// its state is current.
   bool IsActive() const { return ready_ && IsLeaseValid(Clock::Now()); }
   Term term() const { return term_; }
 
@@ -140,6 +143,7 @@
   bool inbox_loaded_ = false;
   bool progress_loaded_ = false;
   bool agents_loaded_ = false;
+  bool config_loaded_ = false;
   bool ready_ = false;
   bool pass_scheduled_ = false;
   TimePoint last_pass_;
--- a/src/fleet/node.cc
+++ b/src/fleet/node.cc
@@ -202,9 +202,8 @@
         state->config.workspaces.size(), state->evacuated.size());
   }
   operator_state_ = state;
-  if (state->config.version == 0) return;
-  if (entry_) entry_->SetOperatorState(operator_state_);
   if (scheduler_) scheduler_->SetOperatorState(operator_state_);
+  if (entry_ && state->config.version != 0) entry_->SetOperatorState(operator_state_);
 }
 
 void Node::StartScheduler(Term term, std::int64_t revision) {
@@ -215,16 +214,15 @@
           settings_.advertised, settings_.scheduler, [this] { return leadership_->valid_until(); },
           [this](const std::string& reason) { leadership_->StopLeading(reason); }},
       term, revision);
-  if (operator_state_ && operator_state_->config.version != 0) {
-    scheduler_->SetOperatorState(operator_state_);
-  } else if (!entry_role_) {
-    operator_watch_->Start();
-  }
+  // What this process knows of the configuration may be older than the term, so it is read again.
+  operator_watch_->Start();
   OnScheduler(term, settings_.advertised);
 }
 
 void Node::StopScheduler() {
-  if (!leadership_->leading()) scheduler_.reset();
+  if (leadership_->leading()) return;
+  scheduler_.reset();
+  if (!entry_role_) operator_watch_->Stop();
 }
 
 void Node::OnScheduler(Term term, const Address& address) {
--- a/src/fleet/prefix_watch.cc
+++ b/src/fleet/prefix_watch.cc
@@ -26,10 +26,22 @@
 
 PrefixWatch::~PrefixWatch() { *alive_ = false; }
 
-void PrefixWatch::Start() { Load("", 0, {}); }
+void PrefixWatch::Start() {
+  Stop();
+  started_ = true;
+  alive_ = std::make_shared<bool>(true);
+  Load("", 0, {});
+}
+
+void PrefixWatch::Stop() {
+  *alive_ = false;
+  started_ = false;
+  idle_ = true;
+  retry_delay_ = Duration();
+}
 
 void PrefixWatch::Tick(TimePoint now) {
-  if (idle_ && now >= retry_at_) Load("", 0, {});
+  if (started_ && idle_ && now >= retry_at_) Load("", 0, {});
 }
 
 void PrefixWatch::Load(std::string after_key, std::int64_t revision, std::vector<StoreItem> items) {
--- a/src/fleet/scheduler_driver.cc
+++ b/src/fleet/scheduler_driver.cc
@@ -55,6 +55,8 @@
 void SchedulerDriver::SetOperatorState(std::shared_ptr<const OperatorState> state) {
   config_version_ = state->config.version;
   core_.SetOperatorState(std::move(state));
+  config_loaded_ = true;
+  BecomeReadyIfLoaded();
 }
 
 void SchedulerDriver::LoadProgress(const std::string& after_key) {
@@ -112,7 +114,7 @@
 }
 
 void SchedulerDriver::BecomeReadyIfLoaded() {
-  if (ready_ || !progress_loaded_ || !agents_loaded_ || !inbox_loaded_) return;
+  if (ready_ || !progress_loaded_ || !agents_loaded_ || !inbox_loaded_ || !config_loaded_) return;
   ready_ = true;
   loaded_progress_.clear();
   Log(EventId::kFleetScheduler, "term={} ready members={} jobs_revision={} config={}",
--- /dev/null
+++ b/tests/fleet/scheduler_driver_test.cc
@@ -0,0 +1,71 @@
+#include "basilspring/fleet/scheduler_driver.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+
+#include "basilspring/process/io_thread.h"
+#include "scripted_store.h"
+
+// Tests of SchedulerDriver with a store that has no jobs.
+namespace basilspring::fleet {
+namespace {
+
+class SchedulerDriverTest : public ::testing::Test {
+ protected:
+  SchedulerDriverTest() {
+    store_.answer = [](const StoreCall& call) {
+      return MakeReply(call.kind() == StoreOperation::kGet ? StoreStatus::kNotFound
+                                                           : StoreStatus::kOk);
+    };
+  }
+
+  std::unique_ptr<SchedulerDriver> MakeDriver() {
+    const SchedulerDriver::Context context{access_,
+                                           peers_,
+                                           metrics_,
+                                           executor_,
+                                           [](Duration, const std::function<void()>&) {},
+                                           Address{"127.0.0.1", 1},
+                                           SchedulerOptions(),
+                                           [] { return Clock::Now() + Duration::Seconds(10); },
+                                           [](const std::string&) {}};
+    return std::make_unique<SchedulerDriver>(context, Term(1), 5);
+  }
+
+  void RunPosted() {
+    while (!posted_.empty()) {
+      const std::function<void()> work = std::move(posted_.front());
+      posted_.pop_front();
+      work();
+    }
+  }
+
+  IoThread io_;
+  HttpClient http_{io_};
+  std::deque<std::function<void()>> posted_;
+  Executor executor_ = [this](std::function<void()> work) { posted_.push_back(std::move(work)); };
+  PeerClient peers_{http_, executor_};
+  ScriptedStore store_;
+  StoreAccess access_{store_, peers_, executor_};
+  MetricRegistry metrics_;
+};
+
+// Guards against decisions of a scheduler that has read the jobs, but not yet the configuration: it
+// failed jobs after their first failed run.
+TEST_F(SchedulerDriverTest, IsNotActiveBeforeTheConfigurationIsRead) {
+  const auto driver = MakeDriver();
+  RunPosted();
+  EXPECT_FALSE(driver->IsActive());
+  AgentReport report;
+  report.node = NodeId("agent");
+  report.number = 1;
+  bool accepted = true;
+  driver->OnReport(report, [&](const AgentReportReply& reply) { accepted = reply.accepted; });
+  EXPECT_FALSE(accepted);
+  driver->SetOperatorState(std::make_shared<OperatorState>());
+  EXPECT_TRUE(driver->IsActive());
+}
+
+}  // namespace
+}  // namespace basilspring::fleet
--- a/tests/fleet/store_users_test.cc
+++ b/tests/fleet/store_users_test.cc
@@ -1,49 +1,17 @@
 #include <gtest/gtest.h>
 
-#include <deque>
-#include <functional>
 #include <thread>
 
 #include "basilspring/fleet/leadership.h"
 #include "basilspring/fleet/prefix_watch.h"
 #include "basilspring/fleet/store_access.h"
 #include "basilspring/process/io_thread.h"
+#include "scripted_store.h"
 
 // Tests of Leadership, PrefixWatch and StoreAccess with a store whose answers each test sets.
 namespace basilspring::fleet {
 namespace {
 
-class ScriptedStore : public Store {
- public:
-  void Call(const StoreCall& call, StoreHandler handler) override {
-    calls.push_back(call);
-    StoreReply reply;
-    if (answer) reply = answer(call);
-    if (hold && call.kind() == StoreOperation::kWatch) {
-      held.push_back(std::move(handler));
-      return;
-    }
-    handler(std::move(reply));
-  }
-  std::size_t CountOf(StoreOperation kind) const {
-    return static_cast<std::size_t>(std::count_if(
-        calls.begin(), calls.end(), [kind](const StoreCall& call) { return call.kind() == kind; }));
-  }
-  std::function<StoreReply(const StoreCall&)> answer;
-  std::vector<StoreCall> calls;
-  bool hold = true;
-  std::deque<StoreHandler> held;
-};
-
-StoreReply MakeReply(StoreStatus status, std::int64_t revision = 5) {
-  StoreReply reply;
-  reply.status = status;
-  reply.revision = revision;
-  reply.lease = 7;
-  reply.lease_time = Duration(2500);
-  return reply;
-}
-
 class StoreUsersTest : public ::testing::Test {
  protected:
   StoreUsersTest() {
@@ -173,6 +141,24 @@
   EXPECT_EQ(access_.counts().relayed_calls, 0U);
 }
 
+// Guards against a watch that is started again and then passes on what an earlier read shows.
+TEST_F(StoreUsersTest, AWatchThatIsStartedAgainIgnoresItsFormerCalls) {
+  std::vector<bool> snapshots;
+  PrefixWatch watch(
+      access_, inline_executor_, "p/",
+      [&](const std::vector<StoreItem>&, bool snapshot) { snapshots.push_back(snapshot); });
+  watch.Start();
+  watch.Start();
+  ASSERT_EQ(store_.held.size(), 2U);
+  const StoreHandler former = store_.held.front();
+  store_.held.pop_front();
+  StoreReply change = MakeReply(StoreStatus::kOk, 9);
+  change.items.push_back({"p/a", "x", 9, false});
+  former(change);
+  EXPECT_EQ(snapshots, (std::vector<bool>{true, true}));
+  EXPECT_EQ(store_.held.size(), 1U);
+}
+
 TEST_F(StoreUsersTest, MakesNoCallForAPeerWhileTheStoreIsUnreachable) {
   store_.answer = [](const StoreCall&) { return MakeReply(StoreStatus::kUnavailable); };
   access_.CallDirectly(StoreCall::Get("k"), [](const StoreReply&) {});
