Grant an agent no longer lease than the scheduler counts on

Backend servers could run a task twice: while its polls are carried out and not answered, an agent kept extending the lease with each report, and the scheduler, which does not count such a report, started the task elsewhere 5.85 s after the last one that it counted. Cause: the answer to a report granted the full lease whether or not the scheduler counted an extension. The class of fault is a lease that its two sides count from different events. Change: the answer grants only what is left of the counted extension, so the lease ends before the scheduler counts the runs as gone.

--- a/include/basilspring/fleet/peer_messages.h
+++ b/include/basilspring/fleet/peer_messages.h
@@ -49,7 +49,8 @@
   /// Term and address of the scheduler, as far as the process asked knows them.
   Term term;
   Address scheduler;
-  /// How long runs may continue, counted from the time at which the agent sent its report.
+  /// How long runs may continue, counted from the time at which the agent sent its report. 0 if the
+  /// report does not extend the lease, for example because the backend server answers no polls.
   Duration lease;
   /// Ends up to this number are recorded in the store.
   std::int64_t acknowledged = 0;
--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -34,7 +34,6 @@
   AgentReportReply reply;
   reply.accepted = true;
   reply.term = term_;
-  reply.lease = options_.lease;
   Worker& worker = workers_[report.node];
   const bool stale = worker.incarnation == report.incarnation && worker.reported &&
                      report.number <= worker.report_number;
@@ -67,6 +66,9 @@
       UpdateBackend(now, worker, report);
     }
   }
+  // Without an extension that CheckSilentWorkers() counts, the agent may only use up the last one.
+  const TimePoint extended_at = std::max(worker.last_lease_extension, term_started_at_);
+  reply.lease = std::max(Duration(0), extended_at + options_.lease - now);
   reply.acknowledged = AcknowledgedEnd(report.node);
   if (worker.backend) reply.started_unix_ms = worker.backend->started_unix_ms;
   return reply;
--- a/tests/fleet/scheduler_core_test.cc
+++ b/tests/fleet/scheduler_core_test.cc
@@ -124,6 +124,27 @@
 
 // Guards against treating a backend server that has just joined as silent since the start of the
 // term. Its runs would be abandoned immediately and restarted elsewhere.
+// Guards against a run that goes on after the scheduler has counted it as ended: the agent extended
+// the lease with polls that were carried out and not answered.
+TEST_F(SchedulerCoreTest, GrantsNoLongerLeaseThanItCountsOn) {
+  AddAgents(2);
+  const JobId job = fleet_.Submit("batch", "shop", MakeStep(1, 8, 60 * kSecond));
+  fleet_.Advance(500);
+  ASSERT_EQ(fleet_.StartsOf(job), 1U);
+  FleetHarness::Agent& agent = fleet_.agent(fleet_.starts().front().first);
+  agent.reachable = false;
+  agent.report.poll_age = Duration::Seconds(5);
+  std::int64_t granted_until_ms = 0;
+  for (int i = 0; i < 60 && fleet_.StartsOf(job) == 1; ++i) {
+    ++agent.report.number;
+    const auto reply = fleet_.core().OnReport(TimePoint(fleet_.now_ms()), agent.report);
+    granted_until_ms = std::max(granted_until_ms, fleet_.now_ms() + reply.lease.milliseconds());
+    fleet_.Advance(200);
+  }
+  ASSERT_EQ(fleet_.StartsOf(job), 2U);
+  EXPECT_LE(granted_until_ms, fleet_.now_ms());
+}
+
 TEST_F(SchedulerCoreTest, KeepsTheRunsOfAWorkerThatHasJustJoined) {
   AddAgents(1);
   fleet_.Advance(20 * kSecond);
