Keep a finished job known until its removal is stored

Callers could see a completed job as queued again, and its tasks could run a second time. Cause: once the retention time of a finished job was over, the scheduler forgot the job at once and deleted its keys from the store later. If the jobs were read again in between (history lost, or a watch without an answer), the job was added as a new one without its record. A read that was answered only after the deletion had the same effect. The class of fault is memory that is given up before the store has taken it over. Change: the job stays known until the deletion is stored, and items that were read before the deletion are ignored. Evidence: with the former removal and without the comparison of revisions, AFinishedJobStaysKnownUntilItsRemovalIsStored fails (phase running instead of completed) and IgnoresAJobThatWasReadBeforeItsRemoval fails (the job is known again).

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -139,6 +139,8 @@
                         const std::optional<OrderBatchReply>& reply);
   /// Records that the given version of a job's record is in the store.
   void OnSaved(const JobId& job, std::uint64_t version);
+  /// Records that all keys of the job have been deleted from the store.
+  void OnRemoved(const JobId& job);
 
   /// Runs one scheduling pass. Starts no runs if `may_start` is false, because the scheduler's
   /// lease may have expired.
@@ -293,6 +295,8 @@
     TimePoint accepted_at;
     JobPhase phase = JobPhase::kQueued;
     bool phase_stored = false;
+    /// Whether the deletion of the job's keys has been requested.
+    bool removing = false;
     bool cancelled = false;
     std::int64_t finished_unix_ms = 0;
     std::vector<Step> steps;
--- a/include/basilspring/fleet/scheduler_driver.h
+++ b/include/basilspring/fleet/scheduler_driver.h
@@ -107,6 +107,8 @@
   void BecomeReadyIfLoaded();
   /// Handles items of the inbox: all that exist if `snapshot` is true, otherwise changes.
   void OnInbox(const std::vector<StoreItem>& items, bool snapshot);
+  /// Whether the item was read before the job's keys were deleted.
+  bool IsOlderThanRemoval(const JobId& job, const StoreItem& item) const;
   /// Lets the core decide and carries out its decisions.
   void RunPass(TimePoint now);
   /// Runs a pass now, or once kPassInterval has passed since the last one.
@@ -137,6 +139,8 @@
   /// Revision of each job's record. Each write is conditional on it, so that a write whose answer
   /// was lost can't replace a later one if the store applies it late.
   std::map<JobId, std::int64_t> progress_revisions_;
+  /// Revisions at which the keys of jobs were deleted, until the inbox is known up to them.
+  std::map<JobId, std::int64_t> removal_revisions_;
   /// Version of the operators' configuration that the scheduler uses; 0 if it knows none.
   std::int64_t config_version_ = 0;
   std::int64_t agents_revision_ = 0;
@@ -148,7 +152,6 @@
   bool pass_scheduled_ = false;
   TimePoint last_pass_;
   TimePoint load_retry_at_;
-  std::vector<std::vector<StoreItem>> early_inbox_;
   /// Agents that may have runs, and those of them that the stored list contains.
   std::map<NodeId, Address> agents_;
   std::set<NodeId> stored_agents_;
--- a/src/fleet/scheduler_core.cc
+++ b/src/fleet/scheduler_core.cc
@@ -188,19 +188,19 @@
 }
 
 void SchedulerCore::RemoveOldJobs(SchedulerOutput& out) {
-  for (auto it = jobs_.begin(); it != jobs_.end();) {
-    const Job& job = it->second;
+  for (auto& [id, job] : jobs_) {
     const bool old = job.phase_stored && job.saving_version == 0 &&
                      wall_ms_ - job.finished_unix_ms > options_.keep_finished.milliseconds();
-    if (!old) {
-      ++it;
-      continue;
-    }
-    out.saves.push_back({it->first, 0, "", true});
-    it = jobs_.erase(it);
+    if (!old || job.removing) continue;
+    // The job stays known until its keys are deleted. Otherwise the next read of the jobs would
+    // add it again without its record.
+    job.removing = true;
+    out.saves.push_back({id, 0, "", true});
   }
 }
 
+void SchedulerCore::OnRemoved(const JobId& id) { jobs_.erase(id); }
+
 void SchedulerCore::OnSaved(const JobId& id, std::uint64_t version) {
   const auto found = jobs_.find(id);
   if (found == jobs_.end()) return;
--- a/src/fleet/scheduler_driver.cc
+++ b/src/fleet/scheduler_driver.cc
@@ -139,8 +139,10 @@
   for (const StoreItem& item : items) {
     if (item.removed) continue;
     if (item.key.rfind(cancels, 0) == 0) {
-      core_.CancelJob(JobId(item.key.substr(cancels.size())));
+      const JobId id(item.key.substr(cancels.size()));
+      if (!IsOlderThanRemoval(id, item)) core_.CancelJob(id);
     } else if (item.key.rfind(jobs, 0) == 0) {
+      if (IsOlderThanRemoval(JobId(item.key.substr(jobs.size())), item)) continue;
       try {
         JobSpec spec = DecodeJobSpec(item.value);
         const auto found = loaded_progress_.find(spec.id);
@@ -152,11 +154,18 @@
       }
     }
   }
+  std::erase_if(removal_revisions_,
+                [this](const auto& row) { return row.second <= inbox_->revision(); });
   if (snapshot) inbox_loaded_ = true;
   BecomeReadyIfLoaded();
   if (ready_) RequestPass();
 }
 
+bool SchedulerDriver::IsOlderThanRemoval(const JobId& job, const StoreItem& item) const {
+  const auto found = removal_revisions_.find(job);
+  return found != removal_revisions_.end() && item.revision < found->second;
+}
+
 void SchedulerDriver::Tick(TimePoint now) {
   if (inbox_ && progress_loaded_) inbox_->Tick(now);
   if (!ready_) {
@@ -269,6 +278,8 @@
         for (const ProgressSave& save : *batch) {
           if (save.remove) {
             progress_revisions_.erase(save.job);
+            removal_revisions_[save.job] = reply.revision;
+            core_.OnRemoved(save.job);
           } else {
             progress_revisions_[save.job] = reply.revision;
             core_.OnSaved(save.job, save.version);
--- a/tests/fleet/fleet_harness.cc
+++ b/tests/fleet/fleet_harness.cc
@@ -104,6 +104,12 @@
   return spec.id;
 }
 
+void FleetHarness::ReadJobsAgain() {
+  for (const auto& [id, spec] : specs_) {
+    core_->AddJob(TimePoint(now_ms_), now_ms_, spec, std::nullopt);
+  }
+}
+
 void FleetHarness::Advance(std::int64_t milliseconds) {
   for (const std::int64_t end = now_ms_ + milliseconds; now_ms_ < end; now_ms_ += kTickMs) {
     StepAgents();
@@ -186,7 +192,13 @@
 void FleetHarness::ApplyOutput(SchedulerOutput output) {
   for (const ProgressSave& save : output.saves) {
     if (!store_available) continue;
-    if (!save.remove) stored_[save.job] = DecodeJobProgress(save.bytes);
+    if (save.remove) {
+      stored_.erase(save.job);
+      specs_.erase(save.job);
+      core_->OnRemoved(save.job);
+      continue;
+    }
+    stored_[save.job] = DecodeJobProgress(save.bytes);
     core_->OnSaved(save.job, save.version);
   }
   for (const OutgoingOrders& orders : output.orders) {
--- a/tests/fleet/fleet_harness.h
+++ b/tests/fleet/fleet_harness.h
@@ -53,6 +53,8 @@
   /// Submits a job of one step.
   JobId Submit(const std::string& queue, const std::string& workspace, const StepSpec& step);
   JobId Submit(const std::string& queue, const std::string& workspace, std::vector<StepSpec> steps);
+  /// Adds all stored jobs again, as after a watch that has lost its history.
+  void ReadJobsAgain();
   void Cancel(const JobId& job) { core_->CancelJob(job); }
 
   /// Advances the clock in steps of 20 ms.
--- a/tests/fleet/scheduler_core_test.cc
+++ b/tests/fleet/scheduler_core_test.cc
@@ -53,6 +53,19 @@
   EXPECT_FALSE(fleet_.agent("a0").report.ended.empty());
 }
 
+// Guards against running a finished job again that is read before its removal is stored.
+TEST_F(SchedulerCoreTest, AFinishedJobStaysKnownUntilItsRemovalIsStored) {
+  AddAgents(1);
+  const JobId job = fleet_.Submit("batch", "shop", MakeStep(1, 1, 500));
+  ASSERT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, 5 * kSecond));
+  fleet_.store_available = false;
+  fleet_.Advance(fleet_.options.keep_finished.milliseconds() + kSecond);
+  fleet_.ReadJobsAgain();
+  fleet_.Advance(kSecond);
+  EXPECT_EQ(fleet_.StartsOf(job), 1U);
+  EXPECT_EQ(fleet_.PhaseOf(job), JobPhase::kCompleted);
+}
+
 // Guards against a task that runs twice at the same time: a scheduler that does not know which
 // agent may have a run of its predecessor would start the task again.
 TEST_F(SchedulerCoreTest, StartsNothingBeforeTheRecordOfItsAgentIsStored) {
--- a/tests/fleet/scheduler_driver_test.cc
+++ b/tests/fleet/scheduler_driver_test.cc
@@ -67,5 +67,37 @@
   EXPECT_TRUE(driver->IsActive());
 }
 
+// Guards against running a finished job again that was read before its keys were deleted and whose
+// read is answered afterwards.
+TEST_F(SchedulerDriverTest, IgnoresAJobThatWasReadBeforeItsRemoval) {
+  JobSpec spec;
+  spec.id = JobId("00000000000000aa");
+  spec.steps.emplace_back();
+  JobProgress progress;
+  progress.phase = static_cast<std::uint8_t>(JobPhase::kCompleted);
+  const StoreItem job{StoreKeys::Job(spec.id), EncodeJobSpec(spec), 3, false};
+  const StoreItem record{StoreKeys::Progress(spec.id), EncodeJobProgress(progress), 4, false};
+  store_.answer = [&](const StoreCall& call) {
+    StoreReply reply = MakeReply(StoreStatus::kOk, 5);
+    if (call.kind() == StoreOperation::kGet) reply.status = StoreStatus::kNotFound;
+    if (call.kind() == StoreOperation::kTransaction) reply.revision = 9;
+    if (call.kind() == StoreOperation::kRange) {
+      reply.items = {call.key == StoreKeys::kProgress ? record : job};
+    }
+    return reply;
+  };
+  const auto driver = MakeDriver();
+  RunPosted();
+  driver->SetOperatorState(std::make_shared<OperatorState>());
+  RunPosted();
+  ASSERT_FALSE(driver->core().PhaseOf(spec.id).has_value());
+  ASSERT_EQ(store_.held.size(), 1U);
+  StoreReply late = MakeReply(StoreStatus::kOk, 6);
+  late.items = {job};
+  store_.held.front()(late);
+  RunPosted();
+  EXPECT_FALSE(driver->core().PhaseOf(spec.id).has_value());
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
