Use workers on probation as a last resort in an idle fleet

Callers saw accepted jobs wait for up to a minute although no worker had anything to do. Cause: failed runs of two jobs in a row put a worker on probation for 4 s, doubling up to 60 s, and a worker on probation was not considered at all. Once runs had failed on all workers that could hold a step, for example while a fault of the whole service lasted, the step waited for the end of the longest probation, also after the fault was over. The class of fault is a preference that decides like a condition. Change: workers on probation stay in the pass. If less than half of the fleet is in use, a job without live runs that has waited 2 s may use them. A run that is started on probation and is done ends the probation. The line of a waiting step and the gauge basilspring_workers_on_probation show how many there are.

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -35,8 +35,12 @@
   /// A run whose progress has not changed for this long is stopped and restarted elsewhere.
   Duration stall_limit = Duration(3000);
   /// How long a worker on which runs keep failing is first put on probation, which means that it is
-  /// assigned no new work. The time doubles with each further probation.
+  /// assigned new work only as a last resort. The time doubles with each further probation.
   Duration first_probation = Duration(4000);
+  /// If less than half of the fleet is in use, a job without live runs waits no longer than this
+  /// for a worker that is not on probation. Longer than the wait for a rack, because a run that
+  /// fails uses up one of the job's attempts.
+  Duration max_probation_wait = Duration(2000);
   /// Runs on a draining backend server are stopped, to save their state, this long before the last
   /// moment at which a stop could still complete.
   Duration drain_margin = Duration(600);
@@ -110,6 +114,8 @@
   std::uint64_t steps_ready = 0;
   /// Steps whose turn had come in the last pass and that were not considered for placement.
   std::uint64_t steps_blocked = 0;
+  /// Otherwise usable workers that were on probation in the last pass.
+  std::uint64_t workers_on_probation = 0;
 };
 
 /// Decides which task runs on which worker during one term of the scheduler's lease. Performs no
@@ -198,6 +204,8 @@
     /// Whether the run time is a sample for the run time model: the run was started in this term,
     /// not from a checkpoint, and in the rack of its data.
     bool is_run_time_sample = false;
+    /// Whether the run was started while the worker was on probation.
+    bool on_probation = false;
   };
 
   struct Worker {
@@ -410,6 +418,10 @@
   void Rank(TimePoint now, const Pass& pass, ReadyStep& ready) const;
   /// Starts as many tasks as fit or, if permitted, preempts other runs and reserves their capacity.
   void TryStart(TimePoint now, Pass& pass, const ReadyStep& ready);
+  /// Starts `count` tasks of the step, or as many as fit unless it is a gang, without stopping
+  /// other runs. Returns false if none fits.
+  bool StartOnFreeCapacity(TimePoint now, Pass& pass, const ReadyStep& ready, std::int32_t count,
+                           const PlacementView& view, bool any_rack);
   /// Starts the step on its reserved workers if they are free. Returns false if the reservation was
   /// given up.
   bool TryStartReserved(TimePoint now, Pass& pass, const ReadyStep& ready);
@@ -423,7 +435,9 @@
 
   // Free, reserved and held-back capacity, in scheduler_room.cc.
   void BeginPass(TimePoint now, Pass& pass);
-  PlacementView BuildView(const Pass& pass, const ReadyStep& ready) const;
+  /// Returns the workers on which the step may be placed, those on probation only if
+  /// `with_probation` is true.
+  PlacementView BuildView(const Pass& pass, const ReadyStep& ready, bool with_probation) const;
   Resources FreeCapacity(const Worker& worker) const;
   /// Returns whether new work of the service may be started on the worker.
   bool IsUsable(TimePoint now, const Worker& worker, const ServiceId& service) const;
--- a/src/fleet/node_requests.cc
+++ b/src/fleet/node_requests.cc
@@ -178,6 +178,7 @@
   set("basilspring_wasted_core_ms", counts.wasted_core_ms);
   set("basilspring_steps_ready", counts.steps_ready);
   set("basilspring_steps_blocked", counts.steps_blocked);
+  set("basilspring_workers_on_probation", counts.workers_on_probation);
 }
 
 }  // namespace basilspring::fleet
--- a/src/fleet/scheduler_pass.h
+++ b/src/fleet/scheduler_pass.h
@@ -28,6 +28,7 @@
 struct SchedulerCore::Pass {
   struct WorkerCapacity {
     Worker* worker = nullptr;
+    bool on_probation = false;
     Resources free;
     /// Capacity of runs that are being stopped and should end soon.
     Resources stopping;
@@ -37,7 +38,7 @@
     Resources held_back;
   };
   std::vector<WorkerCapacity> workers;
-  /// For each usable worker its index in `workers`.
+  /// For each usable worker that is not on probation its index in `workers`.
   std::map<NodeId, std::size_t> index;
   /// Jobs of priority 0 within the guarantee of their workspace.
   std::set<JobId> guaranteed;
@@ -54,6 +55,12 @@
   std::vector<Candidate> candidates;
   /// For each candidate its index in Pass::workers.
   std::vector<std::size_t> worker_indices;
+  /// Returns for each task of the placement the index of its worker in Pass::workers.
+  std::vector<std::size_t> IndicesOf(const Placement& placement) const {
+    std::vector<std::size_t> indices;
+    for (const std::size_t i : placement.workers) indices.push_back(worker_indices[i]);
+    return indices;
+  }
   /// For each candidate the capacity that is free and not reserved or held back for others, once
   /// all pending stops have completed.
   std::vector<Resources> free_after_stops;
--- a/src/fleet/scheduler_queue.cc
+++ b/src/fleet/scheduler_queue.cc
@@ -220,12 +220,12 @@
   }
   LogDecision(fmt::format(
       "job={} step={} tier={} waits_ms={} tasks={} needs={}/{}/{} data_rack={} same_rack={} "
-      "max_per_worker={} usable={} eligible={} slots={} largest_free_run={} mostly_idle={} "
-      "headroom={}",
+      "max_per_worker={} usable={} on_probation={} eligible={} slots={} largest_free_run={} "
+      "mostly_idle={} headroom={}",
       ready.job->spec.id.value(), ready.step, ready.tier, (now - *step.ready_at).milliseconds(),
       ready.waiting.size(), spec.needs.milli_cores, spec.needs.memory_mb, spec.needs.accelerators,
-      spec.data_rack, spec.same_rack, spec.max_per_worker, pass.workers.size(), eligible, slots,
-      largest, pass.mostly_idle, pass.headroom));
+      spec.data_rack, spec.same_rack, spec.max_per_worker, pass.index.size(),
+      counts_.workers_on_probation, eligible, slots, largest, pass.mostly_idle, pass.headroom));
 }
 
 bool SchedulerCore::TryStartReserved(TimePoint now, Pass& pass, const ReadyStep& ready) {
@@ -260,33 +260,46 @@
   return true;
 }
 
+bool SchedulerCore::StartOnFreeCapacity(TimePoint now, Pass& pass, const ReadyStep& ready,
+                                        std::int32_t count, const PlacementView& view,
+                                        bool any_rack) {
+  Step& step = ready.job->steps[ready.step];
+  const StepSpec& spec = SpecOf(*ready.job, ready.step);
+  const auto placement = PlaceNow(spec, count, view.candidates, any_rack);
+  if (!placement) return false;
+  std::vector<std::int32_t> tasks = ready.waiting;
+  tasks.resize(placement->workers.size());
+  for (const NodeId& node : step.held_back_workers) {
+    const auto found = pass.index.find(node);
+    if (found != pass.index.end()) pass.workers[found->second].held_back -= spec.needs;
+  }
+  step.held_back_workers.clear();
+  StartTasks(now, pass, *ready.job, ready.step, tasks, view.IndicesOf(*placement));
+  return true;
+}
+
 void SchedulerCore::TryStart(TimePoint now, Pass& pass, const ReadyStep& ready) {
   Job& job = *ready.job;
   Step& step = job.steps[ready.step];
   const StepSpec& spec = SpecOf(job, ready.step);
   if (!step.reserved_workers.empty() && TryStartReserved(now, pass, ready)) return;
-  PlacementView view = BuildView(pass, ready);
+  PlacementView view = BuildView(pass, ready, false);
   const std::int32_t count = TasksWithinHeadroom(now, pass, ready);
   if (count == 0) {
     LogWaitReason(now, pass, ready, view);
     return;
   }
-  const auto indices_of = [&](const Placement& placement) {
-    std::vector<std::size_t> worker_indices;
-    for (const std::size_t i : placement.workers) worker_indices.push_back(view.worker_indices[i]);
-    return worker_indices;
-  };
-  const bool any_rack = pass.mostly_idle && now - std::max(job.last_active_at, *step.ready_at) >=
-                                                options_.max_rack_wait;
-  if (const auto placement = PlaceNow(spec, count, view.candidates, any_rack)) {
-    std::vector<std::int32_t> tasks = ready.waiting;
-    tasks.resize(placement->workers.size());
-    for (const NodeId& node : step.held_back_workers) {
-      const auto found = pass.index.find(node);
-      if (found != pass.index.end()) pass.workers[found->second].held_back -= spec.needs;
-    }
-    step.held_back_workers.clear();
-    StartTasks(now, pass, job, ready.step, tasks, indices_of(*placement));
+  // In a fleet with capacity that nobody else needs, preferences give way after a while.
+  const Duration inactive = now - std::max(job.last_active_at, *step.ready_at);
+  const bool any_rack = pass.mostly_idle && inactive >= options_.max_rack_wait;
+  if (StartOnFreeCapacity(now, pass, ready, count, view, any_rack)) return;
+  const bool with_probation = pass.mostly_idle && inactive >= options_.max_probation_wait;
+  if (with_probation &&
+      StartOnFreeCapacity(now, pass, ready, count, BuildView(pass, ready, true), any_rack)) {
+    LogDecision(
+        fmt::format("job={} step={} waited_ms={} started on workers on probation, as no other "
+                    "worker can hold it",
+                    job.spec.id.value(), ready.step, (now - *step.ready_at).milliseconds()));
     return;
   }
   const bool may_preempt =
@@ -302,7 +315,7 @@
     LogWaitReason(now, pass, ready, view);
     return;
   }
-  for (const std::size_t index : indices_of(*placement)) {
+  for (const std::size_t index : view.IndicesOf(*placement)) {
     step.reserved_workers.push_back(pass.workers[index].worker->node);
     pass.workers[index].reserved += spec.needs;
   }
@@ -333,6 +346,7 @@
   run.progressed_at = now;
   run.working_since = now;
   run.checkpoint = checkpoint;
+  run.on_probation = now < worker.probation_until;
   run.is_run_time_sample =
       checkpoint.empty() && (spec.data_rack.empty() || spec.data_rack == worker.backend->rack);
   // The record must name the agent before the start is sent, so that the next scheduler knows where
--- a/src/fleet/scheduler_room.cc
+++ b/src/fleet/scheduler_room.cc
@@ -36,17 +36,18 @@
 
 void SchedulerCore::BeginPass(TimePoint now, Pass& pass) {
   pass.guaranteed = GuaranteedJobs();
+  counts_.workers_on_probation = 0;
   for (auto& [node, worker] : workers_) {
-    // A worker on probation is assigned no new work.
-    if (!worker.backend || now < worker.probation_until) continue;
-    if (!IsUsable(now, worker, worker.backend->service)) continue;
+    if (!worker.backend || !IsUsable(now, worker, worker.backend->service)) continue;
     Pass::WorkerCapacity pass_worker;
     pass_worker.worker = &worker;
+    pass_worker.on_probation = now < worker.probation_until;
+    if (pass_worker.on_probation) ++counts_.workers_on_probation;
     pass_worker.free = FreeCapacity(worker);
     for (const auto& [key, run] : worker.runs) {
       if (FreesCapacitySoon(now, run)) pass_worker.stopping += run.needs;
     }
-    pass.index[node] = pass.workers.size();
+    if (!pass_worker.on_probation) pass.index[node] = pass.workers.size();
     pass.workers.push_back(pass_worker);
   }
   Resources capacity;
@@ -76,8 +77,8 @@
   }
 }
 
-SchedulerCore::PlacementView SchedulerCore::BuildView(const Pass& pass,
-                                                      const ReadyStep& ready) const {
+SchedulerCore::PlacementView SchedulerCore::BuildView(const Pass& pass, const ReadyStep& ready,
+                                                      bool with_probation) const {
   PlacementView view;
   const Job& job = *ready.job;
   const StepSpec& spec = SpecOf(job, ready.step);
@@ -96,6 +97,7 @@
     const Pass::WorkerCapacity& pass_worker = pass.workers[i];
     const Worker& worker = *pass_worker.worker;
     if (worker.backend->service != job.queue.service) continue;
+    if (pass_worker.on_probation && !with_probation) continue;
     Candidate candidate;
     candidate.rack = worker.backend->rack;
     if (!pinned_rack.empty() && candidate.rack != pinned_rack) continue;
@@ -239,6 +241,7 @@
   }
   std::int64_t free = 0;
   for (const Pass::WorkerCapacity& pass_worker : pass.workers) {
+    if (pass_worker.on_probation) continue;
     free += std::max<std::int64_t>(
         0, pass_worker.free.accelerators - pass_worker.reserved.accelerators);
   }
--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -197,11 +197,13 @@
   Duration ran;
   std::int32_t percent = 0;
   bool is_run_time_sample = false;
+  bool on_probation = false;
   if (found != worker.runs.end()) {
     if (!checkpoint.empty()) found->second.checkpoint = checkpoint;
     ran = now - found->second.working_since;
     percent = found->second.percent;
     is_run_time_sample = found->second.is_run_time_sample;
+    on_probation = found->second.on_probation;
     ReleaseRun(now, worker, key, end != RunEnd::kDone && end != RunEnd::kGangIncomplete);
   }
   LogDecision(fmt::format("task={} run={} worker={} end={} ran_ms={} percent={} checkpoint={}",
@@ -212,6 +214,7 @@
     ++counts_.runs_done;
     worker.failed_jobs.clear();
     worker.next_probation = options_.first_probation;
+    if (on_probation) worker.probation_until = TimePoint();
     if (is_run_time_sample) run_times_.Observe(job->spec.queue, key.task.step, ran);
     MarkDone(*job, key.task);
   } else if (end == RunEnd::kFailed) {
--- a/tests/fleet/scheduler_load_test.cc
+++ b/tests/fleet/scheduler_load_test.cc
@@ -198,5 +198,24 @@
   EXPECT_LE(on_faulty, 12);
 }
 
+// Guards against jobs that wait in an idle fleet until the last probation is over, after all
+// workers have failed runs for a while. 3 s is the longest wait that the users allow.
+TEST_F(SchedulerLoadTest, AJobIsNotLeftWaitingWhileAllWorkersAreOnProbation) {
+  RunEnd end = RunEnd::kFailed;
+  fleet_.outcome_of = [&end](const std::string&, const TaskId&) { return end; };
+  for (int i = 0; i < 4; ++i) {
+    fleet_.Submit("batch", "other", MakeStep(12, 4, 200));
+    fleet_.Submit("batch", "other", MakeStep(12, 4, 200));
+    fleet_.Advance(12 * kSecond);
+  }
+  end = RunEnd::kDone;
+  const JobId job = fleet_.Submit("batch", "other", MakeStep(1, 1, 200));
+  EXPECT_GE(TimeToStart(job, 1, 3 * kSecond), 0);
+  ASSERT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, kSecond));
+  // The worker that has run the job is no longer on probation.
+  const JobId next = fleet_.Submit("batch", "other", MakeStep(1, 1, 200));
+  EXPECT_LE(TimeToStart(next, 1, 3 * kSecond), 100);
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
