Let a step in one rack continue elsewhere when its rack is not available

Callers could see an accepted job stay at running for good while most of the fleet had nothing to do. Cause: the remaining tasks of a step that prefers one rack and is no gang could only use the rack on which one of its tasks had run. That held also if all workers of the rack were draining, evacuated or silent, or occupied by other work. The class of fault is a preference that decides like a condition, as for workers on probation. The two limits are now decided in one place, RelaxationFor().

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "basilspring/clock.h"
@@ -334,6 +335,13 @@
     std::vector<std::int32_t> waiting;
   };
 
+  /// Preferences of placement that are given up for a step that has waited for long.
+  struct Relaxation {
+    /// The step need not be placed in the rack of its data or of its other tasks.
+    bool any_rack = false;
+    /// The step may use workers on probation.
+    bool with_probation = false;
+  };
   struct PlacementView;
   struct Pass;
 
@@ -421,7 +429,7 @@
   /// Starts `count` tasks of the step, or as many as fit unless it is a gang, without stopping
   /// other runs. Returns false if none fits.
   bool StartOnFreeCapacity(TimePoint now, Pass& pass, const ReadyStep& ready, std::int32_t count,
-                           const PlacementView& view, bool any_rack);
+                           const PlacementView& view);
   /// Starts the step on its reserved workers if they are free. Returns false if the reservation was
   /// given up.
   bool TryStartReserved(TimePoint now, Pass& pass, const ReadyStep& ready);
@@ -435,9 +443,14 @@
 
   // Free, reserved and held-back capacity, in scheduler_room.cc.
   void BeginPass(TimePoint now, Pass& pass);
-  /// Returns the workers on which the step may be placed, those on probation only if
-  /// `with_probation` is true.
-  PlacementView BuildView(const Pass& pass, const ReadyStep& ready, bool with_probation) const;
+  /// Returns which preferences are given up for the step. None are if at least half of the fleet is
+  /// in use.
+  Relaxation RelaxationFor(TimePoint now, const Pass& pass, const ReadyStep& ready) const;
+  /// Returns the rack of the step's other tasks in which the next ones must start; empty if they
+  /// may start in any rack.
+  std::string_view RequiredRack(const Pass& pass, const Job& job, std::size_t step) const;
+  /// Returns the workers on which the step may be placed.
+  PlacementView BuildView(const Pass& pass, const ReadyStep& ready, Relaxation relaxation) const;
   Resources FreeCapacity(const Worker& worker) const;
   /// Returns whether new work of the service may be started on the worker.
   bool IsUsable(TimePoint now, const Worker& worker, const ServiceId& service) const;
--- a/src/fleet/scheduler_pass.h
+++ b/src/fleet/scheduler_pass.h
@@ -53,6 +53,8 @@
 /// The usable workers as placement sees them for one step, with the runs that it may preempt.
 struct SchedulerCore::PlacementView {
   std::vector<Candidate> candidates;
+  /// Whether all racks may be used if the preferred ones have no free capacity.
+  bool any_rack = false;
   /// For each candidate its index in Pass::workers.
   std::vector<std::size_t> worker_indices;
   /// Returns for each task of the placement the index of its worker in Pass::workers.
--- a/src/fleet/scheduler_queue.cc
+++ b/src/fleet/scheduler_queue.cc
@@ -261,11 +261,10 @@
 }
 
 bool SchedulerCore::StartOnFreeCapacity(TimePoint now, Pass& pass, const ReadyStep& ready,
-                                        std::int32_t count, const PlacementView& view,
-                                        bool any_rack) {
+                                        std::int32_t count, const PlacementView& view) {
   Step& step = ready.job->steps[ready.step];
   const StepSpec& spec = SpecOf(*ready.job, ready.step);
-  const auto placement = PlaceNow(spec, count, view.candidates, any_rack);
+  const auto placement = PlaceNow(spec, count, view.candidates, view.any_rack);
   if (!placement) return false;
   std::vector<std::int32_t> tasks = ready.waiting;
   tasks.resize(placement->workers.size());
@@ -283,19 +282,16 @@
   Step& step = job.steps[ready.step];
   const StepSpec& spec = SpecOf(job, ready.step);
   if (!step.reserved_workers.empty() && TryStartReserved(now, pass, ready)) return;
-  PlacementView view = BuildView(pass, ready, false);
+  const Relaxation relaxation = RelaxationFor(now, pass, ready);
+  PlacementView view = BuildView(pass, ready, {relaxation.any_rack, false});
   const std::int32_t count = TasksWithinHeadroom(now, pass, ready);
   if (count == 0) {
     LogWaitReason(now, pass, ready, view);
     return;
   }
-  // In a fleet with capacity that nobody else needs, preferences give way after a while.
-  const Duration inactive = now - std::max(job.last_active_at, *step.ready_at);
-  const bool any_rack = pass.mostly_idle && inactive >= options_.max_rack_wait;
-  if (StartOnFreeCapacity(now, pass, ready, count, view, any_rack)) return;
-  const bool with_probation = pass.mostly_idle && inactive >= options_.max_probation_wait;
-  if (with_probation &&
-      StartOnFreeCapacity(now, pass, ready, count, BuildView(pass, ready, true), any_rack)) {
+  if (StartOnFreeCapacity(now, pass, ready, count, view)) return;
+  if (relaxation.with_probation &&
+      StartOnFreeCapacity(now, pass, ready, count, BuildView(pass, ready, relaxation))) {
     LogDecision(
         fmt::format("job={} step={} waited_ms={} started on workers on probation, as no other "
                     "worker can hold it",
--- a/src/fleet/scheduler_room.cc
+++ b/src/fleet/scheduler_room.cc
@@ -77,30 +77,54 @@
   }
 }
 
+SchedulerCore::Relaxation SchedulerCore::RelaxationFor(TimePoint now, const Pass& pass,
+                                                       const ReadyStep& ready) const {
+  if (!pass.mostly_idle) return {};
+  const Step& step = ready.job->steps[ready.step];
+  const Duration inactive = now - std::max(ready.job->last_active_at, *step.ready_at);
+  return {inactive >= options_.max_rack_wait, inactive >= options_.max_probation_wait};
+}
+
+std::string_view SchedulerCore::RequiredRack(const Pass& pass, const Job& job,
+                                             std::size_t step) const {
+  const StepSpec& spec = SpecOf(job, step);
+  if (!spec.same_rack || spec.gang) return {};
+  std::string_view rack;
+  for (const Task& task : job.steps[step].tasks) {
+    const auto worker = workers_.find(task.worker);
+    if (task.phase == TaskPhase::kWaiting || worker == workers_.end()) continue;
+    if (worker->second.backend) rack = worker->second.backend->rack;
+  }
+  const bool usable = std::any_of(
+      pass.workers.begin(), pass.workers.end(), [&](const Pass::WorkerCapacity& pass_worker) {
+        const BackendAnnouncement& backend = *pass_worker.worker->backend;
+        return !pass_worker.on_probation && backend.service == job.queue.service &&
+               backend.rack == rack;
+      });
+  return usable ? rack : std::string_view();
+}
+
 SchedulerCore::PlacementView SchedulerCore::BuildView(const Pass& pass, const ReadyStep& ready,
-                                                      bool with_probation) const {
+                                                      Relaxation relaxation) const {
   PlacementView view;
+  view.any_rack = relaxation.any_rack;
   const Job& job = *ready.job;
   const StepSpec& spec = SpecOf(job, ready.step);
   const Step& step = job.steps[ready.step];
-  std::string_view pinned_rack;
+  const std::string_view required_rack =
+      relaxation.any_rack ? std::string_view() : RequiredRack(pass, job, ready.step);
   std::set<NodeId> failed_on;
   for (const Task& task : step.tasks) {
     failed_on.insert(task.failed_on.begin(), task.failed_on.end());
-    if (!spec.same_rack || spec.gang || task.phase == TaskPhase::kWaiting) continue;
-    const auto worker = workers_.find(task.worker);
-    if (worker != workers_.end() && worker->second.backend) {
-      pinned_rack = worker->second.backend->rack;
-    }
   }
   for (std::size_t i = 0; i < pass.workers.size(); ++i) {
     const Pass::WorkerCapacity& pass_worker = pass.workers[i];
     const Worker& worker = *pass_worker.worker;
     if (worker.backend->service != job.queue.service) continue;
-    if (pass_worker.on_probation && !with_probation) continue;
+    if (pass_worker.on_probation && !relaxation.with_probation) continue;
     Candidate candidate;
     candidate.rack = worker.backend->rack;
-    if (!pinned_rack.empty() && candidate.rack != pinned_rack) continue;
+    if (!required_rack.empty() && candidate.rack != required_rack) continue;
     candidate.capacity = worker.backend->capacity;
     candidate.labels = &worker.backend->labels;
     if (spec.max_per_worker > 0) {
--- a/tests/fleet/scheduler_load_test.cc
+++ b/tests/fleet/scheduler_load_test.cc
@@ -217,5 +217,46 @@
   EXPECT_LE(TimeToStart(next, 1, 3 * kSecond), 100);
 }
 
+// Guards against a step that waits for ever for the rack of its first tasks, which drains, while
+// other racks are idle.
+TEST_F(SchedulerLoadTest, AStepInOneRackContinuesElsewhereWhenItsRackDrains) {
+  StepSpec step = MakeStep(20, 1, kSecond);
+  step.same_rack = true;
+  fleet_.run_time_of = [](const TaskId& id) { return id.index == 0 ? 400 : kSecond; };
+  const JobId job = fleet_.Submit("batch", "other", step);
+  fleet_.Advance(600);
+  ASSERT_EQ(fleet_.RunningTasks(job), 19U);
+  const std::string rack = AgentOf(job).report.backend.front().rack;
+  for (int i = 0; i < 6; ++i) {
+    FleetHarness::Agent& agent = fleet_.agent("a" + std::to_string(i));
+    if (agent.report.backend.front().rack == rack) AnnounceDrain(agent, 600);
+  }
+  EXPECT_GE(TimeToStart(job, 39, 3 * kSecond), 0);
+  EXPECT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, 3 * kSecond));
+}
+
+// Guards against a step that waits for the rack of its first tasks, which other work occupies for
+// long, while most of the fleet is idle.
+TEST_F(SchedulerLoadTest, AStepInOneRackContinuesElsewhereWhenItsRackIsOccupied) {
+  for (int i = 6; i < 9; ++i) fleet_.AddAgent("a" + std::to_string(i), "rack2");
+  StepSpec step = MakeStep(20, 1, 400);
+  step.same_rack = true;
+  step.data_rack = "rack0";
+  bool failing = true;
+  fleet_.outcome_of = [&failing](const std::string&, const TaskId& id) {
+    return failing && id.index > 0 ? RunEnd::kFailed : RunEnd::kDone;
+  };
+  const JobId job = fleet_.Submit("batch", "other", step);
+  fleet_.Advance(200);
+  ASSERT_EQ(fleet_.RunningTasks(job), 20U);
+  StepSpec filler = MakeStep(24, 1, 20 * kSecond);
+  filler.data_rack = "rack0";
+  const JobId occupant = fleet_.Submit("forecast", "other", filler);
+  fleet_.Advance(300);
+  failing = false;
+  ASSERT_EQ(fleet_.RunningTasks(occupant), 24U);
+  EXPECT_GE(TimeToStart(job, 39, 3 * kSecond), 0);
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
