Prefer other workers once starts fail on a worker

Callers could see an accepted job that never ran while most workers had nothing to do. Cause: a worker that refuses a start was only paused for 0.5 s, and one that does not answer a start not at all. Placement prefers the tightest worker, so the same worker was chosen again: the members of a gang need up to 0.9 s to stop, longer than the pause, and a single task went back to the worker each time its unanswered start was settled. The class of fault is a failure that does not reach the next decision. Change: CountFailedStart() counts each start that is refused or not answered. Such a worker is a last resort until it accepts a start, and the pause doubles up to 2 s.

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -236,7 +236,10 @@
     std::set<JobId> failed_jobs;
     TimePoint probation_until;
     Duration next_probation;
-    /// No start is sent before this time, because the worker has refused one.
+    /// The number of starts that failed since the last accepted one. If there are any, the worker
+    /// is used only as a last resort.
+    std::int32_t failed_starts = 0;
+    /// No start is sent before this time, because one has failed.
     TimePoint start_pause_until;
   };
 
@@ -407,6 +410,8 @@
   bool MaySend(TimePoint now, const PendingOrder& pending);
   /// Returns whether the order must wait for the record of its job to be stored.
   bool AwaitsRecord(const PendingOrder& pending) const;
+  /// Pauses starts on the worker and prefers others until it has accepted one.
+  static void CountFailedStart(TimePoint now, Worker& worker);
   void EmitOrders(TimePoint now, SchedulerOutput& out);
 
   // Order of the ready steps and their starts, in scheduler_queue.cc.
--- a/src/fleet/scheduler_orders.cc
+++ b/src/fleet/scheduler_orders.cc
@@ -9,9 +9,10 @@
 namespace basilspring::fleet {
 namespace {
 
-// Time without further starts after a worker has refused one for lack of capacity, contrary to the
-// scheduler's accounting.
-constexpr Duration kRefusalPause(500);
+// Time without further starts after one has failed; doubles with each further failure, up to the
+// maximum, which is below the time for which a job may be left waiting beside free capacity.
+constexpr Duration kFirstStartPause(500);
+constexpr Duration kMaxStartPause(2000);
 
 }  // namespace
 
@@ -79,6 +80,12 @@
   }
 }
 
+void SchedulerCore::CountFailedStart(TimePoint now, Worker& worker) {
+  const Duration pause = kFirstStartPause * (std::int64_t{1} << std::min(worker.failed_starts, 2));
+  worker.start_pause_until = now + std::min(pause, kMaxStartPause);
+  ++worker.failed_starts;
+}
+
 void SchedulerCore::OnOrdersAnswered(TimePoint now, std::uint64_t number,
                                      const std::optional<OrderBatchReply>& reply) {
   const auto found = batches_.find(number);
@@ -106,6 +113,7 @@
             std::max(run->second.visible_from_poll, reply->visible_from_poll);
       }
       if (start) {
+        worker.failed_starts = 0;
         run->second.confirmed = true;
         run->second.working_since = now;
         run->second.progressed_at = now;
@@ -119,6 +127,7 @@
                             key.task.ToString(), key.run.value(), batch.node.value(), number,
                             start ? "start" : "stop", BackendStatusName(status)));
     if (!start) continue;
+    CountFailedStart(now, worker);
     Job* job = FindJob(key.task);
     if (status == BackendStatus::kStopped) {
       if (!run->second.stopping) run->second.stopping_since = now;
@@ -133,7 +142,6 @@
       if (!run->second.stopping) RequestStop(now, worker, key, run->second);
     } else {
       ++counts_.starts_refused;
-      worker.start_pause_until = now + kRefusalPause;
       ReleaseRun(now, worker, key, false);
     }
     if (job != nullptr && SpecOf(*job, StepIndex(*job, key.task)).gang) {
--- a/src/fleet/scheduler_room.cc
+++ b/src/fleet/scheduler_room.cc
@@ -146,7 +146,8 @@
                       std::min(pass_worker.free.memory_mb, later.memory_mb),
                       std::min(pass_worker.free.accelerators, later.accelerators)};
     // A worker with a recent failure is used only as a last resort.
-    candidate.suspect = !worker.failed_jobs.empty() || failed_on.count(worker.node) > 0;
+    candidate.suspect =
+        !worker.failed_jobs.empty() || worker.failed_starts > 0 || failed_on.count(worker.node) > 0;
     view.candidates.push_back(std::move(candidate));
     view.worker_indices.push_back(i);
     view.free_after_stops.push_back(later);
--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -85,6 +85,7 @@
     worker.last_end = 0;
     worker.unsaved_ends.clear();
     worker.failed_jobs.clear();
+    worker.failed_starts = 0;
     worker.probation_until = TimePoint();
     worker.next_probation = options_.first_probation;
     LogDecision(fmt::format(
--- a/tests/fleet/scheduler_load_test.cc
+++ b/tests/fleet/scheduler_load_test.cc
@@ -43,6 +43,18 @@
     throw std::logic_error("no run of the job has started");
   }
 
+  /// Runs until the job is completed, while the agent answers each start with this status without
+  /// executing it. Returns false if the limit passes first.
+  bool CompletesBesideFailingStarts(const JobId& job, const std::string& agent,
+                                    BackendStatus status, std::int64_t limit_ms) {
+    for (std::int64_t waited = 0; waited < limit_ms; waited += 20) {
+      if (fleet_.PhaseOf(job) == JobPhase::kCompleted) return true;
+      fleet_.agent(agent).next_start_status = status;
+      fleet_.Advance(20);
+    }
+    return false;
+  }
+
   static void AnnounceDrain(FleetHarness::Agent& agent, std::int64_t remaining_ms) {
     BackendAnnouncement& backend = agent.report.backend.front();
     backend.draining = true;
@@ -258,5 +270,23 @@
   EXPECT_GE(TimeToStart(job, 39, 3 * kSecond), 0);
 }
 
+// Guards against a gang that is placed again and again on a worker that refuses each start, while
+// other workers are idle.
+TEST_F(SchedulerLoadTest, AGangAvoidsAWorkerThatRefusesEveryStart) {
+  fleet_.stop_time_ms = 900;
+  StepSpec gang = MakeStep(3, 8, kSecond);
+  gang.gang = true;
+  const JobId job = fleet_.Submit("batch", "other", gang);
+  EXPECT_TRUE(CompletesBesideFailingStarts(job, "a0", BackendStatus::kRefused, 5 * kSecond));
+}
+
+// Guards against a task that is placed again and again on a worker that answers no start, while
+// other workers are idle.
+TEST_F(SchedulerLoadTest, ATaskAvoidsAWorkerThatAnswersNoStart) {
+  fleet_.stop_time_ms = 900;
+  const JobId job = fleet_.Submit("batch", "other", MakeStep(1, 4, kSecond));
+  EXPECT_TRUE(CompletesBesideFailingStarts(job, "a0", BackendStatus::kUnknown, 5 * kSecond));
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
