Test how an exited backend server is recognised

Cause guarded: a backend server that ended without a word held its runs until the lease expired. Under the mutations: without the refused flag HttpClientTest.ShowsThatAConnectionWasRefused failed; without the wait of 400 ms OneRefusedConnection... and CountsOnlyConsecutive...; without the reset on an answer CountsOnlyConsecutive... or ReportsABackendServerThatAnswersAgain; without the reset on a new incarnation ANewIncarnationHasNotExited. On the real code all pass.

--- a/tests/connection/http_client_test.cc
+++ b/tests/connection/http_client_test.cc
@@ -72,6 +72,16 @@
   EXPECT_EQ(client_.Fetch(request).error, ErrorKind::kConnectionLost);
 }
 
+// Guards against waiting for the lease of a backend server that has exited: a refused connection
+// must differ from one that breaks.
+TEST_F(HttpClientTest, ShowsThatAConnectionWasRefused) {
+  Address nobody;
+  { nobody = ScriptedServer(Script()).address(); }
+  EXPECT_TRUE(client_.Fetch(To(nobody)).refused);
+  ScriptedServer closing(Script{{""}});
+  EXPECT_FALSE(client_.Fetch(To(closing.address(), "PUT")).refused);
+}
+
 TEST_F(HttpClientTest, SilentServerGivesATimeout) {
   ScriptedServer silent(Script{{ScriptedServer::kNoResponse}});
   HttpClientRequest request = To(silent.address());
--- a/tests/fleet/agent_core_test.cc
+++ b/tests/fleet/agent_core_test.cc
@@ -242,5 +242,64 @@
   EXPECT_TRUE(report_.backend_gone);
 }
 
+// Guards against giving up a backend server that refuses a single connection.
+TEST_F(FleetAgentTest, OneRefusedConnectionDoesNotMeanThatTheBackendServerHasExited) {
+  Tick();
+  core_.OnPolled(now_, poll_, MakeReply(BackendStatus::kGone));
+  now_ = now_ + Duration(1200);
+  Tick();
+  EXPECT_FALSE(report_.backend_gone);
+}
+
+// Guards against giving up a backend server by two refused connections with an answer in between.
+TEST_F(FleetAgentTest, CountsOnlyConsecutiveRefusedConnections) {
+  Tick();
+  core_.OnPolled(now_, poll_, MakeReply(BackendStatus::kGone));
+  now_ = now_ + Duration(300);
+  Tick();
+  Poll({}, {});
+  now_ = now_ + Duration(300);
+  Tick();
+  core_.OnPolled(now_, poll_, MakeReply(BackendStatus::kGone));
+  now_ = now_ + Duration(1200);
+  Tick();
+  EXPECT_FALSE(report_.backend_gone);
+}
+
+// Guards against a backend server that answers again and is never used again.
+TEST_F(FleetAgentTest, ReportsABackendServerThatAnswersAgain) {
+  for (int i = 0; i < 8; ++i) {
+    now_ = now_ + Duration(200);
+    Tick();
+    core_.OnPolled(now_, poll_, MakeReply(BackendStatus::kGone));
+    Accept(Duration(5000), 0);
+  }
+  now_ = now_ + Duration(900);
+  Tick();
+  ASSERT_TRUE(report_.backend_gone);
+  Accept(Duration(5000), 0);
+  Poll({}, {});
+  now_ = now_ + Duration(1200);
+  Tick();
+  EXPECT_FALSE(report_.backend_gone);
+}
+
+// Guards against a restarted backend server that is reported as exited.
+TEST_F(FleetAgentTest, ANewIncarnationHasNotExited) {
+  for (int i = 0; i < 8; ++i) {
+    now_ = now_ + Duration(200);
+    Tick();
+    core_.OnPolled(now_, poll_, MakeReply(BackendStatus::kGone));
+    Accept(Duration(5000), 0);
+  }
+  now_ = now_ + Duration(900);
+  Tick();
+  ASSERT_TRUE(report_.backend_gone);
+  Accept(Duration(5000), 0);
+  core_.OnAnnouncement(now_, MakeAnnouncement(2, 1));
+  Tick();
+  EXPECT_FALSE(report_.backend_gone);
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
