Test that a process does not contend before its first check

Cause guarded: the scheduler ran on hosts with little processor time and was saturated. Without either check of first_check_at, in Tick() or CheckHolderNow(), the test failed. On the real code it passes.

--- a/tests/fleet/store_users_test.cc
+++ b/tests/fleet/store_users_test.cc
@@ -180,5 +180,18 @@
   EXPECT_TRUE(access_.IsUnavailable(Clock::Now() + Duration(1000)));
 }
 
+// Guards against a scheduler on a host with little processor time: such hosts contend later.
+TEST_F(StoreUsersTest, DoesNotContendBeforeItsFirstCheck) {
+  LeadershipOptions options;
+  options.node = NodeId("own");
+  options.first_check_at = Clock::Now() + Duration::Seconds(60);
+  Leadership late(access_, options,
+                  Leadership::Handlers{[this](Term term, std::int64_t) { elected_ = term; }, [] {},
+                                       [](const LeaderRecord&) {}});
+  late.Tick(Clock::Now(), TimePoint());
+  late.CheckHolderNow();
+  EXPECT_TRUE(store_.calls.empty());
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
