Test the wait for the rack of the data in an idle and a busy fleet

Cause guarded: steps waited for the rack of their data while the fleet was idle. Without any_rack in TryStart() the idle test failed, also with any_rack at once; without the check of mostly_idle the busy test failed. On the real code both pass.

--- a/tests/fleet/scheduler_load_test.cc
+++ b/tests/fleet/scheduler_load_test.cc
@@ -198,5 +198,38 @@
   EXPECT_LE(on_faulty, 12);
 }
 
+// Guards against a step that waits for the rack of its data while most of the fleet is idle.
+TEST_F(SchedulerLoadTest, AStepWaitsOnlyBrieflyForItsRackInAnIdleFleet) {
+  for (int i = 6; i < 12; ++i) {
+    fleet_.AddAgent("a" + std::to_string(i), "rack" + std::to_string(i / 3));
+  }
+  StepSpec filling = MakeStep(3, 8, 60 * kSecond);
+  filling.data_rack = "rack0";
+  const JobId first = fleet_.Submit("batch", "other", filling);
+  fleet_.Advance(kSecond);
+  ASSERT_EQ(fleet_.RunningTasks(first), 3U);
+  StepSpec step = MakeStep(1, 8, kSecond);
+  step.data_rack = "rack0";
+  const JobId job = fleet_.Submit("forecast", "other", step);
+  fleet_.Advance(500);
+  EXPECT_EQ(fleet_.StartsOf(job), 0U);
+  fleet_.Advance(kSecond);
+  EXPECT_EQ(fleet_.StartsOf(job), 1U);
+}
+
+// Guards against slow work away from its data while the fleet is busy and its rack becomes free.
+TEST_F(SchedulerLoadTest, AStepWaitsLongForItsRackInABusyFleet) {
+  StepSpec filling = MakeStep(3, 8, 60 * kSecond);
+  filling.data_rack = "rack0";
+  const JobId first = fleet_.Submit("batch", "other", filling);
+  fleet_.Advance(kSecond);
+  ASSERT_EQ(fleet_.RunningTasks(first), 3U);
+  StepSpec step = MakeStep(1, 8, kSecond);
+  step.data_rack = "rack0";
+  const JobId job = fleet_.Submit("forecast", "other", step);
+  fleet_.Advance(3 * kSecond);
+  EXPECT_EQ(fleet_.StartsOf(job), 0U);
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
