Test the capacity of stopped, unanswered and exited runs

Causes guarded: a stopped run was released before its end; repeated stops postponed the poll that shows their effect, and runs of an exited backend server waited for their lease. The harness loses the answer of a stop, polls more slowly and has exited backend servers. No test: renewing stop_confirmed_at on each repeated stop.

--- a/tests/fleet/fleet_harness.cc
+++ b/tests/fleet/fleet_harness.cc
@@ -173,7 +173,13 @@
 
 void FleetHarness::Report(Agent& agent) {
   ++agent.report.number;
-  ++agent.report.poll;
+  // A backend server that has exited answers no polls.
+  const bool polls =
+      !agent.report.backend_gone && now_ms_ - agent.polled_at_ms >= agent.poll_interval_ms;
+  if (polls) {
+    ++agent.report.poll;
+    agent.polled_at_ms = now_ms_;
+  }
   agent.report.running.clear();
   for (const Run& run : agent.runs) {
     // As on the platform, a run that is being stopped is no longer listed as running.
@@ -212,13 +218,18 @@
   }
 }
 
-OrderBatchReply FleetHarness::ExecuteOrders(const std::string& name, Agent& agent,
-                                            const OrderBatch& batch) {
+std::optional<OrderBatchReply> FleetHarness::ExecuteOrders(const std::string& name, Agent& agent,
+                                                           const OrderBatch& batch) {
   OrderBatchReply reply;
-  reply.visible_from_poll = agent.report.poll + 1;
+  // The poll that waits at the backend server may have been sent before the orders.
+  reply.visible_from_poll = agent.report.poll + (agent.poll_interval_ms > 0 ? 2 : 1);
+  bool lost = false;
   for (const Order& order : batch.orders) {
     BackendStatus status = BackendStatus::kOk;
-    if (!order.start) {
+    if (agent.report.backend_gone) {
+      status = BackendStatus::kGone;
+    } else if (!order.start) {
+      lost = lost || std::exchange(agent.loses_next_stop_answer, false);
       for (Run& run : agent.runs) {
         const bool matches = run.task == order.task && run.run == order.run;
         if (matches && run.stop_at_ms < 0) run.stop_at_ms = now_ms_ + stop_time_ms;
@@ -245,6 +256,7 @@
     }
     reply.statuses.push_back(static_cast<std::uint8_t>(status));
   }
+  if (lost) return std::nullopt;
   return reply;
 }
 
--- a/tests/fleet/fleet_harness.h
+++ b/tests/fleet/fleet_harness.h
@@ -38,6 +38,11 @@
     std::optional<BackendStatus> next_start_status;
     /// If true, a start answered with `next_start_status` is executed nevertheless.
     bool starts_despite_status = false;
+    /// If true, the next stop is carried out, but the answer to its batch is lost.
+    bool loses_next_stop_answer = false;
+    /// The shortest time between two polls; 0 if each report contains a new poll.
+    std::int64_t poll_interval_ms = 0;
+    std::int64_t polled_at_ms = 0;
   };
 
   explicit FleetHarness(std::uint64_t term = 1);
@@ -89,7 +94,9 @@
   void Report(Agent& agent);
   void RecordEnd(const std::string& name, Agent& agent, const Run& run, RunEnd end);
   void ApplyOutput(SchedulerOutput output);
-  OrderBatchReply ExecuteOrders(const std::string& name, Agent& agent, const OrderBatch& batch);
+  /// Returns std::nullopt if the answer is lost.
+  std::optional<OrderBatchReply> ExecuteOrders(const std::string& name, Agent& agent,
+                                               const OrderBatch& batch);
   void CheckOverlappingRuns();
   /// Returns whether the run and, if it is a member of a gang, all other members have completed
   /// their work.
--- a/tests/fleet/scheduler_core_test.cc
+++ b/tests/fleet/scheduler_core_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "fleet_harness.h"
 
 namespace basilspring::fleet {
@@ -379,5 +381,77 @@
   EXPECT_EQ(fleet_.StartsOf(job), 0U);
 }
 
+// Guards against two active runs of one task whose stop was carried out but not answered.
+TEST_F(SchedulerCoreTest, KeepsTheCapacityOfARunWhoseStopWasNotAnswered) {
+  AddAgents(2);
+  const JobId batch = fleet_.Submit("batch", "shop", MakeStep(2, 8, 20 * kSecond));
+  fleet_.Advance(kSecond);
+  ASSERT_EQ(fleet_.RunningTasks(batch), 2U);
+  fleet_.stop_time_ms = 900;
+  for (const char* name : {"a0", "a1"}) fleet_.agent(name).loses_next_stop_answer = true;
+  const JobId urgent = fleet_.Submit("urgent", "shop", MakeStep(1, 4, kSecond));
+  std::size_t most_on_one_worker = 0;
+  for (int i = 0; i < 250; ++i) {
+    fleet_.Advance(20);
+    for (const char* name : {"a0", "a1"}) {
+      most_on_one_worker = std::max(most_on_one_worker, fleet_.agent(name).runs.size());
+    }
+  }
+  EXPECT_EQ(fleet_.PhaseOf(urgent), JobPhase::kCompleted);
+  EXPECT_EQ(most_on_one_worker, 1U);
+}
+
+// Guards against a task that never starts, because an unanswered start that did not take effect
+// keeps its capacity although it was stopped.
+TEST_F(SchedulerCoreTest, StartsATaskAgainWhoseStoppedStartNeverBegan) {
+  AddAgents(1);
+  fleet_.agent("a0").next_start_status = BackendStatus::kStopped;
+  const JobId job = fleet_.Submit("urgent", "shop", MakeStep(1, 8, kSecond));
+  EXPECT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, 6 * kSecond));
+  EXPECT_EQ(fleet_.StartsOf(job), 1U);
+}
+
+// Guards against the same if the start was not answered at all and only its stop is confirmed.
+TEST_F(SchedulerCoreTest, StartsATaskAgainWhoseStartWasNotAnswered) {
+  AddAgents(1);
+  fleet_.agent("a0").next_start_status = BackendStatus::kUnknown;
+  const JobId job = fleet_.Submit("urgent", "shop", MakeStep(1, 8, kSecond));
+  EXPECT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, 6 * kSecond));
+  EXPECT_EQ(fleet_.StartsOf(job), 1U);
+}
+
+// Guards against repeated stops that postpone the poll that shows their effect, if polls take
+// longer than the interval of the stops.
+TEST_F(SchedulerCoreTest, RepeatedStopsDoNotPostponeTheirPoll) {
+  AddAgents(1);
+  fleet_.agent("a0").poll_interval_ms = 1200;
+  fleet_.agent("a0").next_start_status = BackendStatus::kStopped;
+  const JobId job = fleet_.Submit("urgent", "shop", MakeStep(1, 8, kSecond));
+  EXPECT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, 10 * kSecond));
+}
+
+// Guards against runs that wait for the end of their lease although their backend server has
+// exited before a poll has listed them.
+TEST_F(SchedulerCoreTest, RestartsTheRunsOfAnExitedBackendServerWithoutWaitingForTheirLease) {
+  AddAgents(2);
+  for (const char* name : {"a0", "a1"}) fleet_.agent(name).poll_interval_ms = 400;
+  fleet_.Advance(kSecond);
+  const JobId job = fleet_.Submit("urgent", "shop", MakeStep(1, 8, kSecond));
+  while (fleet_.StartsOf(job) == 0) fleet_.Advance(20);
+  FleetHarness::Agent& exited = fleet_.agent(fleet_.starts().front().first);
+  exited.runs.clear();
+  exited.report.backend_gone = true;
+  EXPECT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, 3 * kSecond));
+}
+
+// Guards against giving the same capacity to two steps in one pass.
+TEST_F(SchedulerCoreTest, GivesCapacityOnceInAPass) {
+  AddAgents(1);
+  fleet_.Submit("batch", "shop", MakeStep(1, 8, 20 * kSecond));
+  fleet_.Submit("batch", "shop", MakeStep(1, 8, 20 * kSecond));
+  fleet_.Advance(kSecond);
+  EXPECT_EQ(fleet_.starts().size(), 1U);
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
