--- a/tests/fleet/scheduler_core_test.cc
+++ b/tests/fleet/scheduler_core_test.cc
@@ -453,5 +453,19 @@
   EXPECT_EQ(fleet_.starts().size(), 1U);
 }
 
+// Guards against a task that never starts: its agent restarts after it has stopped an unanswered
+// start that did not take effect.
+TEST_F(SchedulerCoreTest, StartsATaskAgainIfItsAgentRestartsAfterAStoppedStart) {
+  AddAgents(1);
+  FleetHarness::Agent& agent = fleet_.agent("a0");
+  agent.next_start_status = BackendStatus::kStopped;
+  const JobId job = fleet_.Submit("urgent", "shop", MakeStep(1, 8, kSecond));
+  while (agent.next_start_status) fleet_.Advance(20);
+  agent.report.incarnation = 2;
+  agent.report.number = 0;
+  agent.report.poll = 0;
+  EXPECT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, 30 * kSecond));
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
--- a/tests/fleet/scheduler_load_test.cc
+++ b/tests/fleet/scheduler_load_test.cc
@@ -231,5 +231,39 @@
   EXPECT_EQ(fleet_.StartsOf(job), 0U);
 }
 
+// Guards against a long-running task that waits for the rack of its data in an idle fleet for as
+// long as another task of its job runs.
+TEST_F(SchedulerLoadTest, ALongRunningTaskLeavesItsFullRackWhileOthersOfItsJobRun) {
+  StepSpec step = MakeStep(3, 8, kSecond);
+  step.long_running = true;
+  step.data_rack = "rack0";
+  fleet_.run_time_of = [](const TaskId&) { return 600 * kSecond; };
+  const JobId job = fleet_.Submit("batch", "other", step);
+  fleet_.Advance(kSecond);
+  ASSERT_EQ(fleet_.RunningTasks(job), 3U);
+  FleetHarness::Agent& exited = AgentOf(job);
+  exited.runs.clear();
+  exited.report.backend_gone = true;
+  fleet_.Advance(20 * kSecond);
+  EXPECT_EQ(fleet_.RunningTasks(job), 3U);
+}
+
+// Guards against capacity that stays reserved for an urgent step whose queue was removed.
+TEST_F(SchedulerLoadTest, AStepOfARemovedQueueReservesNoCapacity) {
+  fleet_.Submit("batch", "owner", MakeStep(48, 1, 3 * kSecond));
+  fleet_.Advance(kSecond);
+  fleet_.AddQueue("passing", 0, 9.0, 60 * kSecond);
+  StepSpec gang = MakeStep(6, 8, 2 * kSecond);
+  gang.gang = true;
+  fleet_.Submit("passing", "other", gang);
+  while (fleet_.core().counts().runs_preempted == 0 && fleet_.now_ms() < 1010000) {
+    fleet_.Advance(20);
+  }
+  ASSERT_GT(fleet_.core().counts().runs_preempted, 0U);
+  fleet_.RemoveQueue("passing");
+  const JobId job = fleet_.Submit("batch", "other", MakeStep(1, 1, kSecond));
+  EXPECT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, 30 * kSecond));
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
