Release the capacity of a stopped start when its agent has restarted

Cause: an agent that gets no answer to a start stops the run and reports it as stopped. If the agent process then restarted before the stop had taken effect, the scheduler forgot which poll shows the effect, because the new process numbers its polls anew, but remembered that the stop was confirmed. A repeated stop sets the poll only at its first confirmation, so the run was never released. An answer that the former process sent before its end, and that arrived after the first report of the new one, had the same result. The class of fault is two parts of one fact that are reset separately. Change: ConfirmStop() records both together, only for an answer of the agent's present process, and both are forgotten when the process changes; the stop is then sent again.

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -410,6 +410,8 @@
   bool MaySend(TimePoint now, const PendingOrder& pending);
   /// Returns whether the order must wait for the record of its job to be stored.
   bool AwaitsRecord(const PendingOrder& pending) const;
+  /// Records that the backend server has confirmed a stop and which poll shows its effect.
+  void ConfirmStop(TimePoint now, Allocation& run, std::uint64_t visible_from_poll) const;
   /// Pauses starts on the worker and prefers others until it has accepted one.
   static void CountFailedStart(TimePoint now, Worker& worker);
   void EmitOrders(TimePoint now, SchedulerOutput& out);
--- a/src/fleet/scheduler_orders.cc
+++ b/src/fleet/scheduler_orders.cc
@@ -80,6 +80,15 @@
   }
 }
 
+void SchedulerCore::ConfirmStop(TimePoint now, Allocation& run,
+                                std::uint64_t visible_from_poll) const {
+  run.stop_due = now + options_.stop_time + options_.stop_retry_interval;
+  // A repeated stop must not postpone the poll that shows its effect.
+  if (run.stop_confirmed_at) return;
+  run.stop_confirmed_at = now;
+  run.visible_from_poll = std::max(run.visible_from_poll, visible_from_poll);
+}
+
 void SchedulerCore::CountFailedStart(TimePoint now, Worker& worker) {
   const Duration pause = kFirstStartPause * (std::int64_t{1} << std::min(worker.failed_starts, 2));
   worker.start_pause_until = now + std::min(pause, kMaxStartPause);
@@ -105,22 +114,21 @@
     if (run == worker.runs.end()) continue;
     const auto status =
         readable ? static_cast<BackendStatus>(reply->statuses[i]) : BackendStatus::kUnknown;
+    // The polls of another incarnation of the agent have other numbers.
+    const bool same_agent = worker.incarnation == batch.incarnation;
     if (status == BackendStatus::kOk) {
-      // A repeated stop must not postpone the poll that shows its effect.
-      const bool first = start || !run->second.stop_confirmed_at;
-      if (first && worker.incarnation == batch.incarnation) {
+      if (!start) {
+        if (same_agent) ConfirmStop(now, run->second, reply->visible_from_poll);
+        continue;
+      }
+      if (same_agent) {
         run->second.visible_from_poll =
             std::max(run->second.visible_from_poll, reply->visible_from_poll);
       }
-      if (start) {
-        worker.failed_starts = 0;
-        run->second.confirmed = true;
-        run->second.working_since = now;
-        run->second.progressed_at = now;
-      } else {
-        if (!run->second.stop_confirmed_at) run->second.stop_confirmed_at = now;
-        run->second.stop_due = now + options_.stop_time + options_.stop_retry_interval;
-      }
+      worker.failed_starts = 0;
+      run->second.confirmed = true;
+      run->second.working_since = now;
+      run->second.progressed_at = now;
       continue;
     }
     LogDecision(fmt::format("task={} run={} worker={} batch={} order={} status={}",
@@ -129,16 +137,11 @@
     if (!start) continue;
     CountFailedStart(now, worker);
     Job* job = FindJob(key.task);
-    if (status == BackendStatus::kStopped) {
+    if (status == BackendStatus::kStopped && same_agent) {
       if (!run->second.stopping) run->second.stopping_since = now;
       run->second.stopping = true;
-      run->second.stop_confirmed_at = now;
-      run->second.stop_due = now + options_.stop_time + options_.stop_retry_interval;
-      if (worker.incarnation == batch.incarnation) {
-        run->second.visible_from_poll =
-            std::max(run->second.visible_from_poll, reply->visible_from_poll);
-      }
-    } else if (status == BackendStatus::kUnknown) {
+      ConfirmStop(now, run->second, reply->visible_from_poll);
+    } else if (status == BackendStatus::kUnknown || status == BackendStatus::kStopped) {
       if (!run->second.stopping) RequestStop(now, worker, key, run->second);
     } else {
       ++counts_.starts_refused;
--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -48,10 +48,12 @@
     }
     if (worker.incarnation != report.incarnation) {
       // The new agent process numbers its polls from the beginning, and the outcome of the orders
-      // that its predecessor did not answer is unknown.
+      // that its predecessor did not answer is unknown. A stop is confirmed again, together with
+      // the poll that shows its effect.
       for (auto& [key, run] : worker.runs) {
         run.visible_from_poll = run.confirmed ? 1 : 0;
-        if (!run.confirmed && !run.stopping) RequestStop(now, worker, key, run);
+        run.stop_confirmed_at.reset();
+        if (!run.confirmed || run.stopping) RequestStop(now, worker, key, run);
       }
     }
     worker.incarnation = report.incarnation;
