Answer each request that was read before a planned stop ends

Callers that went on using open connections lost requests when an entry was stopped: their connections ended without an answer. Cause: the process ended once no request was open on the thread that owns the state, or at the drain limit. Requests that the I/O thread had read, but that thread had not seen, did not count, and answers kept the connections alive until the end, so further requests arrived between the check and the end, and under steady load there was no moment without an open request. The class of fault is a check of one thread's view while new work can still arrive. Change: after the time for the load balancer the listeners are closed, each connection ends with its next answer (Connection: close), and connections that are idle 0.5 s later are closed. The process ends once no connection is left, which includes requests in queues and answers that are not written yet. The wait for the balancer takes at most half of the drain limit, so that time for the rest remains. The same applies to requests of other processes and of backend servers.

--- a/include/basilspring/connection/http_server.h
+++ b/include/basilspring/connection/http_server.h
@@ -85,9 +85,15 @@
   /// Returns the listen address with the actual port.
   Address address() const;
 
-  /// Stops accepting connections; each open connection is closed after its current response.
+  /// Stops accepting connections; each open connection is closed after its current or next
+  /// response.
   void StopAccepting();
 
+  /// Closes the connections on which no part of a request has arrived since the last response, and
+  /// returns how many others remain. After StopAccepting, a server without connections receives no
+  /// further request.
+  std::size_t CloseIdleConnections();
+
   /// Returns the number of requests that were received and are not answered yet.
   std::size_t in_flight() const;
 
--- a/include/basilspring/fleet/entry_server.h
+++ b/include/basilspring/fleet/entry_server.h
@@ -55,7 +55,6 @@
 
   /// Whether the load balancer should send callers here.
   bool ready() const { return state_ != nullptr && !stopping_; }
-  std::size_t open_requests() const { return open_requests_; }
   /// When the scheduler last answered with a summary.
   TimePoint last_contact() const { return last_contact_; }
   /// Processes that the scheduler knows, from its last summary.
@@ -108,7 +107,6 @@
   Context context_;
   std::shared_ptr<const OperatorState> state_;
   bool stopping_ = false;
-  std::size_t open_requests_ = 0;
   Term term_;
   Address scheduler_;
   TimePoint last_contact_;
--- a/src/connection/http_server.cc
+++ b/src/connection/http_server.cc
@@ -40,6 +40,7 @@
   void Accept();
   void AddSession(tcp::socket socket);
   void StopAccepting();
+  std::size_t CloseIdleConnections();
   void Close();
 
   asio::io_context& context;
@@ -109,6 +110,13 @@
   retry_timer.cancel();
 }
 
+std::size_t HttpServer::Impl::CloseIdleConnections() {
+  // A copy, because a session that closes removes itself from the set.
+  const auto sessions = shared->sessions;
+  for (const auto& session : sessions) session->CloseIfIdle();
+  return shared->sessions.size();
+}
+
 void HttpServer::Impl::Close() {
   error_code ignored;
   acceptor.close(ignored);
@@ -138,6 +146,13 @@
   impl_->shared->dispatcher->DispatchAndWait([impl = impl_] { impl->StopAccepting(); });
 }
 
+std::size_t HttpServer::CloseIdleConnections() {
+  std::size_t remaining = 0;
+  impl_->shared->dispatcher->DispatchAndWait(
+      [impl = impl_, &remaining] { remaining = impl->CloseIdleConnections(); });
+  return remaining;
+}
+
 std::size_t HttpServer::in_flight() const { return impl_->shared->in_flight.load(); }
 
 }  // namespace basilspring
--- a/src/connection/http_session.cc
+++ b/src/connection/http_session.cc
@@ -1,5 +1,7 @@
 #include "connection/http_session.h"
 
+#include <sys/socket.h>
+
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/read.hpp>
@@ -48,6 +50,7 @@
     ReadHeader();
     return;
   }
+  idle_ = true;
   ArmTimer(server_->limits.idle_timeout, [this] { Close(); });
   socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const ErrorCode& error) {
     if (self->closed_) return;
@@ -60,6 +63,7 @@
 }
 
 void HttpSession::ReadHeader() {
+  idle_ = false;
   ArmTimer(server_->limits.read_timeout, [this] {
     read_timed_out_ = true;
     socket_.cancel();
@@ -162,6 +166,14 @@
   QueueOutput(FormatResponseHead(response, BodyFraming::kLength, false) + response.body);
 }
 
+void HttpSession::CloseIfIdle() {
+  if (!idle_) return;
+  // A request that has arrived and has not been read yet is still answered.
+  char byte = 0;
+  if (::recv(socket_.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) > 0) return;
+  Close();
+}
+
 void HttpSession::Close() {
   if (closed_) return;
   closed_ = true;
--- a/src/connection/http_session.h
+++ b/src/connection/http_session.h
@@ -47,6 +47,8 @@
   void AwaitRequest();
   /// Sends an error response that no handler has produced, then closes the connection.
   void Reject(int status, ErrorKind kind, const std::string& reason);
+  /// Closes the connection if no part of the next request has arrived.
+  void CloseIfIdle();
   /// Closes the connection at once; the caller of an open request counts as disconnected.
   void Close();
 
@@ -107,6 +109,8 @@
   bool http_1_0_ = false;
   bool read_timed_out_ = false;
   bool closed_ = false;
+  /// Whether the next request is awaited and no byte of it has been read.
+  bool idle_ = false;
   BodyFraming framing_ = BodyFraming::kLength;
   std::deque<std::string> output_;
   std::size_t output_bytes_ = 0;
--- a/src/fleet/entry_server.cc
+++ b/src/fleet/entry_server.cc
@@ -127,7 +127,6 @@
       .Observe(elapsed);
   exchange->responder->Respond(std::move(response));
   exchange->responder = nullptr;
-  --open_requests_;
 }
 
 void EntryServer::Refuse(const ExchangePtr& exchange, ErrorKind kind, const std::string& reason,
@@ -140,7 +139,6 @@
   exchange->request = context_.format.DecodeRequest(std::move(http));
   exchange->responder = std::move(responder);
   exchange->received_at = Clock::Now();
-  ++open_requests_;
   const CallerRequest& request = exchange->request;
   if (state_ == nullptr) {
     Refuse(exchange, ErrorKind::kNoConfiguration, "no configuration has been read yet",
--- a/src/fleet/node.cc
+++ b/src/fleet/node.cc
@@ -38,6 +38,9 @@
 // The settings file may change without a signal; reading its modification time costs one system
 // call.
 constexpr Duration kSettingsCheckInterval(2000);
+// Time for which callers of a stopping entry can learn from a last answer that their connection is
+// going to be closed. Only connections that were idle for this long are closed without an answer.
+constexpr Duration kLastAnswerTime(500);
 // Time between two checks whether a stopping process has drained.
 constexpr Duration kStopPoll(20);
 
@@ -48,6 +51,13 @@
   return error ? std::filesystem::file_time_type::min() : written;
 }
 
+void SleepUntil(TimePoint time) {
+  const Duration wait = time - Clock::Now();
+  if (wait > Duration()) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(wait.milliseconds()));
+  }
+}
+
 }  // namespace
 
 Node::Node(const NodeSettings& settings, std::string file, const AdapterFactory& make_adapters)
@@ -247,7 +257,25 @@
   CheckSettingsFile(now);
 }
 
-bool Node::Drained() const { return entry_ ? entry_->open_requests() == 0 : !agent_->busy(); }
+bool Node::AgentBusy() {
+  std::promise<bool> busy;
+  Post([this, &busy] { busy.set_value(agent_ && agent_->busy()); });
+  return busy.get_future().get();
+}
+
+bool Node::DrainServers(TimePoint limit) {
+  // The servers count a request from its reading on, so those in the queue of the state thread are
+  // included. A server without a listener and without connections receives no further request.
+  for (const auto& server : servers_) server->StopAccepting();
+  if (entry_role_) SleepUntil(std::min(limit, Clock::Now() + kLastAnswerTime));
+  while (true) {
+    std::size_t open = 0;
+    for (const auto& server : servers_) open += server->CloseIdleConnections();
+    if (open == 0) return true;
+    if (Clock::Now() >= limit) return false;
+    SleepUntil(Clock::Now() + kStopPoll);
+  }
+}
 
 void Node::RunUntilStopped() {
   Log(EventId::kProcessStarted, "role={} peers={} store={} data_centre={}",
@@ -264,15 +292,13 @@
   const Duration drain_limit = drain_limit_promise.get_future().get();
   Log(EventId::kProcessStopping, "role={} drain_limit_ms={}", entry_role_ ? "entry" : "agent",
       drain_limit.milliseconds());
-  bool drained = false;
-  while (!drained && Clock::Now() - stop_began < drain_limit) {
-    std::this_thread::sleep_for(std::chrono::milliseconds(kStopPoll.milliseconds()));
-    const bool waits_for_balancer = entry_role_ && Clock::Now() - stop_began < kBalancerDrainTime;
-    std::promise<bool> idle;
-    Post([this, &idle] { idle.set_value(Drained()); });
-    drained = idle.get_future().get() && !waits_for_balancer;
+  const TimePoint limit = stop_began + drain_limit;
+  if (entry_role_) {
+    SleepUntil(stop_began + std::min(kBalancerDrainTime, drain_limit / 2));
+  } else {
+    while (AgentBusy() && Clock::Now() < limit) SleepUntil(Clock::Now() + kStopPoll);
   }
-  for (const auto& server : servers_) server->StopAccepting();
+  const bool drained = DrainServers(limit);
   Log(EventId::kProcessStopped, "role={} drained={}", entry_role_ ? "entry" : "agent", drained);
 }
 
--- a/src/fleet/node_process.h
+++ b/src/fleet/node_process.h
@@ -64,8 +64,11 @@
   void UpdateMetrics();
   /// When the scheduler last answered.
   TimePoint LastContact() const;
-  /// Whether no request or order is in progress.
-  bool Drained() const;
+  /// Whether an agent still carries out orders.
+  bool AgentBusy();
+  /// Ends all connections of the servers without cutting off a request that has been received.
+  /// Returns false if requests are still open at `limit`.
+  bool DrainServers(TimePoint limit);
 
   NodeSettings settings_;
   const std::string settings_file_;
--- a/tests/connection/http_server_test.cc
+++ b/tests/connection/http_server_test.cc
@@ -177,6 +177,25 @@
   EXPECT_TRUE(answer.ends_with("done"));
 }
 
+// Guards against a planned stop that cuts off a request that is still arriving.
+TEST_F(HttpServerTest, CloseIdleConnectionsKeepsThoseWithARequest) {
+  ServeEcho();
+  const RawSocket idle(server_->address());
+  idle.Write("GET /idle HTTP/1.1\r\nHost: h\r\n\r\n");
+  idle.ReadUntilText("body=");
+  const RawSocket busy(server_->address());
+  busy.Write("GET /busy HTTP/1.1\r\n");
+  server_->StopAccepting();
+  ASSERT_TRUE(Eventually([this] { return server_->CloseIdleConnections() == 1; }));
+  EXPECT_EQ(idle.ReadAll(), "");
+  busy.Write("Host: h\r\n\r\n");
+  busy.ShutdownWrite();
+  const std::string answer = busy.ReadAll();
+  EXPECT_NE(answer.find("Connection: close"), answer.npos);
+  EXPECT_TRUE(answer.ends_with("GET /busy q= body=")) << answer;
+  EXPECT_TRUE(Eventually([this] { return server_->CloseIdleConnections() == 0; }));
+}
+
 // Guards against a use after free when a duty responds after the server was destroyed.
 TEST_F(HttpServerTest, ResponderOutlivesTheServer) {
   ServeHeld();
--- a/tests/connection/raw_socket.h
+++ b/tests/connection/raw_socket.h
@@ -48,6 +48,11 @@
     return ::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
            static_cast<ssize_t>(bytes.size());
   }
+  /// Whether the peer has closed the connection and all that it sent has been read.
+  bool PeerClosed() const {
+    char byte = 0;
+    return ::recv(fd_, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) == 0;
+  }
   void ShutdownWrite() const { ::shutdown(fd_, SHUT_WR); }
 
   /// Reads until the predicate accepts what has arrived, the peer closes, or kTestTimeout is over.
