Let the tests of planned stops run at the same time

Cause: all tests of NodeStopTest listened on one address, and scripts/test.sh runs six tests at a time, each in its own process. Change: the process id selects the loopback address.

--- a/tests/fleet/node_stop_test.cc
+++ b/tests/fleet/node_stop_test.cc
@@ -1,3 +1,4 @@
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include <cerrno>
@@ -62,10 +63,12 @@
     SetLogLevel(LogLevel::kError);
     settings_.role = NodeRole::kEntry;
     settings_.name = NodeId("entry");
-    settings_.peers = settings_.advertised = Address{"127.0.4.1", 7961};
-    settings_.callers = Address{"127.0.4.1", 7962};
-    settings_.readiness = Address{"127.0.4.1", 7963};
-    settings_.store = Address{"127.0.4.1", 7964};
+    // The process id selects an address, so that tests in several processes can run at a time.
+    const std::string ip = fmt::format("127.4.{}.{}", ::getpid() / 256 % 256, ::getpid() % 256);
+    settings_.peers = settings_.advertised = Address{ip, 7961};
+    settings_.callers = Address{ip, 7962};
+    settings_.readiness = Address{ip, 7963};
+    settings_.store = Address{ip, 7964};
     settings_.drain_limit = Duration(4500);
   }
   ~NodeStopTest() override { SetLogLevel(LogLevel::kInfo); }
