Answer waiting requests before the drain limit of a planned stop

A caller that waits longer than an entry's drain limit lost its connection without an answer when the entry was stopped while the store did not say whether its job was stored. Cause: how long a request is tried again followed only from the caller's timeout. The process ended at the drain limit, whatever was still open. The class of fault is a limit that the waiting parts do not know. Change: while an entry stops, the end of the drain limit also bounds the time of each request, so the caller is told that the outcome is unknown.

--- a/include/basilspring/fleet/entry_server.h
+++ b/include/basilspring/fleet/entry_server.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,8 +51,9 @@
   void Tick(TimePoint now);
   /// Handles a caller's request; answers through `responder`.
   void OnCaller(HttpRequest request, std::shared_ptr<HttpResponder> responder);
-  /// Refuses new jobs from now on and reports the entry as not ready.
-  void BeginStop() { stopping_ = true; }
+  /// Refuses new jobs from now on, reports the entry as not ready, and answers each request by
+  /// `answer_by`, even if its caller would wait longer.
+  void BeginStop(TimePoint answer_by);
 
   /// Whether the load balancer should send callers here.
   bool ready() const { return state_ != nullptr && !stopping_; }
@@ -101,12 +103,15 @@
   /// Answers with the number of pending jobs of the queue.
   void AnswerPendingCount(const ExchangePtr& exchange);
   void OnSummary(TimePoint now, const SummaryReply& reply);
-  /// Time until the answer has to be sent for the caller to get it within its timeout.
+  /// Time until the answer has to be sent for the caller to get it within its timeout and before
+  /// the process ends.
   Duration TimeLeft(const Exchange& exchange) const;
 
   Context context_;
   std::shared_ptr<const OperatorState> state_;
   bool stopping_ = false;
+  /// Set once the entry is stopping.
+  std::optional<TimePoint> answer_by_;
   Term term_;
   Address scheduler_;
   TimePoint last_contact_;
--- a/src/fleet/entry_server.cc
+++ b/src/fleet/entry_server.cc
@@ -44,6 +44,11 @@
 
 EntryServer::~EntryServer() { *alive_ = false; }
 
+void EntryServer::BeginStop(TimePoint answer_by) {
+  stopping_ = true;
+  answer_by_ = answer_by;
+}
+
 void EntryServer::SetOperatorState(std::shared_ptr<const OperatorState> state) {
   state_ = std::move(state);
 }
@@ -98,7 +103,8 @@
 Duration EntryServer::TimeLeft(const Exchange& exchange) const {
   const Duration timeout =
       exchange.request.timeout > Duration(0) ? exchange.request.timeout : kDefaultCallerTimeout;
-  return exchange.received_at + timeout - kAnswerMargin - Clock::Now();
+  const TimePoint timeout_at = exchange.received_at + timeout;
+  return std::min(timeout_at, answer_by_.value_or(timeout_at)) - kAnswerMargin - Clock::Now();
 }
 
 void EntryServer::Answer(const ExchangePtr& exchange, const CallerAnswer& answer) {
--- a/src/fleet/node.cc
+++ b/src/fleet/node.cc
@@ -284,8 +284,8 @@
   stop_signal_.get_future().wait();
   const TimePoint stop_began = Clock::Now();
   std::promise<Duration> drain_limit_promise;
-  Post([this, &drain_limit_promise] {
-    if (entry_) entry_->BeginStop();
+  Post([this, stop_began, &drain_limit_promise] {
+    if (entry_) entry_->BeginStop(stop_began + settings_.drain_limit);
     leadership_->Resign();
     drain_limit_promise.set_value(settings_.drain_limit);
   });
--- a/tests/fleet/node_stop_test.cc
+++ b/tests/fleet/node_stop_test.cc
@@ -20,7 +20,7 @@
   "routes":[{"name":"q","host":"h","prefix":"/q/","service":"s","public":true}]})";
 
 /// A store that holds the operators' configuration and no jobs, and names no scheduler. Reads of
-/// jobs are answered after `delay`.
+/// jobs are answered after `delay`; after the same time, writes end without a known outcome.
 class LateStore : public Store {
  public:
   LateStore(IoThread& io, Duration delay) : io_(io), delay_(delay) {}
@@ -37,6 +37,9 @@
     } else if (call.kind() == StoreOperation::kGet && call.key != "basilspring/leader") {
       reply.status = StoreStatus::kNotFound;
       delay = delay_;
+    } else if (call.kind() == StoreOperation::kTransaction) {
+      reply.status = StoreStatus::kUnknown;
+      delay = delay_;
     }
     io_.PostAfter(delay, [handler = std::move(handler), reply] { handler(reply); });
   }
@@ -160,5 +163,23 @@
   EXPECT_TRUE(outcome.cut.empty() && outcome.failed == 0) << Describe(outcome);
 }
 
+// Guards against cutting off a request because its caller waits longer than the drain limit.
+TEST_F(NodeStopTest, AnswersARequestThatCouldWaitLongerThanTheDrainLimit) {
+  settings_.drain_limit = Duration(3500);
+  StartNode(Duration(300));
+  const RawSocket caller(settings_.callers);
+  const std::string body = R"({"spec":"1","steps":[{"count":1,"cpu":1}]})";
+  caller.Write(
+      "POST /q/00000000000000aa HTTP/1.1\r\nHost: h\r\nTimeout-Ms: 10000\r\nContent-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n" + body);
+  // Answered after the submission was read, because both requests are queued to one thread.
+  const RawSocket later(settings_.callers);
+  later.Write("GET /none HTTP/1.1\r\nHost: h\r\n\r\n");
+  later.ReadUntilText("}");
+  StopNode();
+  const std::string answer = caller.ReadAll();
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 504") && answer.ends_with("}")) << answer;
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
