Give up the claims of a step that is not considered for placement

Callers could see accepted jobs wait beside free workers for as long as another job's queue stayed removed. Cause: capacity that is reserved or held back for a step was given up only while the step was placed, and the steps of a removed queue, or steps without a task to start, are left out before that. Each pass went on subtracting their claims from the free capacity. The class of fault is a claim that only its owner's progress releases. Change: ReadySteps() releases the claims of each step that it leaves out.

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -356,6 +356,8 @@
   Job* FindJob(const TaskId& task);
   static Task& TaskOf(Job& job, const TaskId& task);
   void RefreshQueue(Job& job);
+  /// Gives up the capacity that is reserved or held back for the step.
+  static void ReleaseClaims(Step& step);
   void FinishJob(Job& job, JobPhase phase, const std::string& reason);
   static JobProgress ProgressOf(Job& job);
   void CollectSaves(SchedulerOutput& out);
--- a/src/fleet/scheduler_core.cc
+++ b/src/fleet/scheduler_core.cc
@@ -142,16 +142,18 @@
   if (!worker.reported) unreported_agents_.insert(node);
 }
 
+void SchedulerCore::ReleaseClaims(Step& step) {
+  step.reserved_workers.clear();
+  step.held_back_workers.clear();
+}
+
 void SchedulerCore::FinishJob(Job& job, JobPhase phase, const std::string& reason) {
   job.phase = phase;
   job.phase_stored = false;
   job.finished_unix_ms = wall_ms_;
   ++job.version;
   active_.erase(job.spec.id);
-  for (Step& step : job.steps) {
-    step.reserved_workers.clear();
-    step.held_back_workers.clear();
-  }
+  for (Step& step : job.steps) ReleaseClaims(step);
   if (phase == JobPhase::kCompleted) ++counts_.jobs_completed;
   if (phase == JobPhase::kFailed) ++counts_.jobs_failed;
   if (phase == JobPhase::kCancelled) ++counts_.jobs_cancelled;
--- a/src/fleet/scheduler_queue.cc
+++ b/src/fleet/scheduler_queue.cc
@@ -140,14 +140,18 @@
     });
     if (live) job.last_active_at = now;
     for (std::size_t i = 0; i < job.steps.size(); ++i) {
-      if (!StepIsReady(job, i)) continue;
       Step& step = job.steps[i];
+      if (!StepIsReady(job, i)) {
+        ReleaseClaims(step);
+        continue;
+      }
       ReadyStep ready_step;
       if (!job.queue.service.empty() && !RecoveryPending(now, step)) {
         if (!step.ready_at) step.ready_at = now;
         ready_step.waiting = WaitingTasks(job, i, now);
       }
       if (ready_step.waiting.empty()) {
+        ReleaseClaims(step);
         CheckBlocked(now, job, i);
         continue;
       }
