Bound the wait for held-back capacity in an idle fleet

Callers could see an accepted job wait for as long as a gang waited, though most of the fleet had nothing to do. Cause: capacity that becomes free on the workers chosen for up to two waiting gangs was kept from all other steps below the urgent tier without a limit, also in a fleet that is less than half used. If the gangs waited for long runs, the next step waited with them. The class of fault is a preference that decides like a condition. Change: after 1 s without a live run a job may use held-back capacity in such a fleet, as it may leave its rack and, after 2 s, use workers on probation. The line of a waiting step names the number of gangs that hold capacity, without which it could not be told from a full fleet.

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -54,6 +54,8 @@
   /// If less than half of the fleet is in use, a job without live runs waits no longer than this
   /// for the rack of its data.
   Duration max_rack_wait = Duration(1000);
+  /// The same for capacity that is held back for waiting gangs.
+  Duration max_held_back_wait = Duration(1000);
   /// A job of priority 0 beyond its workspace's guarantee (borrowed) preempts other work only after
   /// it has waited this long.
   Duration borrowed_preemption_delay = Duration(100);
@@ -342,6 +344,8 @@
   struct Relaxation {
     /// The step need not be placed in the rack of its data or of its other tasks.
     bool any_rack = false;
+    /// The step may use capacity that is held back for waiting gangs.
+    bool with_held_back = false;
     /// The step may use workers on probation.
     bool with_probation = false;
   };
--- a/src/fleet/scheduler_queue.cc
+++ b/src/fleet/scheduler_queue.cc
@@ -225,11 +225,12 @@
   LogDecision(fmt::format(
       "job={} step={} tier={} waits_ms={} tasks={} needs={}/{}/{} data_rack={} same_rack={} "
       "max_per_worker={} usable={} on_probation={} eligible={} slots={} largest_free_run={} "
-      "mostly_idle={} headroom={}",
+      "mostly_idle={} headroom={} gangs_holding_capacity={}",
       ready.job->spec.id.value(), ready.step, ready.tier, (now - *step.ready_at).milliseconds(),
       ready.waiting.size(), spec.needs.milli_cores, spec.needs.memory_mb, spec.needs.accelerators,
       spec.data_rack, spec.same_rack, spec.max_per_worker, pass.index.size(),
-      counts_.workers_on_probation, eligible, slots, largest, pass.mostly_idle, pass.headroom));
+      counts_.workers_on_probation, eligible, slots, largest, pass.mostly_idle, pass.headroom,
+      pass.gangs_holding_capacity));
 }
 
 bool SchedulerCore::TryStartReserved(TimePoint now, Pass& pass, const ReadyStep& ready) {
@@ -286,19 +287,21 @@
   Step& step = job.steps[ready.step];
   const StepSpec& spec = SpecOf(job, ready.step);
   if (!step.reserved_workers.empty() && TryStartReserved(now, pass, ready)) return;
-  const Relaxation relaxation = RelaxationFor(now, pass, ready);
-  PlacementView view = BuildView(pass, ready, {relaxation.any_rack, false});
+  Relaxation relaxation = RelaxationFor(now, pass, ready);
+  const bool with_probation = std::exchange(relaxation.with_probation, false);
+  PlacementView view = BuildView(pass, ready, relaxation);
   const std::int32_t count = TasksWithinHeadroom(now, pass, ready);
   if (count == 0) {
     LogWaitReason(now, pass, ready, view);
     return;
   }
   if (StartOnFreeCapacity(now, pass, ready, count, view)) return;
-  if (relaxation.with_probation &&
+  relaxation.with_probation = true;
+  if (with_probation &&
       StartOnFreeCapacity(now, pass, ready, count, BuildView(pass, ready, relaxation))) {
     LogDecision(
-        fmt::format("job={} step={} waited_ms={} started on workers on probation, as no other "
-                    "worker can hold it",
+        fmt::format("job={} step={} waited_ms={} started with workers on probation, as the others "
+                    "have no capacity for it",
                     job.spec.id.value(), ready.step, (now - *step.ready_at).milliseconds()));
     return;
   }
--- a/src/fleet/scheduler_room.cc
+++ b/src/fleet/scheduler_room.cc
@@ -82,7 +82,8 @@
   if (!pass.mostly_idle) return {};
   const Step& step = ready.job->steps[ready.step];
   const Duration inactive = now - std::max(ready.job->last_active_at, *step.ready_at);
-  return {inactive >= options_.max_rack_wait, inactive >= options_.max_probation_wait};
+  return {inactive >= options_.max_rack_wait, inactive >= options_.max_held_back_wait,
+          inactive >= options_.max_probation_wait};
 }
 
 std::string_view SchedulerCore::RequiredRack(const Pass& pass, const Job& job,
@@ -136,7 +137,7 @@
     Resources later = pass_worker.free;
     later += pass_worker.stopping;
     later -= pass_worker.reserved;
-    if (ready.tier >= kTierOther) {
+    if (ready.tier >= kTierOther && !relaxation.with_held_back) {
       later -= pass_worker.held_back;
       const auto own =
           std::count(step.held_back_workers.begin(), step.held_back_workers.end(), worker.node);
--- a/tests/fleet/scheduler_load_test.cc
+++ b/tests/fleet/scheduler_load_test.cc
@@ -357,6 +357,24 @@
   EXPECT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, 30 * kSecond));
 }
 
+// Guards against a small job that waits in a mostly idle fleet, because all free capacity is held
+// back for a gang that waits for long runs. 3 s is the longest wait that the users allow.
+TEST_F(SchedulerLoadTest, CapacityHeldBackForAGangDoesNotKeepASmallJobWaiting) {
+  StepSpec occupant = MakeStep(6, 1, 60 * kSecond);
+  occupant.max_per_worker = 1;
+  const JobId occupants = fleet_.Submit("batch", "other", occupant);
+  fleet_.Advance(500);
+  ASSERT_EQ(fleet_.RunningTasks(occupants), 6U);
+  StepSpec gang = MakeStep(6, 8, 8 * kSecond);
+  gang.gang = true;
+  fleet_.Submit("forecast", "other", gang);
+  fleet_.Advance(500);
+  const JobId small = fleet_.Submit("batch", "other", MakeStep(1, 1, kSecond));
+  const auto waited = TimeToStart(small, 1, 100 * kSecond);
+  EXPECT_GE(waited, 0);
+  EXPECT_LE(waited, 3 * kSecond);
+}
+
 // Guards against capacity that stays held back for a gang whose queue has been removed.
 TEST_F(SchedulerLoadTest, CapacityHeldBackForAGangIsGivenUpWithItsQueue) {
   StepSpec occupant = MakeStep(6, 1, 3 * kSecond);
