Treat a job as urgent only if its queue is known

Callers of a workspace could see their urgent job wait for many seconds though its guarantee was free. Cause: a job whose queue is in no configuration of the scheduler's term has default settings, and the default priority is 0, that of urgent jobs. It took part in the guarantee of its workspace and in the headroom, though it is not scheduled at all. The class of fault is a decision by a default in place of an unknown setting, as for the limit of attempts. Change: IsUrgent() requires that the queue is known; guarantee, headroom, order and preemption use it.

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -360,6 +360,8 @@
   Job* FindJob(const TaskId& task);
   static Task& TaskOf(Job& job, const TaskId& task);
   void RefreshQueue(Job& job);
+  /// Whether the job has priority 0, as far as the settings of its queue are known.
+  static bool IsUrgent(const Job& job) { return job.queue_known && job.queue.priority == 0; }
   /// Gives up the capacity that is reserved or held back for the step.
   static void ReleaseClaims(Step& step);
   void FinishJob(Job& job, JobPhase phase, const std::string& reason);
--- a/src/fleet/scheduler_preemption.cc
+++ b/src/fleet/scheduler_preemption.cc
@@ -50,7 +50,7 @@
       const auto found = jobs_.find(key.task.job);
       if (found == jobs_.end()) continue;
       const Job& job = found->second;
-      const bool borrowed = job.queue.priority == 0;
+      const bool borrowed = IsUrgent(job);
       const bool protected_run = pass.guaranteed.count(key.task.job) > 0;
       if (borrowed && (ready.tier != kTierGuaranteed || protected_run)) continue;
       const std::size_t step = StepIndex(job, key.task);
--- a/src/fleet/scheduler_queue.cc
+++ b/src/fleet/scheduler_queue.cc
@@ -67,7 +67,7 @@
   std::map<WorkspaceId, std::vector<const Job*>> by_workspace;
   for (const JobId& id : active_) {
     const Job& job = jobs_.at(id);
-    if (job.queue.priority != 0) continue;
+    if (!IsUrgent(job)) continue;
     by_workspace[job.spec.workspace].push_back(&job);
   }
   std::set<JobId> guaranteed;
@@ -126,8 +126,8 @@
   if (!on_time) ready.latest_start = start_by(kUsefulStretchFactor);
   ready.tier = kTierOther;
   if (now > ready.latest_start) ready.tier = kTierTooLate;
-  if (job.queue.priority == 0 && on_time) ready.tier = kTierUrgent;
-  if (job.queue.priority == 0 && guaranteed) ready.tier = kTierGuaranteed;
+  if (IsUrgent(job) && on_time) ready.tier = kTierUrgent;
+  if (IsUrgent(job) && guaranteed) ready.tier = kTierGuaranteed;
 }
 
 std::vector<SchedulerCore::ReadyStep> SchedulerCore::ReadySteps(TimePoint now, const Pass& pass) {
--- a/tests/fleet/scheduler_load_test.cc
+++ b/tests/fleet/scheduler_load_test.cc
@@ -392,5 +392,22 @@
   EXPECT_GE(TimeToStart(small, 1, 30 * kSecond), 0);
 }
 
+// Guards against a job whose queue is unknown and that uses up the guarantee of its workspace,
+// because the default priority is that of urgent jobs.
+TEST_F(SchedulerLoadTest, AJobOfAnUnknownQueueDoesNotUseUpTheGuarantee) {
+  fleet_.AddQueue("passing", 2, 3.0, 3000);
+  fleet_.Submit("batch", "other", MakeStep(48, 1, 100 * kSecond));
+  fleet_.Advance(500);
+  fleet_.Submit("passing", "owner", MakeStep(16, 1, kSecond));
+  fleet_.Advance(500);
+  fleet_.RemoveQueue("passing");
+  fleet_.ChangeScheduler(2);
+  fleet_.Advance(30 * kSecond);
+  const JobId urgent = fleet_.Submit("urgent", "owner", MakeStep(16, 1, 200));
+  const auto waited = TimeToStart(urgent, 16, 20 * kSecond);
+  EXPECT_GE(waited, 0);
+  EXPECT_LE(waited, 3400);
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
