Wait for runs of an earlier term as long as their lease is extended

A backend server could run a task twice after a change of the scheduler. Cause: an agent that reaches the new scheduler and whose polls are carried out but not answered is granted a lease from its first report on, while the scheduler waits for the runs that the agent does not list only for the lease counted from the start of the term. It then starts their tasks elsewhere. Change: RecoveryPending() counts from the last extension in this term. The comment of KeepsTheRunsOfAWorkerThatHasJustJoined stands above its test again.

--- a/src/fleet/scheduler_checks.cc
+++ b/src/fleet/scheduler_checks.cc
@@ -42,10 +42,11 @@
 }
 
 bool SchedulerCore::RecoveryPending(TimePoint now, const Step& step) const {
-  if (now > LeaseExpiryBound(term_started_at_)) return false;
-  return std::any_of(step.agents.begin(), step.agents.end(), [this](const NodeId& node) {
+  return std::any_of(step.agents.begin(), step.agents.end(), [&](const NodeId& node) {
     const auto found = workers_.find(node);
-    return found != workers_.end() && !found->second.has_listed_runs;
+    if (found == workers_.end() || found->second.has_listed_runs) return false;
+    // The runs continue for as long as the agent may have extended their lease in this term.
+    return now <= LeaseExpiryBound(std::max(found->second.last_lease_extension, term_started_at_));
   });
 }
 
--- a/tests/fleet/scheduler_core_test.cc
+++ b/tests/fleet/scheduler_core_test.cc
@@ -137,8 +137,6 @@
   EXPECT_EQ(fleet_.StartsOf(job), 2U);
 }
 
-// Guards against treating a backend server that has just joined as silent since the start of the
-// term. Its runs would be abandoned immediately and restarted elsewhere.
 // Guards against a run that goes on after the scheduler has counted it as ended: the agent extended
 // the lease with polls that were carried out and not answered.
 TEST_F(SchedulerCoreTest, GrantsNoLongerLeaseThanItCountsOn) {
@@ -160,6 +158,8 @@
   EXPECT_LE(granted_until_ms, fleet_.now_ms());
 }
 
+// Guards against treating a backend server that has just joined as silent since the start of the
+// term. Its runs would be abandoned immediately and restarted elsewhere.
 TEST_F(SchedulerCoreTest, KeepsTheRunsOfAWorkerThatHasJustJoined) {
   AddAgents(1);
   fleet_.Advance(20 * kSecond);
@@ -467,5 +467,30 @@
   EXPECT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, 30 * kSecond));
 }
 
+// Guards against a lease that is granted beyond the time at which the scheduler stops waiting for
+// the runs of an earlier term.
+TEST_F(SchedulerCoreTest, GrantsNoLongerLeaseThanItWaitsForRunsOfAnEarlierTerm) {
+  AddAgents(2);
+  const JobId job = fleet_.Submit("batch", "shop", MakeStep(1, 8, 60 * kSecond));
+  fleet_.Advance(500);
+  ASSERT_EQ(fleet_.StartsOf(job), 1U);
+  FleetHarness::Agent& agent = fleet_.agent(fleet_.starts().front().first);
+  agent.reachable = false;
+  fleet_.ChangeScheduler(2);
+  fleet_.Advance(4500);
+  // The agent reaches the new scheduler; its polls of the new term are carried out, not answered.
+  agent.report.poll = 0;
+  std::int64_t granted_until_ms = 0;
+  for (int i = 0; i < 60 && fleet_.StartsOf(job) == 1; ++i) {
+    ++agent.report.number;
+    agent.report.poll_age = Duration(1000 + i * 200);
+    const auto reply = fleet_.core().OnReport(TimePoint(fleet_.now_ms()), agent.report);
+    granted_until_ms = std::max(granted_until_ms, fleet_.now_ms() + reply.lease.milliseconds());
+    fleet_.Advance(200);
+  }
+  ASSERT_EQ(fleet_.StartsOf(job), 2U);
+  EXPECT_LE(granted_until_ms, fleet_.now_ms());
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
