Let a long-running task leave its full rack while others of its job run

Callers could see a part of a long-running job stay away for good though other racks were idle. Cause: the limit on the wait for a rack counts from the last moment at which any task of the job ran, which never passes while one of them runs, and holds only in a fleet that is less than half used. The users count each long-running task by itself, however full the service is. The class of fault is a limit that is renewed by what it does not depend on. Change: the wait of a long-running task counts from the end of its own last run, whatever the use of the fleet.

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -262,6 +262,8 @@
     std::set<NodeId> failed_on;
     /// The number of runs that still occupy capacity, including abandoned ones.
     std::int32_t live_runs = 0;
+    /// When the last run of the task in this term ended.
+    TimePoint waiting_since;
     /// The earliest time of the next start.
     TimePoint not_before;
     /// How often the task was preempted.
@@ -459,7 +461,7 @@
   // Free, reserved and held-back capacity, in scheduler_room.cc.
   void BeginPass(TimePoint now, Pass& pass);
   /// Returns which preferences are given up for the step. None are if at least half of the fleet is
-  /// in use.
+  /// in use, unless its tasks are long-running.
   Relaxation RelaxationFor(TimePoint now, const Pass& pass, const ReadyStep& ready) const;
   /// Returns the rack of the step's other tasks in which the next ones must start; empty if they
   /// may start in any rack.
--- a/src/fleet/scheduler_room.cc
+++ b/src/fleet/scheduler_room.cc
@@ -79,9 +79,20 @@
 
 SchedulerCore::Relaxation SchedulerCore::RelaxationFor(TimePoint now, const Pass& pass,
                                                        const ReadyStep& ready) const {
-  if (!pass.mostly_idle) return {};
   const Step& step = ready.job->steps[ready.step];
-  const Duration inactive = now - std::max(ready.job->last_active_at, *step.ready_at);
+  TimePoint since = std::max(ready.job->last_active_at, *step.ready_at);
+  if (SpecOf(*ready.job, ready.step).long_running) {
+    // Each long-running task is useful by itself, whether or not others of its job run, and waiting
+    // for a full fleet to become idle could take as long as other such tasks last.
+    since = now;
+    for (const std::int32_t index : ready.waiting) {
+      const Task& task = step.tasks[static_cast<std::size_t>(index)];
+      since = std::min(since, std::max(task.waiting_since, *step.ready_at));
+    }
+  } else if (!pass.mostly_idle) {
+    return {};
+  }
+  const Duration inactive = now - since;
   return {inactive >= options_.max_rack_wait, inactive >= options_.max_held_back_wait,
           inactive >= options_.max_probation_wait};
 }
--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -322,6 +322,7 @@
   }
   if (task.phase != TaskPhase::kActive || task.run != key.run) return;
   task.phase = TaskPhase::kWaiting;
+  task.waiting_since = now;
   if (!run.checkpoint.empty()) {
     task.checkpoint = run.checkpoint;
     task.checkpoint_percent = run.percent;
