Judge per service whether capacity is idle

Callers could see an accepted job wait for its rack, although the service that runs it had most of its capacity free. Cause: whether less than half is in use was computed over the workers of all services, so one full service kept the limits on waits from applying in another. The class of fault is a condition over more than it is about. Change: the pass keeps the set of services that are mostly idle. The comments on the granted lease say what is granted.

--- a/include/basilspring/fleet/peer_messages.h
+++ b/include/basilspring/fleet/peer_messages.h
@@ -49,8 +49,9 @@
   /// Term and address of the scheduler, as far as the process asked knows them.
   Term term;
   Address scheduler;
-  /// How long runs may continue, counted from the time at which the agent sent its report. 0 if the
-  /// report does not extend the lease, for example because the backend server answers no polls.
+  /// How long runs may continue, counted from the time at which the agent sent its report. If the
+  /// report does not extend the lease, for example because the backend server answers no polls,
+  /// this is the rest of the last extension.
   Duration lease;
   /// Ends up to this number are recorded in the store.
   std::int64_t acknowledged = 0;
--- a/src/fleet/scheduler_pass.h
+++ b/src/fleet/scheduler_pass.h
@@ -42,8 +42,9 @@
   std::map<NodeId, std::size_t> index;
   /// Jobs of priority 0 within the guarantee of their workspace.
   std::set<JobId> guaranteed;
-  /// Less than half of all accelerators, cores and memory of the usable workers are in use.
-  bool mostly_idle = false;
+  /// Services of whose usable workers less than half of all accelerators, cores and memory are in
+  /// use.
+  std::set<ServiceId> idle_services;
   /// Accelerators that other work leaves free for jobs of priority 0.
   std::int64_t headroom = 0;
   /// The number of waiting gangs for which capacity is held back.
--- a/src/fleet/scheduler_room.cc
+++ b/src/fleet/scheduler_room.cc
@@ -50,15 +50,23 @@
     if (!pass_worker.on_probation) pass.index[node] = pass.workers.size();
     pass.workers.push_back(pass_worker);
   }
-  Resources capacity;
-  Resources free;
+  struct Use {
+    Resources capacity;
+    Resources free;
+  };
+  std::map<ServiceId, Use> services;
   for (const Pass::WorkerCapacity& pass_worker : pass.workers) {
-    capacity += pass_worker.worker->backend->capacity;
-    free += pass_worker.free;
+    Use& use = services[pass_worker.worker->backend->service];
+    use.capacity += pass_worker.worker->backend->capacity;
+    use.free += pass_worker.free;
+  }
+  for (const auto& [service, use] : services) {
+    if (use.free.accelerators * 2 > use.capacity.accelerators &&
+        use.free.milli_cores * 2 > use.capacity.milli_cores &&
+        use.free.memory_mb * 2 > use.capacity.memory_mb) {
+      pass.idle_services.insert(service);
+    }
   }
-  pass.mostly_idle = free.accelerators * 2 > capacity.accelerators &&
-                     free.milli_cores * 2 > capacity.milli_cores &&
-                     free.memory_mb * 2 > capacity.memory_mb;
   for (const JobId& id : active_) {
     const Job& job = jobs_.at(id);
     for (std::size_t i = 0; i < job.steps.size(); ++i) {
@@ -89,7 +97,7 @@
       const Task& task = step.tasks[static_cast<std::size_t>(index)];
       since = std::min(since, std::max(task.waiting_since, *step.ready_at));
     }
-  } else if (!pass.mostly_idle) {
+  } else if (pass.idle_services.count(ready.job->queue.service) == 0) {
     return {};
   }
   const Duration inactive = now - since;
@@ -273,7 +281,8 @@
   const auto count = static_cast<std::int32_t>(ready.waiting.size());
   const StepSpec& spec = SpecOf(*ready.job, ready.step);
   const bool pressing = ready.latest_start - now < options_.headroom_slack;
-  if (ready.tier < kTierOther || pass.mostly_idle || pressing || spec.needs.accelerators == 0) {
+  const bool idle = pass.idle_services.count(ready.job->queue.service) > 0;
+  if (ready.tier < kTierOther || idle || pressing || spec.needs.accelerators == 0) {
     return count;
   }
   std::int64_t free = 0;
--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -68,7 +68,8 @@
       UpdateBackend(now, worker, report);
     }
   }
-  // Without an extension that CheckSilentWorkers() counts, the agent may only use up the last one.
+  // If CheckSilentWorkers() does not count this report as an extension, only the rest of the last
+  // one is granted.
   const TimePoint extended_at = std::max(worker.last_lease_extension, term_started_at_);
   reply.lease = std::max(Duration(0), extended_at + options_.lease - now);
   reply.acknowledged = AcknowledgedEnd(report.node);
--- a/tests/fleet/scheduler_load_test.cc
+++ b/tests/fleet/scheduler_load_test.cc
@@ -409,5 +409,28 @@
   EXPECT_LE(waited, 3400);
 }
 
+// Guards against a wait for a rack in an idle service, because the workers of another service are
+// occupied.
+TEST_F(SchedulerLoadTest, AnotherServiceDoesNotMakeAnIdleServiceCountAsBusy) {
+  const JobId others = fleet_.Submit("batch", "other", MakeStep(48, 1, 100 * kSecond));
+  fleet_.Advance(500);
+  ASSERT_EQ(fleet_.RunningTasks(others), 48U);
+  for (int i = 0; i < 6; ++i) {
+    fleet_.agent("a" + std::to_string(i)).report.backend.front().service = ServiceId("second");
+  }
+  for (int i = 6; i < 9; ++i) fleet_.AddAgent("a" + std::to_string(i), "rack2");
+  for (int i = 9; i < 14; ++i) fleet_.AddAgent("a" + std::to_string(i), "rack3");
+  fleet_.Advance(kSecond);
+  StepSpec filler = MakeStep(24, 1, 100 * kSecond);
+  filler.data_rack = "rack2";
+  const JobId fillers = fleet_.Submit("batch", "other", filler);
+  fleet_.Advance(500);
+  ASSERT_EQ(fleet_.RunningTasks(fillers), 24U);
+  StepSpec step = MakeStep(1, 1, kSecond);
+  step.data_rack = "rack2";
+  const JobId job = fleet_.Submit("batch", "other", step);
+  EXPECT_GE(TimeToStart(job, 1, 3 * kSecond), 0);
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
