Take a report as a list of runs only in its own term

Backend servers ran tasks twice after a change of the scheduler, when the same process held the lease again. Cause: the term of a report was compared only with later ones. A report that an agent made under the earlier term, from a poll that was answered before further runs started there, was taken by the new scheduler as a list of all runs; those that it lacked were started elsewhere. The class of fault is state of one term that is used in another. Change: rows of a report count only if its term is that of the scheduler; otherwise it shows that the agent lives, as one without rows does.

--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -110,7 +110,9 @@
           worker.runs.size()));
     }
   }
-  if (report.poll == 0) return;
+  // A report that was made under an earlier term, and reaches this scheduler because an earlier one
+  // had the same address, may lack runs that were started in between.
+  if (report.poll == 0 || report.term != term_) return;
   worker.has_listed_runs = true;
   if (report.poll_age < kPollSilenceLimit) worker.last_lease_extension = now;
   for (const EndedRow& end : report.ended) RecordEnd(now, worker, end);
--- a/tests/fleet/fleet_harness.cc
+++ b/tests/fleet/fleet_harness.cc
@@ -33,7 +33,8 @@
 }
 
 void FleetHarness::ChangeScheduler(std::uint64_t term) {
-  core_ = std::make_unique<SchedulerCore>(options, Term(term), TimePoint(now_ms_));
+  term_ = Term(term);
+  core_ = std::make_unique<SchedulerCore>(options, term_, TimePoint(now_ms_));
   PublishOperatorState();
   for (auto& [name, agent] : agents_) core_->ExpectAgent(agent.report.node, agent.report.address);
   for (const auto& [id, spec] : specs_) {
@@ -173,6 +174,7 @@
 
 void FleetHarness::Report(Agent& agent) {
   ++agent.report.number;
+  agent.report.term = term_;
   // A backend server that has exited answers no polls.
   const bool polls =
       !agent.report.backend_gone && now_ms_ - agent.polled_at_ms >= agent.poll_interval_ms;
--- a/tests/fleet/fleet_harness.h
+++ b/tests/fleet/fleet_harness.h
@@ -103,6 +103,7 @@
   bool IsDone(const Run& run) const;
 
   std::int64_t now_ms_ = 1000000;
+  Term term_;
   std::unique_ptr<SchedulerCore> core_;
   std::map<std::string, Agent> agents_;
   OperatorState operators_;
--- a/tests/fleet/scheduler_core_test.cc
+++ b/tests/fleet/scheduler_core_test.cc
@@ -492,5 +492,24 @@
   EXPECT_LE(granted_until_ms, fleet_.now_ms());
 }
 
+// Guards against a task that runs twice: a report that its agent made under the earlier term, and
+// that lacks the run, reaches the new scheduler at the same address.
+TEST_F(SchedulerCoreTest, AReportOfAnEarlierTermDoesNotShowThatARunIsGone) {
+  AddAgents(2);
+  FleetHarness::Agent& agent = fleet_.agent("a0");
+  fleet_.Advance(kSecond);
+  AgentReport stale = agent.report;
+  fleet_.Submit("batch", "shop", MakeStep(1, 8, 60 * kSecond));
+  fleet_.Advance(100);
+  ASSERT_EQ(fleet_.starts().size(), 1U);
+  ASSERT_EQ(fleet_.starts().front().first, "a0");
+  agent.reachable = false;
+  fleet_.ChangeScheduler(2);
+  stale.number += 10;
+  fleet_.core().OnReport(TimePoint(fleet_.now_ms()), stale);
+  fleet_.Advance(kSecond);
+  EXPECT_EQ(fleet_.core().counts().runs_started, 0U);
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
