--- a/tests/fleet/scheduler_load_test.cc
+++ b/tests/fleet/scheduler_load_test.cc
@@ -432,5 +432,29 @@
   EXPECT_GE(TimeToStart(job, 1, 3 * kSecond), 0);
 }
 
+// Guards against a guarantee that is not reclaimed from runs on workers on probation. 3.4 s is the
+// bound that the users set.
+TEST_F(SchedulerLoadTest, AGuaranteeIsReclaimedFromWorkersOnProbation) {
+  StepSpec occupant = MakeStep(42, 1, 60 * kSecond);
+  occupant.max_per_worker = 7;
+  fleet_.Submit("batch", "other", occupant);
+  fleet_.Advance(500);
+  fleet_.outcome_of = [](const std::string&, const TaskId&) { return RunEnd::kFailed; };
+  for (int i = 0; i < 2; ++i) {
+    StepSpec failing = MakeStep(6, 1, 200);
+    failing.max_per_worker = 1;
+    fleet_.Submit("batch", "other", failing);
+    fleet_.Advance(240);
+  }
+  for (int i = 0; i < 100 && fleet_.core().counts().workers_on_probation < 6; ++i) {
+    fleet_.Advance(20);
+  }
+  ASSERT_EQ(fleet_.core().counts().workers_on_probation, 6U);
+  const JobId urgent = fleet_.Submit("urgent", "owner", MakeStep(16, 1, 2 * kSecond));
+  const auto waited = TimeToStart(urgent, 16, 20 * kSecond);
+  EXPECT_GE(waited, 0);
+  EXPECT_LE(waited, 3400);
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
