Move the lines about waiting steps to scheduler_waits.cc

FindBlockCause, CheckBlocked and LogWaitReason move unchanged; TryStart names the view without workers on probation.

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -38,9 +38,9 @@
   /// How long a worker on which runs keep failing is first put on probation, which means that it is
   /// assigned new work only as a last resort. The time doubles with each further probation.
   Duration first_probation = Duration(4000);
-  /// If less than half of the fleet is in use, a job without live runs waits no longer than this
-  /// for a worker that is not on probation. Longer than the wait for a rack, because a run that
-  /// fails uses up one of the job's attempts.
+  /// If less than half of the service's capacity is in use, a job without live runs waits no longer
+  /// than this for a worker that is not on probation. Longer than the wait for a rack, because a
+  /// run that fails uses up one of the job's attempts.
   Duration max_probation_wait = Duration(2000);
   /// Runs on a draining backend server are stopped, to save their state, this long before the last
   /// moment at which a stop could still complete.
@@ -51,8 +51,8 @@
   Duration finish_margin = Duration(200);
   /// How long a finished job stays available to its callers before it is deleted.
   Duration keep_finished = Duration(120000);
-  /// If less than half of the fleet is in use, a job without live runs waits no longer than this
-  /// for the rack of its data.
+  /// If less than half of the service's capacity is in use, a job without live runs waits no longer
+  /// than this for the rack of its data.
   Duration max_rack_wait = Duration(1000);
   /// The same for capacity that is held back for waiting gangs.
   Duration max_held_back_wait = Duration(1000);
@@ -429,9 +429,6 @@
   // Order of the ready steps and their starts, in scheduler_queue.cc.
   void Schedule(TimePoint now);
   std::vector<ReadyStep> ReadySteps(TimePoint now, const Pass& pass);
-  BlockCause FindBlockCause(TimePoint now, const Job& job, std::size_t step) const;
-  /// Counts the step if it is blocked, and logs the cause at intervals.
-  void CheckBlocked(TimePoint now, Job& job, std::size_t step);
   bool StepIsReady(const Job& job, std::size_t step) const;
   static std::vector<std::int32_t> WaitingTasks(const Job& job, std::size_t step, TimePoint now);
   /// Returns the jobs of priority 0 that are within the guarantee of their workspace. The oldest
@@ -455,13 +452,19 @@
                   const std::vector<std::size_t>& worker_indices);
   void StartTask(TimePoint now, Job& job, const TaskId& id, Worker& worker,
                  const std::string& checkpoint);
+
+  // Steps that are not started, in scheduler_waits.cc.
+  BlockCause FindBlockCause(TimePoint now, const Job& job, std::size_t step) const;
+  /// Counts the step if it is blocked, and logs the cause at intervals.
+  void CheckBlocked(TimePoint now, Job& job, std::size_t step);
+  /// Logs at intervals what a step that could not be placed needs and what is free.
   void LogWaitReason(TimePoint now, const Pass& pass, const ReadyStep& ready,
                      const PlacementView& view);
 
   // Free, reserved and held-back capacity, in scheduler_room.cc.
   void BeginPass(TimePoint now, Pass& pass);
-  /// Returns which preferences are given up for the step. None are if at least half of the fleet is
-  /// in use, unless its tasks are long-running.
+  /// Returns which preferences are given up for the step. None are if at least half of the
+  /// service's capacity is in use, unless its tasks are long-running.
   Relaxation RelaxationFor(TimePoint now, const Pass& pass, const ReadyStep& ready) const;
   /// Returns the rack of the step's other tasks in which the next ones must start; empty if they
   /// may start in any rack.
--- a/src/fleet/scheduler_queue.cc
+++ b/src/fleet/scheduler_queue.cc
@@ -1,8 +1,6 @@
 #include <fmt/format.h>
-#include <fmt/ranges.h>
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 #include <tuple>
 #include <utility>
@@ -23,12 +21,6 @@
 constexpr double kMaxLostWorkRatio = 4.0;
 // A job is of use to its caller if it ends within this multiple of the time in which it is on time.
 constexpr double kUsefulStretchFactor = 3.0;
-// Minimum interval between two log lines about why a step waits.
-constexpr Duration kWaitLogInterval(3000);
-// In the order of SchedulerCore::BlockCause.
-constexpr std::array<std::string_view, 4> kBlockCauseNames = {
-    "none", "its queue is not in the configuration", "agents have not listed their runs",
-    "runs of an earlier start have not ended"};
 
 }  // namespace
 
@@ -169,71 +161,6 @@
   return ready;
 }
 
-SchedulerCore::BlockCause SchedulerCore::FindBlockCause(TimePoint now, const Job& job,
-                                                        std::size_t step) const {
-  if (job.queue.service.empty()) return BlockCause::kQueueUnknown;
-  if (RecoveryPending(now, job.steps[step])) return BlockCause::kAgentsNotListed;
-  const auto& tasks = job.steps[step].tasks;
-  const bool active = std::any_of(tasks.begin(), tasks.end(), [](const Task& task) {
-    return task.phase == TaskPhase::kActive;
-  });
-  const bool earlier_runs = std::any_of(tasks.begin(), tasks.end(), [](const Task& task) {
-    return task.phase == TaskPhase::kWaiting && task.live_runs != 0;
-  });
-  return !active && earlier_runs ? BlockCause::kEarlierRuns : BlockCause::kNone;
-}
-
-void SchedulerCore::CheckBlocked(TimePoint now, Job& job, std::size_t index) {
-  Step& step = job.steps[index];
-  const BlockCause cause = FindBlockCause(now, job, index);
-  if (cause == BlockCause::kNone) {
-    step.blocked_since.reset();
-    return;
-  }
-  ++counts_.steps_blocked;
-  if (!step.blocked_since) step.blocked_since = now;
-  const TimePoint since = std::max(step.wait_logged_at, *step.blocked_since);
-  if (now - since < kWaitLogInterval) return;
-  step.wait_logged_at = now;
-  std::int32_t live_runs = 0;
-  for (const Task& task : step.tasks) live_runs += task.live_runs;
-  std::vector<std::string> agents;
-  for (const NodeId& node : step.agents) agents.push_back(node.value());
-  LogDecision(fmt::format(
-      "job={} step={} blocked_ms={} cause=\"{}\" queue={} config={} live_runs={} agents={}",
-      job.spec.id.value(), index, (now - *step.blocked_since).milliseconds(),
-      kBlockCauseNames.at(static_cast<std::size_t>(cause)), job.spec.queue.value(),
-      operator_state_->config.version, live_runs, fmt::join(agents, ",")));
-}
-
-void SchedulerCore::LogWaitReason(TimePoint now, const Pass& pass, const ReadyStep& ready,
-                                  const PlacementView& view) {
-  Step& step = ready.job->steps[ready.step];
-  const TimePoint since = std::max(step.wait_logged_at, *step.ready_at);
-  if (now - since < kWaitLogInterval) return;
-  step.wait_logged_at = now;
-  const StepSpec& spec = SpecOf(*ready.job, ready.step);
-  std::int64_t largest = 0;
-  std::int64_t eligible = 0;
-  std::int64_t slots = 0;
-  for (const Candidate& candidate : view.candidates) {
-    if (!IsEligible(spec, candidate)) continue;
-    ++eligible;
-    largest = std::max(largest, candidate.free.accelerators);
-    slots += spec.needs.CountIn(candidate.free);
-  }
-  LogDecision(fmt::format(
-      "job={} step={} tier={} waits_ms={} tasks={} needs={}/{}/{} data_rack={} same_rack={} "
-      "max_per_worker={} usable={} on_probation={} eligible={} slots={} largest_free_run={} "
-      "mostly_idle={} headroom={} gangs_holding_capacity={}",
-      ready.job->spec.id.value(), ready.step, ready.tier, (now - *step.ready_at).milliseconds(),
-      ready.waiting.size(), spec.needs.milli_cores, spec.needs.memory_mb, spec.needs.accelerators,
-      spec.data_rack, spec.same_rack, spec.max_per_worker, pass.index.size(),
-      counts_.workers_on_probation, eligible, slots, largest,
-      pass.idle_services.count(ready.job->queue.service) > 0, pass.headroom,
-      pass.gangs_holding_capacity));
-}
-
 bool SchedulerCore::TryStartReserved(TimePoint now, Pass& pass, const ReadyStep& ready) {
   Job& job = *ready.job;
   Step& step = job.steps[ready.step];
@@ -288,17 +215,17 @@
   Step& step = job.steps[ready.step];
   const StepSpec& spec = SpecOf(job, ready.step);
   if (!step.reserved_workers.empty() && TryStartReserved(now, pass, ready)) return;
-  Relaxation relaxation = RelaxationFor(now, pass, ready);
-  const bool with_probation = std::exchange(relaxation.with_probation, false);
-  PlacementView view = BuildView(pass, ready, relaxation);
+  const Relaxation relaxation = RelaxationFor(now, pass, ready);
+  Relaxation without_probation = relaxation;
+  without_probation.with_probation = false;
+  PlacementView view = BuildView(pass, ready, without_probation);
   const std::int32_t count = TasksWithinHeadroom(now, pass, ready);
   if (count == 0) {
     LogWaitReason(now, pass, ready, view);
     return;
   }
   if (StartOnFreeCapacity(now, pass, ready, count, view)) return;
-  relaxation.with_probation = true;
-  if (with_probation &&
+  if (relaxation.with_probation &&
       StartOnFreeCapacity(now, pass, ready, count, BuildView(pass, ready, relaxation))) {
     LogDecision(
         fmt::format("job={} step={} waited_ms={} started with workers on probation, as the others "
