Count the refused starts of one batch as one failure

Callers waited up to 2 s for a worker that had refused a single batch. Cause: each refused start of the batch counted as a further failure in a row, so the pause doubled from 500 ms to its maximum within one answer. Change: while a worker is paused, further failures do not extend the pause.

--- a/src/fleet/scheduler_orders.cc
+++ b/src/fleet/scheduler_orders.cc
@@ -90,6 +90,8 @@
 }
 
 void SchedulerCore::CountFailedStart(TimePoint now, Worker& worker) {
+  // Further orders of the same batch fail for the same cause.
+  if (now < worker.start_pause_until) return;
   const Duration pause = kFirstStartPause * (std::int64_t{1} << std::min(worker.failed_starts, 2));
   worker.start_pause_until = now + std::min(pause, kMaxStartPause);
   ++worker.failed_starts;
--- a/tests/fleet/fleet_harness.cc
+++ b/tests/fleet/fleet_harness.cc
@@ -250,7 +250,7 @@
       status = agent.next_start_status.value_or(BackendStatus::kOk);
       // kStopped means that the agent got no answer to the start and has stopped the run.
       if (status == BackendStatus::kStopped) run.stop_at_ms = now_ms_ + stop_time_ms;
-      agent.next_start_status.reset();
+      if (!agent.keeps_start_status) agent.next_start_status.reset();
       if (begins) {
         agent.runs.push_back(run);
         starts_.emplace_back(name, run);
--- a/tests/fleet/fleet_harness.h
+++ b/tests/fleet/fleet_harness.h
@@ -36,6 +36,8 @@
     bool reachable = true;
     /// The status with which the agent answers the next start without executing it.
     std::optional<BackendStatus> next_start_status;
+    /// If true, `next_start_status` applies to all starts until it is reset.
+    bool keeps_start_status = false;
     /// If true, a start answered with `next_start_status` is executed nevertheless.
     bool starts_despite_status = false;
     /// If true, the next stop is carried out, but the answer to its batch is lost.
--- a/tests/fleet/scheduler_load_test.cc
+++ b/tests/fleet/scheduler_load_test.cc
@@ -282,6 +282,22 @@
   EXPECT_TRUE(CompletesBesideFailingStarts(job, "a0", BackendStatus::kRefused, 5 * kSecond));
 }
 
+// Guards against a long pause of a worker that refused several starts of one batch for one cause.
+TEST_F(SchedulerLoadTest, ABatchOfRefusedStartsPausesItsWorkerOnce) {
+  for (int i = 1; i < 6; ++i) fleet_.agent("a" + std::to_string(i)).reachable = false;
+  fleet_.Advance(8 * kSecond);
+  FleetHarness::Agent& agent = fleet_.agent("a0");
+  agent.next_start_status = BackendStatus::kRefused;
+  agent.keeps_start_status = true;
+  const JobId job = fleet_.Submit("batch", "other", MakeStep(4, 1, kSecond));
+  fleet_.Advance(60);
+  ASSERT_EQ(fleet_.core().counts().starts_refused, 4U);
+  agent.next_start_status.reset();
+  const std::int64_t waited = TimeToStart(job, 4, 5 * kSecond);
+  EXPECT_GE(waited, 0);
+  EXPECT_LE(waited, 600);
+}
+
 // Guards against a task that is placed again and again on a worker that answers no start, while
 // other workers are idle.
 TEST_F(SchedulerLoadTest, ATaskAvoidsAWorkerThatAnswersNoStart) {
