--- a/src/fleet/scheduler_pass.h
+++ b/src/fleet/scheduler_pass.h
@@ -38,7 +38,7 @@
     Resources held_back;
   };
   std::vector<WorkerCapacity> workers;
-  /// For each usable worker that is not on probation its index in `workers`.
+  /// For each usable worker its index in `workers`.
   std::map<NodeId, std::size_t> index;
   /// Jobs of priority 0 within the guarantee of their workspace.
   std::set<JobId> guaranteed;
--- a/src/fleet/scheduler_queue.cc
+++ b/src/fleet/scheduler_queue.cc
@@ -170,6 +170,8 @@
   for (const NodeId& node : step.reserved_workers) {
     const auto found = pass.index.find(node);
     if (found == pass.index.end()) continue;
+    const bool on_probation = pass.workers[found->second].on_probation;
+    if (on_probation && ready.tier != kTierGuaranteed) continue;
     worker_indices.push_back(found->second);
     ++counts[found->second];
   }
@@ -236,9 +238,16 @@
   const bool may_preempt =
       ready.tier == kTierGuaranteed ||
       (ready.tier == kTierUrgent && now - *step.ready_at >= options_.borrowed_preemption_delay);
-  if (may_preempt) AddVictims(now, pass, ready, view);
-  const auto placement =
-      may_preempt ? PlaceWithVictims(spec, count, view.candidates) : std::nullopt;
+  std::optional<Placement> placement;
+  if (may_preempt) {
+    AddVictims(now, pass, ready, view);
+    placement = PlaceWithVictims(spec, count, view.candidates);
+  }
+  if (!placement && ready.tier == kTierGuaranteed && relaxation.with_probation) {
+    view = BuildView(pass, ready, relaxation);
+    AddVictims(now, pass, ready, view);
+    placement = PlaceWithVictims(spec, count, view.candidates);
+  }
   const bool worth_it = placement && (ready.tier == kTierGuaranteed ||
                                       placement->lost_work <= kMaxLostWorkRatio * ready.own_work);
   if (!worth_it) {
--- a/src/fleet/scheduler_room.cc
+++ b/src/fleet/scheduler_room.cc
@@ -47,7 +47,7 @@
     for (const auto& [key, run] : worker.runs) {
       if (FreesCapacitySoon(now, run)) pass_worker.stopping += run.needs;
     }
-    if (!pass_worker.on_probation) pass.index[node] = pass.workers.size();
+    pass.index[node] = pass.workers.size();
     pass.workers.push_back(pass_worker);
   }
   struct Use {
@@ -85,6 +85,16 @@
   }
 }
 
+TimePoint SchedulerCore::WaitingSince(const ReadyStep& ready, TimePoint now) {
+  const Step& step = ready.job->steps[ready.step];
+  TimePoint since = now;
+  for (const std::int32_t index : ready.waiting) {
+    const Task& task = step.tasks[static_cast<std::size_t>(index)];
+    since = std::min(since, std::max(task.waiting_since, *step.ready_at));
+  }
+  return since;
+}
+
 SchedulerCore::Relaxation SchedulerCore::RelaxationFor(TimePoint now, const Pass& pass,
                                                        const ReadyStep& ready) const {
   const Step& step = ready.job->steps[ready.step];
@@ -92,13 +102,13 @@
   if (SpecOf(*ready.job, ready.step).long_running) {
     // Each long-running task is useful by itself, whether or not others of its job run, and waiting
     // for a full fleet to become idle could take as long as other such tasks last.
-    since = now;
-    for (const std::int32_t index : ready.waiting) {
-      const Task& task = step.tasks[static_cast<std::size_t>(index)];
-      since = std::min(since, std::max(task.waiting_since, *step.ready_at));
-    }
+    since = WaitingSince(ready, now);
   } else if (pass.idle_services.count(ready.job->queue.service) == 0) {
-    return {};
+    Relaxation relaxation;
+    relaxation.with_probation =
+        ready.tier == kTierGuaranteed &&
+        now - WaitingSince(ready, now) >= options_.max_guaranteed_probation_wait;
+    return relaxation;
   }
   const Duration inactive = now - since;
   return {inactive >= options_.max_rack_wait, inactive >= options_.max_held_back_wait,
@@ -215,9 +225,12 @@
                                      const PlacementView& view) {
   Step& step = ready.job->steps[ready.step];
   const StepSpec& spec = SpecOf(*ready.job, ready.step);
-  const bool known = std::all_of(step.held_back_workers.begin(), step.held_back_workers.end(),
-                                 [&](const auto& node) { return pass.index.count(node) > 0; });
-  if (!step.held_back_workers.empty() && known) return;
+  const bool all_available = std::all_of(
+      step.held_back_workers.begin(), step.held_back_workers.end(), [&](const NodeId& node) {
+        const auto found = pass.index.find(node);
+        return found != pass.index.end() && !pass.workers[found->second].on_probation;
+      });
+  if (!step.held_back_workers.empty() && all_available) return;
   if (step.held_back_workers.empty()) {
     if (pass.gangs_holding_capacity >= options_.max_gangs_holding_capacity) return;
     ++pass.gangs_holding_capacity;
