Measure the retention of finished jobs by the steady clock

Callers would get 410 for a job that had ended a moment ago (LOST) when the scheduler's time of day jumped ahead by more than the retention, or when a scheduler on a host whose clock is ahead took over. Cause: the end's time of day, recorded by one process, was compared with the time of day now, perhaps of another host. Change: each scheduler keeps a job for the retention counted from when it first sees the final phase stored. A new term counts it again, so a job is kept longer than promised, never shorter.

SchedulerCoreTest.AFinishedJobStaysKnownWhenTheTimeOfDayJumps failed before: the job was unknown one second after its end. IgnoresAJobThatWasReadBeforeItsRemoval got its removal from an end in 1970; it now sets a retention of zero and checks the same. 68 scheduler tests pass.

--- a/include/basilspring/clock.h
+++ b/include/basilspring/clock.h
@@ -71,8 +71,8 @@
 class Clock {
  public:
   static TimePoint Now();
-  /// Milliseconds since the Unix epoch, for timestamps that people read in logs and records. They
-  /// are never compared.
+  /// Milliseconds since the Unix epoch, for timestamps in logs and records, due times and the age
+  /// of jobs that another process accepted. They may jump, so no timeout is measured by them.
   static std::int64_t WallMilliseconds();
 };
 
--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -53,7 +53,8 @@
   /// predicted to end at least this long before the server shuts down. Covers small prediction
   /// errors.
   Duration finish_margin = Duration(200);
-  /// How long a finished job stays available to its callers before it is deleted.
+  /// How long a finished job stays available to its callers before it is deleted. A new scheduler
+  /// counts this time again from its beginning.
   Duration keep_finished = Duration(120000);
   /// If less than half of the service's capacity is in use, a job without live runs waits no longer
   /// than this for the rack of its data.
@@ -319,6 +320,9 @@
     bool removing = false;
     bool cancelled = false;
     std::int64_t finished_unix_ms = 0;
+    /// Since when this scheduler has seen the job's final phase stored. The retention counts from
+    /// here, because the time of day may jump.
+    std::optional<TimePoint> kept_since;
     std::vector<Step> steps;
     /// Versions of the job's record: the current one, the one being written (0 if none) and the
     /// last stored one.
@@ -373,7 +377,7 @@
   void FinishJob(Job& job, JobPhase phase, const std::string& reason);
   static JobProgress ProgressOf(Job& job);
   void CollectSaves(SchedulerOutput& out);
-  void RemoveOldJobs(SchedulerOutput& out);
+  void RemoveOldJobs(TimePoint now, SchedulerOutput& out);
 
   // Reports, ends and losses of runs, in scheduler_runs.cc.
   void RecordShape(const BackendAnnouncement& backend);
--- a/src/fleet/scheduler_core.cc
+++ b/src/fleet/scheduler_core.cc
@@ -189,11 +189,11 @@
   }
 }
 
-void SchedulerCore::RemoveOldJobs(SchedulerOutput& out) {
+void SchedulerCore::RemoveOldJobs(TimePoint now, SchedulerOutput& out) {
   for (auto& [id, job] : jobs_) {
-    const bool old = job.phase_stored && job.saving_version == 0 &&
-                     wall_ms_ - job.finished_unix_ms > options_.keep_finished.milliseconds();
-    if (!old || job.removing) continue;
+    if (!job.phase_stored || job.saving_version != 0 || job.removing) continue;
+    if (!job.kept_since) job.kept_since = now;
+    if (now - *job.kept_since < options_.keep_finished) continue;
     // The job stays known until its keys are deleted. Otherwise the next read of the jobs would
     // add it again without its record.
     job.removing = true;
@@ -229,7 +229,7 @@
   if (may_start) Schedule(now);
   EmitOrders(now, out);
   CollectSaves(out);
-  RemoveOldJobs(out);
+  RemoveOldJobs(now, out);
   out.decisions = std::exchange(decisions_, {});
   return out;
 }
--- a/tests/fleet/fleet_harness.cc
+++ b/tests/fleet/fleet_harness.cc
@@ -41,7 +41,7 @@
     const auto found = stored_.find(id);
     std::optional<JobProgress> progress;
     if (found != stored_.end()) progress = found->second;
-    core_->AddJob(TimePoint(now_ms_), now_ms_, spec, progress);
+    core_->AddJob(TimePoint(now_ms_), now_ms_ + wall_offset_ms, spec, progress);
   }
 }
 
@@ -101,20 +101,20 @@
   spec.steps = std::move(steps);
   spec.accepted_unix_ms = now_ms_;
   specs_[spec.id] = spec;
-  core_->AddJob(TimePoint(now_ms_), now_ms_, spec, std::nullopt);
+  core_->AddJob(TimePoint(now_ms_), now_ms_ + wall_offset_ms, spec, std::nullopt);
   return spec.id;
 }
 
 void FleetHarness::ReadJobsAgain() {
   for (const auto& [id, spec] : specs_) {
-    core_->AddJob(TimePoint(now_ms_), now_ms_, spec, std::nullopt);
+    core_->AddJob(TimePoint(now_ms_), now_ms_ + wall_offset_ms, spec, std::nullopt);
   }
 }
 
 void FleetHarness::Advance(std::int64_t milliseconds) {
   for (const std::int64_t end = now_ms_ + milliseconds; now_ms_ < end; now_ms_ += kTickMs) {
     StepAgents();
-    ApplyOutput(core_->Tick(TimePoint(now_ms_), now_ms_, true));
+    ApplyOutput(core_->Tick(TimePoint(now_ms_), now_ms_ + wall_offset_ms, true));
     CheckOverlappingRuns();
   }
 }
--- a/tests/fleet/fleet_harness.h
+++ b/tests/fleet/fleet_harness.h
@@ -86,6 +86,8 @@
   /// Returns the end of a run that has completed its work; the default is RunEnd::kDone.
   std::function<RunEnd(const std::string& agent, const TaskId&)> outcome_of;
   std::int64_t stop_time_ms = 400;
+  /// By how much the scheduler's time of day is ahead of its steady clock.
+  std::int64_t wall_offset_ms = 0;
   /// If false, records are neither stored nor confirmed.
   bool store_available = true;
   SchedulerOptions options;
--- a/tests/fleet/scheduler_core_test.cc
+++ b/tests/fleet/scheduler_core_test.cc
@@ -68,6 +68,22 @@
   EXPECT_EQ(fleet_.PhaseOf(job), JobPhase::kCompleted);
 }
 
+// Guards against removing a job that has just finished because the time of day jumped ahead.
+TEST_F(SchedulerCoreTest, AFinishedJobStaysKnownWhenTheTimeOfDayJumps) {
+  AddAgents(1);
+  const JobId job = fleet_.Submit("batch", "shop", MakeStep(1, 1, 500));
+  ASSERT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, 5 * kSecond));
+  const std::int64_t keep_ms = fleet_.options.keep_finished.milliseconds();
+  fleet_.wall_offset_ms = 2 * keep_ms;
+  fleet_.Advance(kSecond);
+  EXPECT_EQ(fleet_.PhaseOf(job), JobPhase::kCompleted);
+  fleet_.ChangeScheduler(2);
+  fleet_.Advance(keep_ms / 2);
+  EXPECT_EQ(fleet_.PhaseOf(job), JobPhase::kCompleted);
+  fleet_.Advance(keep_ms);
+  EXPECT_EQ(fleet_.PhaseOf(job), std::nullopt);
+}
+
 // Guards against a task that runs twice at the same time: a scheduler that does not know which
 // agent may have a run of its predecessor would start the task again.
 TEST_F(SchedulerCoreTest, StartsNothingBeforeTheRecordOfItsAgentIsStored) {
--- a/tests/fleet/scheduler_driver_test.cc
+++ b/tests/fleet/scheduler_driver_test.cc
@@ -20,14 +20,14 @@
     };
   }
 
-  std::unique_ptr<SchedulerDriver> MakeDriver() {
+  std::unique_ptr<SchedulerDriver> MakeDriver(const SchedulerOptions& options = {}) {
     const SchedulerDriver::Context context{access_,
                                            peers_,
                                            metrics_,
                                            executor_,
                                            [](Duration, const std::function<void()>&) {},
                                            Address{"127.0.0.1", 1},
-                                           SchedulerOptions(),
+                                           options,
                                            [] { return Clock::Now() + Duration::Seconds(10); },
                                            [](const std::string&) {}};
     return std::make_unique<SchedulerDriver>(context, Term(1), 5);
@@ -86,7 +86,9 @@
     }
     return reply;
   };
-  const auto driver = MakeDriver();
+  SchedulerOptions options;
+  options.keep_finished = Duration(0);
+  const auto driver = MakeDriver(options);
   RunPosted();
   driver->SetOperatorState(std::make_shared<OperatorState>());
   RunPosted();
