Count the runs that were listed before their job was known

A task of such a job would never start again, and could run twice: a run that an agent lists before the scheduler knows its job was not counted among the task's live runs, but subtracted when it ended, so the count became -1 and the task never counted as waiting; until then it was started beside the run. Change: a job that is added counts the runs of its tasks that agents have listed already.

SchedulerCoreTest.StartsATaskOfWhichARunWasListedBeforeItsJobWasKnown failed before: two runs of the task overlapped.

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -370,6 +370,9 @@
   Job* FindJob(const TaskId& task);
   static Task& TaskOf(Job& job, const TaskId& task);
   void RefreshQueue(Job& job);
+  /// Counts the runs of a new job that agents have listed before it was known. They are being
+  /// stopped.
+  void CountListedRuns(Job& job);
   /// Whether the job has priority 0, as far as the settings of its queue are known.
   static bool IsUrgent(const Job& job) { return job.queue_known && job.queue.priority == 0; }
   /// Gives up the capacity that is reserved or held back for the step.
--- a/src/fleet/scheduler_core.cc
+++ b/src/fleet/scheduler_core.cc
@@ -117,6 +117,7 @@
       progress.has_value(), job.cancelled));
   const JobId id = job.spec.id;
   Job& added = jobs_.emplace(id, std::move(job)).first->second;
+  CountListedRuns(added);
   if (!IsFinal(added.phase)) active_.insert(id);
   if (added.cancelled && !IsFinal(added.phase)) {
     FinishJob(added, JobPhase::kCancelled, "cancelled by its caller");
@@ -124,6 +125,18 @@
   FailIfAttemptsUsedUp(added);
 }
 
+void SchedulerCore::CountListedRuns(Job& job) {
+  for (auto& [node, worker] : workers_) {
+    for (auto& [key, run] : worker.runs) {
+      if (key.task.job != job.spec.id || FindJob(key.task) == nullptr) continue;
+      const std::size_t step = StepIndex(job, key.task);
+      run.needs = SpecOf(job, step).needs;
+      ++TaskOf(job, key.task).live_runs;
+      job.steps[step].agents.insert(node);
+    }
+  }
+}
+
 void SchedulerCore::CancelJob(const JobId& id) {
   const auto found = jobs_.find(id);
   if (found == jobs_.end()) {
--- a/tests/fleet/scheduler_core_test.cc
+++ b/tests/fleet/scheduler_core_test.cc
@@ -84,6 +84,22 @@
   EXPECT_EQ(fleet_.PhaseOf(job), std::nullopt);
 }
 
+// Guards against a task that never starts because a run that was listed before its job was known
+// was not counted among the task's live runs when it ended.
+TEST_F(SchedulerCoreTest, StartsATaskOfWhichARunWasListedBeforeItsJobWasKnown) {
+  AddAgents(1);
+  FleetHarness::Run run;
+  run.task = TaskId{JobId("0000000000000001"), 0, 0, 0};
+  run.started_ms = fleet_.now_ms();
+  run.work_ms = 60 * kSecond;
+  fleet_.agent("a0").runs.push_back(run);
+  fleet_.Advance(200);
+  const JobId job = fleet_.Submit("batch", "shop", MakeStep(1, 1, 500));
+  ASSERT_EQ(job, run.task.job);
+  EXPECT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, 5 * kSecond));
+  EXPECT_TRUE(fleet_.overlapping_tasks().empty());
+}
+
 // Guards against a task that runs twice at the same time: a scheduler that does not know which
 // agent may have a run of its predecessor would start the task again.
 TEST_F(SchedulerCoreTest, StartsNothingBeforeTheRecordOfItsAgentIsStored) {
