Judge idle capacity over all workers that may run work

A job could wait without a bound for the rack of its data, for capacity held back for gangs or for a worker not on probation, beside idle workers, while less than half of the service was in use. Cause: the share in use was taken over the workers usable in this pass. Idle workers whose agents restart, are cut off or are paused after a failed start were left out, so the rest looked busy. Change: all workers with a backend server that is neither draining nor evacuated count.

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -474,6 +474,8 @@
 
   // Free, reserved and held-back capacity, in scheduler_room.cc.
   void BeginPass(TimePoint now, Pass& pass);
+  /// Finds the services of which less than half of the capacity is in use.
+  void FindIdleServices(Pass& pass) const;
   /// Returns since when the first of the step's waiting tasks has waited.
   static TimePoint WaitingSince(const ReadyStep& ready, TimePoint now);
   /// Returns which preferences are given up for the step. If at least half of the service's
--- a/src/fleet/scheduler_pass.h
+++ b/src/fleet/scheduler_pass.h
@@ -42,8 +42,8 @@
   std::map<NodeId, std::size_t> index;
   /// Jobs of priority 0 within the guarantee of their workspace.
   std::set<JobId> guaranteed;
-  /// Services of whose usable workers less than half of all accelerators, cores and memory are in
-  /// use.
+  /// Services of which less than half of all accelerators, cores and memory are in use, on workers
+  /// that are neither draining nor evacuated.
   std::set<ServiceId> idle_services;
   /// Accelerators that other work leaves free for jobs of priority 0.
   std::int64_t headroom = 0;
--- a/src/fleet/scheduler_room.cc
+++ b/src/fleet/scheduler_room.cc
@@ -50,23 +50,7 @@
     pass.index[node] = pass.workers.size();
     pass.workers.push_back(pass_worker);
   }
-  struct Use {
-    Resources capacity;
-    Resources free;
-  };
-  std::map<ServiceId, Use> services;
-  for (const Pass::WorkerCapacity& pass_worker : pass.workers) {
-    Use& use = services[pass_worker.worker->backend->service];
-    use.capacity += pass_worker.worker->backend->capacity;
-    use.free += pass_worker.free;
-  }
-  for (const auto& [service, use] : services) {
-    if (use.free.accelerators * 2 > use.capacity.accelerators &&
-        use.free.milli_cores * 2 > use.capacity.milli_cores &&
-        use.free.memory_mb * 2 > use.capacity.memory_mb) {
-      pass.idle_services.insert(service);
-    }
-  }
+  FindIdleServices(pass);
   for (const JobId& id : active_) {
     const Job& job = jobs_.at(id);
     for (std::size_t i = 0; i < job.steps.size(); ++i) {
@@ -95,6 +79,30 @@
   return since;
 }
 
+void SchedulerCore::FindIdleServices(Pass& pass) const {
+  struct Use {
+    Resources capacity;
+    Resources free;
+  };
+  std::map<ServiceId, Use> services;
+  for (const auto& [node, worker] : workers_) {
+    // Workers that are not usable for a moment, such as those whose agents restart, count too.
+    // Otherwise the remaining ones would look busy while most of the service is idle.
+    if (!worker.backend || worker.backend->draining) continue;
+    if (operator_state_->evacuated.count(worker.backend->data_centre) > 0) continue;
+    Use& use = services[worker.backend->service];
+    use.capacity += worker.backend->capacity;
+    use.free += FreeCapacity(worker);
+  }
+  for (const auto& [service, use] : services) {
+    if (use.free.accelerators * 2 > use.capacity.accelerators &&
+        use.free.milli_cores * 2 > use.capacity.milli_cores &&
+        use.free.memory_mb * 2 > use.capacity.memory_mb) {
+      pass.idle_services.insert(service);
+    }
+  }
+}
+
 SchedulerCore::Relaxation SchedulerCore::RelaxationFor(TimePoint now, const Pass& pass,
                                                        const ReadyStep& ready) const {
   const Step& step = ready.job->steps[ready.step];
--- a/tests/fleet/scheduler_load_test.cc
+++ b/tests/fleet/scheduler_load_test.cc
@@ -325,6 +325,26 @@
   EXPECT_EQ(fleet_.StartsOf(job), 1U);
 }
 
+// Guards against a long wait for the rack of the data beside idle workers, because other idle
+// workers that do not report at the moment were left out of the capacity of the service.
+TEST_F(SchedulerLoadTest, IdleWorkersThatDoNotReportDoNotMakeTheFleetCountAsBusy) {
+  for (int i = 6; i < 12; ++i) {
+    fleet_.AddAgent("a" + std::to_string(i), "rack" + std::to_string(i / 3));
+  }
+  StepSpec filling = MakeStep(3, 8, 60 * kSecond);
+  filling.data_rack = "rack0";
+  const JobId first = fleet_.Submit("batch", "other", filling);
+  fleet_.Advance(kSecond);
+  ASSERT_EQ(fleet_.RunningTasks(first), 3U);
+  for (int i = 5; i < 12; ++i) fleet_.agent("a" + std::to_string(i)).reachable = false;
+  fleet_.Advance(2 * kSecond);
+  StepSpec step = MakeStep(1, 8, kSecond);
+  step.data_rack = "rack0";
+  const JobId job = fleet_.Submit("forecast", "other", step);
+  fleet_.Advance(1500);
+  EXPECT_EQ(fleet_.StartsOf(job), 1U);
+}
+
 // Guards against slow work away from its data while the fleet is busy and its rack becomes free.
 TEST_F(SchedulerLoadTest, AStepWaitsLongForItsRackInABusyFleet) {
   StepSpec filling = MakeStep(3, 8, 60 * kSecond);
