Measure the time of scheduling passes

There is a histogram basilspring_pass_ms now, and a line for a pass of 100 ms or more. The rule that spaces passes moves to PassPacing, unchanged, so that it can be tested.

--- a/include/basilspring/fleet/scheduler_driver.h
+++ b/include/basilspring/fleet/scheduler_driver.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "basilspring/fleet/fleet_config.h"
+#include "basilspring/fleet/pass_pacing.h"
 #include "basilspring/fleet/peer_client.h"
 #include "basilspring/fleet/peer_messages.h"
 #include "basilspring/fleet/prefix_watch.h"
@@ -111,7 +112,8 @@
   bool IsOlderThanRemoval(const JobId& job, const StoreItem& item) const;
   /// Lets the core decide and carries out its decisions.
   void RunPass(TimePoint now);
-  /// Runs a pass now, or once kPassInterval has passed since the last one.
+  void RecordPass(TimePoint began, TimePoint ended);
+  /// Runs a pass now, or as soon as the pacing of passes allows.
   void RequestPass();
   void SendOrders(OutgoingOrders orders);
   /// Writes queued records to the store, as many as fit in one transaction.
@@ -150,7 +152,8 @@
   bool config_loaded_ = false;
   bool ready_ = false;
   bool pass_scheduled_ = false;
-  TimePoint last_pass_;
+  PassPacing pass_pacing_;
+  TimePoint slow_pass_logged_at_;
   TimePoint load_retry_at_;
   /// Agents that may have runs, and those of them that the stored list contains.
   std::map<NodeId, Address> agents_;
--- a/src/fleet/scheduler_driver.cc
+++ b/src/fleet/scheduler_driver.cc
@@ -26,10 +26,9 @@
 constexpr Duration kSaveTimeout(1000);
 constexpr Duration kSaveRetry(100);
 constexpr Duration kLoadRetry(100);
-// Shortest time between two passes that events request; events within it share one pass.
-constexpr Duration kPassInterval(12);
-// Time between two passes without events, which only check timers.
-constexpr Duration kIdlePassInterval(45);
+// A pass that takes longer is logged, at most once in this interval.
+constexpr Duration kSlowPass(100);
+constexpr Duration kSlowPassLogInterval(3000);
 
 }  // namespace
 
@@ -176,19 +175,19 @@
     }
     return;
   }
-  if (now - last_pass_ >= kIdlePassInterval) RunPass(now);
+  if (now >= pass_pacing_.NextWithoutEvent()) RunPass(now);
 }
 
 void SchedulerDriver::RequestPass() {
   if (pass_scheduled_) return;
   const TimePoint now = Clock::Now();
-  const Duration since = now - last_pass_;
-  if (since >= kPassInterval) {
+  const TimePoint earliest = pass_pacing_.EarliestAfterEvent();
+  if (now >= earliest) {
     RunPass(now);
     return;
   }
   pass_scheduled_ = true;
-  context_.run_later(kPassInterval - since, [this, alive = alive_] {
+  context_.run_later(earliest - now, [this, alive = alive_] {
     if (!*alive) return;
     pass_scheduled_ = false;
     RunPass(Clock::Now());
@@ -197,7 +196,6 @@
 
 void SchedulerDriver::RunPass(TimePoint now) {
   if (!ready_) return;
-  last_pass_ = now;
   const bool may_start = now < context_.valid_until() - kStartMargin;
   SchedulerOutput out = core_.Tick(now, Clock::WallMilliseconds(), may_start);
   for (const Decision& decision : out.decisions) {
@@ -208,6 +206,17 @@
   Save();
   SaveAgents();
   AnswerWaitingReports(now);
+  RecordPass(now, Clock::Now());
+}
+
+void SchedulerDriver::RecordPass(TimePoint began, TimePoint ended) {
+  pass_pacing_.OnPass(began, ended);
+  context_.metrics.GetHistogram("basilspring_pass_ms", "", "Time of a scheduling pass.")
+      .Observe(ended - began);
+  if (ended - began < kSlowPass || ended - slow_pass_logged_at_ < kSlowPassLogInterval) return;
+  slow_pass_logged_at_ = ended;
+  Log(EventId::kFleetDecision, "term={} pass_ms={} steps_ready={} slow scheduling pass",
+      term_.value(), (ended - began).milliseconds(), core_.counts().steps_ready);
 }
 
 void SchedulerDriver::SendOrders(OutgoingOrders orders) {
