Repeat no start at another incarnation of the backend server

A task could run twice: a start that got no answer because its backend server ended was repeated, and once the next incarnation had announced itself, it was sent there. The scheduler had counted the runs of the former incarnation as lost by then and started the task elsewhere. Cause: an order is checked against the incarnation only when it arrives; the repetitions use whatever backend server is announced at the time. The class of fault is state of one incarnation that is used in another. Change: a call keeps the incarnation it is meant for, and a start is repeated only there. At another one the run is stopped instead, so that a copy of the start that arrives late is refused, also if the id is the same. RepeatsNoStartAtAnotherIncarnationOfTheBackendServer failed before (the second order was a start) and passes now.

--- a/include/basilspring/fleet/agent_core.h
+++ b/include/basilspring/fleet/agent_core.h
@@ -124,6 +124,9 @@
     bool fencing = false;
     /// Term that was known when the order arrived.
     Term term;
+    /// Incarnation of the backend server that the order is meant for.
+    BackendId backend;
+    std::int64_t started_unix_ms = 0;
   };
 
   /// Whether `other` comes from the incarnation of the backend server that is known.
--- a/src/fleet/agent_core.cc
+++ b/src/fleet/agent_core.cc
@@ -179,6 +179,8 @@
     }
     Call call;
     call.term = term_;
+    call.backend = batch.backend;
+    call.started_unix_ms = batch.started_unix_ms;
     call.batch = token;
     call.index = i;
     call.order.start = order.start;
@@ -213,7 +215,11 @@
                             call.order.start_run.task.ToString(), call.order.start_run.run.value(),
                             call.attempts, BackendStatusName(reply.status), reply.message));
     call.in_doubt = call.in_doubt || unknown;
-    if (unknown && call.attempts < kStartAttempts) {
+    // The scheduler starts the tasks of an exited incarnation elsewhere, so the next one only gets
+    // a stop, which makes it refuse a start that arrives late.
+    const bool same_backend =
+        backend_->id == call.backend && backend_->started_unix_ms == call.started_unix_ms;
+    if (unknown && same_backend && call.attempts < kStartAttempts) {
       call.order.start_run.lease_until_ms = ToBackendClock(lease_until_);
       IssueCall(std::move(call));
     } else if (!call.in_doubt || reply.status == BackendStatus::kOk) {
--- a/tests/fleet/agent_core_test.cc
+++ b/tests/fleet/agent_core_test.cc
@@ -134,6 +134,20 @@
   EXPECT_EQ(StatusOf(Tick()), BackendStatus::kTooLate);
 }
 
+// Guards against a task that runs twice: a start whose answer was lost with its backend server must
+// not reach the next incarnation, because the scheduler starts the task elsewhere.
+TEST_F(FleetAgentTest, RepeatsNoStartAtAnotherIncarnationOfTheBackendServer) {
+  core_.OnOrders(now_, 1, MakeBatch(true));
+  const std::uint64_t start = Tick().orders.front().token;
+  core_.OnAnnouncement(now_, MakeAnnouncement(2, 1));
+  core_.OnOrderDone(now_, start, MakeReply(BackendStatus::kUnknown));
+  const AgentEffects effects = Tick();
+  ASSERT_EQ(effects.orders.size(), 1U);
+  EXPECT_FALSE(effects.orders.front().start);
+  core_.OnOrderDone(now_, effects.orders.front().token, MakeReply(BackendStatus::kOk));
+  EXPECT_EQ(StatusOf(Tick()), BackendStatus::kStopped);
+}
+
 TEST_F(FleetAgentTest, RefusesOrdersForAnotherIncarnation) {
   OrderBatch batch = MakeBatch(true);
   batch.started_unix_ms = 2;
