Take an exited backend server as listed only in the report's own term

A task could run twice after a change of the scheduler: a report made under the earlier term, before the backend server came back and got runs, reached the new scheduler at the same address and said that the backend server had exited. Cause: compares the term of a report before it takes its rows as a list of all runs, but a report without a backend server counted as such a list in any term. Change: both count only if the report's term is that of the scheduler. The next report of the agent has that term. AReportOfAnEarlierTermDoesNotShowThatABackendServerHasExited failed before (one start, two runs of the task at a time) and passes now.

--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -62,7 +62,9 @@
     worker.last_report = now;
     worker.poll_age = report.poll_age;
     if (report.backend_gone) {
-      worker.has_listed_runs = true;
+      // A report of an earlier term may be older than the backend server's next incarnation and its
+      // runs.
+      if (report.term == term_) worker.has_listed_runs = true;
       if (worker.backend) MarkWorkerLost(now, worker, "its backend server has exited");
     } else if (!report.backend.empty()) {
       UpdateBackend(now, worker, report);
--- a/tests/fleet/scheduler_core_test.cc
+++ b/tests/fleet/scheduler_core_test.cc
@@ -196,6 +196,30 @@
   EXPECT_TRUE(fleet_.overlapping_tasks().empty());
 }
 
+// Guards against tasks that run twice: a report of the earlier term, made before the backend server
+// started again and got runs, must not show the new scheduler that nothing runs there.
+TEST_F(SchedulerCoreTest, AReportOfAnEarlierTermDoesNotShowThatABackendServerHasExited) {
+  AddAgents(2);
+  FleetHarness::Agent& agent = fleet_.agent("a0");
+  fleet_.Advance(kSecond);
+  AgentReport stale = agent.report;
+  stale.backend_gone = true;
+  fleet_.Submit("batch", "shop", MakeStep(1, 8, 60 * kSecond));
+  fleet_.Advance(100);
+  ASSERT_EQ(fleet_.starts().size(), 1U);
+  ASSERT_EQ(fleet_.starts().front().first, "a0");
+  agent.reachable = false;
+  fleet_.ChangeScheduler(2);
+  stale.number += 10;
+  fleet_.core().OnReport(TimePoint(fleet_.now_ms()), stale);
+  fleet_.Advance(kSecond);
+  EXPECT_EQ(fleet_.core().counts().runs_started, 0U);
+  EXPECT_TRUE(fleet_.overlapping_tasks().empty());
+}
+
+// Guards against a long task that is stopped again and again before its listed progress can change.
+// The same for a task that runs far longer than its caller has estimated.
+// Guards against stopping sound runs because a backend server does not answer polls for a while.
 // Guards against counting a failure twice, which would fail the job too early: an end that was not
 // acknowledged is listed again to the next scheduler.
 TEST_F(SchedulerCoreTest, CountsAFailureOnceAcrossSchedulers) {
