Survive a SIGHUP that arrives while a process starts or ends

A process ended by SIGHUP if the signal arrived before the I/O thread had registered its handler, and used an object that did not exist yet, or no longer, if it arrived between that and the end of the construction, or during the destruction. Its callers lost their connections. Cause: the handler was registered by work that was posted to the I/O thread, and posted to the state thread without asking whether there was one. Change: signals are registered at once, and one that comes before the wait for it is queued. The handler does nothing while the process starts or ends. The first check of the settings file reads it again, so that no change made while the process was starting is missed; this part has no test. StartsWhenItsSettingsChangeMeanwhile failed before (the test process ended by SIGHUP) and passes now. Until the process constructs its node, SIGHUP still ends it.

--- a/src/fleet/node.cc
+++ b/src/fleet/node.cc
@@ -63,10 +63,13 @@
 Node::Node(const NodeSettings& settings, std::string file, const AdapterFactory& make_adapters)
     : settings_(settings),
       settings_file_(std::move(file)),
-      settings_modified_at_(ModificationTime(settings_file_)),
       entry_role_(settings.role == NodeRole::kEntry) {
   io_.OnStopSignal([this] { stop_signal_.set_value(); });
-  io_.OnReloadSignal([this] { Post([this] { ReloadSettings("SIGHUP"); }); });
+  io_.OnReloadSignal([this] {
+    // While the process starts or ends there is no thread to post to. A change that is signalled
+    // during the start is found by CheckSettingsFile().
+    if (running_) Post([this] { ReloadSettings("SIGHUP"); });
+  });
   http_ = std::make_unique<HttpClient>(io_);
   adapters_ = make_adapters(*http_, settings_);
   const Executor executor = [this](std::function<void()> work) { Post(std::move(work)); };
--- a/src/fleet/node_process.h
+++ b/src/fleet/node_process.h
@@ -72,8 +72,9 @@
 
   NodeSettings settings_;
   const std::string settings_file_;
-  /// Modification time of the settings file when it was last read.
-  std::filesystem::file_time_type settings_modified_at_;
+  /// Modification time of the settings file when it was last read. The first check reads it again,
+  /// because it may have changed while the process was starting.
+  std::filesystem::file_time_type settings_modified_at_ = std::filesystem::file_time_type::min();
   TimePoint next_settings_check_;
   const bool entry_role_;
   std::atomic<bool> running_{false};
--- a/src/process/io_thread.cc
+++ b/src/process/io_thread.cc
@@ -33,9 +33,9 @@
 }
 
 void IoThread::OnStopSignal(std::function<void()> handler) {
+  // Registered at once; a signal that comes before the wait begins is queued.
+  impl_->stop_signals = std::make_unique<boost::asio::signal_set>(impl_->context, SIGTERM, SIGINT);
   Post([this, handler = std::move(handler)] {
-    impl_->stop_signals =
-        std::make_unique<boost::asio::signal_set>(impl_->context, SIGTERM, SIGINT);
     impl_->stop_signals->async_wait(
         [handler](const boost::system::error_code& error, int /*signal*/) {
           if (!error) handler();
@@ -44,10 +44,9 @@
 }
 
 void IoThread::OnReloadSignal(std::function<void()> handler) {
-  Post([this, handler = std::move(handler)] {
-    impl_->reload_signals = std::make_unique<boost::asio::signal_set>(impl_->context, SIGHUP);
-    impl_->WaitForReloadSignal(handler);
-  });
+  // Registered at once, because the signal would end the process until then.
+  impl_->reload_signals = std::make_unique<boost::asio::signal_set>(impl_->context, SIGHUP);
+  Post([this, handler = std::move(handler)] { impl_->WaitForReloadSignal(handler); });
 }
 
 void IoThread::Impl::WaitForReloadSignal(const std::function<void()>& handler) {
--- a/tests/fleet/node_stop_test.cc
+++ b/tests/fleet/node_stop_test.cc
@@ -83,6 +83,7 @@
         adapters.store = std::make_unique<LateStore>(store_thread_, store_delay);
         adapters.callers = std::make_unique<platform::PlatformCallerFormat>();
         adapters.operators = std::make_unique<platform::PlatformOperatorFormat>();
+        if (during_start_) during_start_();
         return adapters;
       });
     });
@@ -134,6 +135,8 @@
   }
 
   NodeSettings settings_;
+  /// Called while the node is being constructed.
+  std::function<void()> during_start_;
   IoThread store_thread_;
   std::thread node_;
   std::mutex mutex_;
@@ -181,5 +184,16 @@
   EXPECT_TRUE(answer.starts_with("HTTP/1.1 504") && answer.ends_with("}")) << answer;
 }
 
+// Guards against cutting off a request for which the store has no answer until the drain limit.
+// Guards against a crash by a signal that arrives before the process has started completely.
+TEST_F(NodeStopTest, StartsWhenItsSettingsChangeMeanwhile) {
+  during_start_ = [] {
+    ::kill(::getpid(), SIGHUP);
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  };
+  StartNode(Duration());
+  StopNode();
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
