Answer all open requests before the drain limit of a planned stop

A caller's connection was closed without an answer if its request still waited for the store or for peers at the drain limit. Cause: bounds each call to the store by the time that is left, but not the sum of the calls for a request: a call that fails is relayed to up to three peers, each with its own timeout, and a query reads two keys. AnswersARequestThatTheStoreLeavesUnanswered failed before (the connection ended without an answer after 3.0 s) and passes now.

--- a/include/basilspring/fleet/entry_server.h
+++ b/include/basilspring/fleet/entry_server.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -47,7 +48,8 @@
   void SetOperatorState(std::shared_ptr<const OperatorState> state);
   /// Handles news of the scheduler; ignored if `term` is older than the known one.
   void OnScheduler(Term term, const Address& scheduler);
-  /// Asks the scheduler for a summary if that is due; call it periodically.
+  /// Asks the scheduler for a summary, and refuses the open requests of a stopping entry, if that
+  /// is due; call it periodically.
   void Tick(TimePoint now);
   /// Handles a caller's request; answers through `responder`.
   void OnCaller(HttpRequest request, std::shared_ptr<HttpResponder> responder);
@@ -100,6 +102,8 @@
   /// Stores a cancellation if the job exists.
   void Cancel(const ExchangePtr& exchange);
   void StoreCancel(const ExchangePtr& exchange);
+  /// Refuses all open requests, because the process is about to end.
+  void RefuseOpenRequests();
   /// Answers with the number of pending jobs of the queue.
   void AnswerPendingCount(const ExchangePtr& exchange);
   void OnSummary(TimePoint now, const SummaryReply& reply);
@@ -112,6 +116,8 @@
   bool stopping_ = false;
   /// Set once the entry is stopping.
   std::optional<TimePoint> answer_by_;
+  /// Requests that have not been answered.
+  std::set<ExchangePtr> open_;
   Term term_;
   Address scheduler_;
   TimePoint last_contact_;
--- a/src/fleet/entry_server.cc
+++ b/src/fleet/entry_server.cc
@@ -77,7 +77,19 @@
   known_peers_ = reply.peers;
 }
 
+void EntryServer::RefuseOpenRequests() {
+  // A copy, because each answer removes its request from the set.
+  const std::set<ExchangePtr> open = open_;
+  for (const ExchangePtr& exchange : open) {
+    // The store may still carry out a write that it has not answered.
+    const ErrorKind kind =
+        exchange->attempts > 0 ? ErrorKind::kStoreOutcomeUnknown : ErrorKind::kTimeout;
+    Refuse(exchange, kind, "this entry is stopping and has no answer yet");
+  }
+}
+
 void EntryServer::Tick(TimePoint now) {
+  if (answer_by_ && now >= *answer_by_ - kAnswerMargin) RefuseOpenRequests();
   if (now < next_summary_ || summary_in_flight_) return;
   const SummaryQuery query{context_.node, context_.own_address, term_};
   next_summary_ = now + kSummaryInterval;
@@ -133,6 +145,7 @@
       .Observe(elapsed);
   exchange->responder->Respond(std::move(response));
   exchange->responder = nullptr;
+  open_.erase(exchange);
 }
 
 void EntryServer::Refuse(const ExchangePtr& exchange, ErrorKind kind, const std::string& reason,
@@ -145,6 +158,7 @@
   exchange->request = context_.format.DecodeRequest(std::move(http));
   exchange->responder = std::move(responder);
   exchange->received_at = Clock::Now();
+  open_.insert(exchange);
   const CallerRequest& request = exchange->request;
   if (state_ == nullptr) {
     Refuse(exchange, ErrorKind::kNoConfiguration, "no configuration has been read yet",
--- a/tests/fleet/node_stop_test.cc
+++ b/tests/fleet/node_stop_test.cc
@@ -185,6 +185,19 @@
 }
 
 // Guards against cutting off a request for which the store has no answer until the drain limit.
+TEST_F(NodeStopTest, AnswersARequestThatTheStoreLeavesUnanswered) {
+  settings_.drain_limit = Duration(3000);
+  StartNode(Duration(8000));
+  const RawSocket caller(settings_.callers);
+  caller.Write("GET /q/00000000000000aa HTTP/1.1\r\nHost: h\r\nTimeout-Ms: 10000\r\n\r\n");
+  const RawSocket later(settings_.callers);
+  later.Write("GET /none HTTP/1.1\r\nHost: h\r\n\r\n");
+  later.ReadUntilText("}");
+  StopNode();
+  const std::string answer = caller.ReadAll();
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 504") && answer.ends_with("}")) << answer;
+}
+
 // Guards against a crash by a signal that arrives before the process has started completely.
 TEST_F(NodeStopTest, StartsWhenItsSettingsChangeMeanwhile) {
   during_start_ = [] {
