Let tasks of more than 300 seconds finish

A task whose work takes more than 300 s was stopped every 3 s and started elsewhere, and never ended; its job was accepted and not completed. Cause: a run counts as stalled if its progress has not changed for 3 s, and progress is listed in whole percent. A fixed limit was used in place of the unknown time of one percent. Change: the limit is at least four times the predicted time of one percent, and from the second stall of a task on doubles with each further one, so that a task whose run time was underestimated ends as well. Tasks that are predicted to take up to 75 s and stall once are treated as before. DoesNotTakeALongTaskForStalled (600 s, 179 starts, not completed) and GivesATaskMoreTimeAfterRepeatedStalls (1000 s instead of an estimated 10 s, not completed) failed before and pass now.

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -33,7 +33,8 @@
   /// Added to `stop_time` before the scheduler stops expecting the capacity of a stopped run and
   /// plans the waiting work elsewhere. Covers one poll and one report of the agent on a busy host.
   Duration stop_grace = Duration(600);
-  /// A run whose progress has not changed for this long is stopped and restarted elsewhere.
+  /// A run whose progress has not changed for this long is stopped and restarted elsewhere. It gets
+  /// more time if one percent of its task takes longer.
   Duration stall_limit = Duration(3000);
   /// How long a worker on which runs keep failing is first put on probation, which means that it is
   /// assigned new work only as a last resort. The time doubles with each further probation.
@@ -272,6 +273,8 @@
     TimePoint not_before;
     /// How often the task was preempted.
     std::uint32_t preemptions = 0;
+    /// How often a run of the task was stopped because it had stalled.
+    std::int32_t stalls = 0;
   };
 
   struct Step {
@@ -407,8 +410,10 @@
   /// Returns the predicted time until the run ends; for a member of a gang, until the gang ends.
   Duration TimeToFinish(TimePoint now, const Job& job, const RunKey& key) const;
   void CheckStalls(TimePoint now);
-  /// Returns whether the step is a gang of which any member has made progress recently.
-  bool IsGangProgressing(TimePoint now, const Job& job, std::size_t step) const;
+  /// Returns for how long a run of the task may show no progress before it counts as stalled.
+  Duration StallLimit(const Job& job, const TaskId& task) const;
+  /// Returns whether the step is a gang of which any member has made progress within `limit`.
+  bool IsGangProgressing(TimePoint now, const Job& job, std::size_t step, Duration limit) const;
   /// Returns whether an agent that may have runs of the step has not listed its runs yet.
   bool RecoveryPending(TimePoint now, const Step& step) const;
 
--- a/src/fleet/scheduler_checks.cc
+++ b/src/fleet/scheduler_checks.cc
@@ -7,6 +7,17 @@
 
 // Checks made in each pass: obsolete runs, silent and draining workers, and stalled runs.
 namespace basilspring::fleet {
+namespace {
+
+// Progress is listed in whole percent. A run counts as stalled only after this multiple of the
+// predicted time of one percent, because a task away from its data takes about three times as long.
+constexpr std::int64_t kStallPercent = 4;
+// Number of stalls after which the limit doubles with each further one, so that a task whose run
+// time was underestimated ends at last. Workers that fail make a few runs stall as well.
+constexpr std::int32_t kStallsBeforeDoubling = 1;
+constexpr std::int32_t kMaxStallDoublings = 10;
+
+}  // namespace
 
 void SchedulerCore::StopUnwantedRuns(TimePoint now) {
   for (auto& [node, worker] : workers_) {
@@ -112,7 +123,21 @@
   return TimeToFinish(now, job->second, key) + options_.finish_margin > left;
 }
 
-bool SchedulerCore::IsGangProgressing(TimePoint now, const Job& job, std::size_t step) const {
+Duration SchedulerCore::StallLimit(const Job& job, const TaskId& task) const {
+  const std::size_t step = StepIndex(job, task);
+  const StepSpec& spec = SpecOf(job, step);
+  const Duration predicted = run_times_.Predict(job.spec.queue, task.step, spec.estimate);
+  std::int32_t stalls = job.steps[step].tasks[static_cast<std::size_t>(task.index)].stalls;
+  if (spec.gang) {
+    for (const Task& member : job.steps[step].tasks) stalls = std::max(stalls, member.stalls);
+  }
+  const std::int32_t doublings = std::clamp(stalls - kStallsBeforeDoubling, 0, kMaxStallDoublings);
+  return std::max(options_.stall_limit, predicted * kStallPercent / 100) *
+         (std::int64_t{1} << doublings);
+}
+
+bool SchedulerCore::IsGangProgressing(TimePoint now, const Job& job, std::size_t step,
+                                      Duration limit) const {
   if (!SpecOf(job, step).gang) return false;
   // Members that have completed their work wait for the slower ones, because all end together.
   for (std::size_t i = 0; i < job.steps[step].tasks.size(); ++i) {
@@ -121,7 +146,7 @@
     if (task.phase != TaskPhase::kActive || worker == workers_.end()) continue;
     const auto run = worker->second.runs.find({IdOf(job, step, i), task.run});
     if (run == worker->second.runs.end()) continue;
-    if (now - run->second.progressed_at < options_.stall_limit) return true;
+    if (now - run->second.progressed_at < limit) return true;
   }
   return false;
 }
@@ -131,10 +156,12 @@
     if (now - worker.last_report > options_.silence_limit) continue;
     for (auto& [key, run] : worker.runs) {
       if (run.stopping || !run.confirmed) continue;
-      if (now - std::max(run.progressed_at, run.working_since) < options_.stall_limit) continue;
       Job* job = FindJob(key.task);
       if (job == nullptr || SpecOf(*job, StepIndex(*job, key.task)).long_running) continue;
-      if (IsGangProgressing(now, *job, StepIndex(*job, key.task))) continue;
+      const Duration limit = StallLimit(*job, key.task);
+      if (now - std::max(run.progressed_at, run.working_since) < limit) continue;
+      if (IsGangProgressing(now, *job, StepIndex(*job, key.task), limit)) continue;
+      ++TaskOf(*job, key.task).stalls;
       ++counts_.runs_stalled;
       LogDecision(
           fmt::format("task={} run={} worker={} percent={} stopping the run: no progress for {} ms",
--- a/tests/fleet/scheduler_core_test.cc
+++ b/tests/fleet/scheduler_core_test.cc
@@ -218,7 +218,21 @@
 }
 
 // Guards against a long task that is stopped again and again before its listed progress can change.
+TEST_F(SchedulerCoreTest, DoesNotTakeALongTaskForStalled) {
+  AddAgents(2);
+  const JobId job = fleet_.Submit("batch", "shop", MakeStep(1, 1, 600 * kSecond));
+  EXPECT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, 610 * kSecond));
+  EXPECT_EQ(fleet_.StartsOf(job), 1U);
+}
+
 // The same for a task that runs far longer than its caller has estimated.
+TEST_F(SchedulerCoreTest, GivesATaskMoreTimeAfterRepeatedStalls) {
+  AddAgents(2);
+  fleet_.run_time_of = [](const TaskId&) { return 1000 * kSecond; };
+  const JobId job = fleet_.Submit("batch", "shop", MakeStep(1, 1, 10 * kSecond));
+  EXPECT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, 1100 * kSecond));
+}
+
 // Guards against stopping sound runs because a backend server does not answer polls for a while.
 // Guards against counting a failure twice, which would fail the job too early: an end that was not
 // acknowledged is listed again to the next scheduler.
