Judge a stall only by runs whose progress is known

Sound runs were stopped, and their work was lost, when their backend server answered no polls for 3 s although its runs went on. Cause: the progress that the last answered poll had shown was taken for the present one. The expiry of the lease still bounds the wait.

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -410,9 +410,12 @@
   /// Returns the predicted time until the run ends; for a member of a gang, until the gang ends.
   Duration TimeToFinish(TimePoint now, const Job& job, const RunKey& key) const;
   void CheckStalls(TimePoint now);
+  /// Returns whether recent reports show the progress of the worker's runs.
+  bool IsProgressKnown(TimePoint now, const Worker& worker) const;
   /// Returns for how long a run of the task may show no progress before it counts as stalled.
   Duration StallLimit(const Job& job, const TaskId& task) const;
-  /// Returns whether the step is a gang of which any member has made progress within `limit`.
+  /// Returns whether the step is a gang of which any member has, or may have, made progress within
+  /// `limit`.
   bool IsGangProgressing(TimePoint now, const Job& job, std::size_t step, Duration limit) const;
   /// Returns whether an agent that may have runs of the step has not listed its runs yet.
   bool RecoveryPending(TimePoint now, const Step& step) const;
--- a/src/fleet/scheduler_checks.cc
+++ b/src/fleet/scheduler_checks.cc
@@ -123,6 +123,11 @@
   return TimeToFinish(now, job->second, key) + options_.finish_margin > left;
 }
 
+bool SchedulerCore::IsProgressKnown(TimePoint now, const Worker& worker) const {
+  return now - worker.last_report <= options_.silence_limit &&
+         worker.poll_age <= options_.silence_limit;
+}
+
 Duration SchedulerCore::StallLimit(const Job& job, const TaskId& task) const {
   const std::size_t step = StepIndex(job, task);
   const StepSpec& spec = SpecOf(job, step);
@@ -146,6 +151,7 @@
     if (task.phase != TaskPhase::kActive || worker == workers_.end()) continue;
     const auto run = worker->second.runs.find({IdOf(job, step, i), task.run});
     if (run == worker->second.runs.end()) continue;
+    if (!IsProgressKnown(now, worker->second)) return true;
     if (now - run->second.progressed_at < limit) return true;
   }
   return false;
@@ -153,7 +159,7 @@
 
 void SchedulerCore::CheckStalls(TimePoint now) {
   for (auto& [node, worker] : workers_) {
-    if (now - worker.last_report > options_.silence_limit) continue;
+    if (!IsProgressKnown(now, worker)) continue;
     for (auto& [key, run] : worker.runs) {
       if (run.stopping || !run.confirmed) continue;
       Job* job = FindJob(key.task);
--- a/tests/fleet/scheduler_core_test.cc
+++ b/tests/fleet/scheduler_core_test.cc
@@ -234,6 +234,21 @@
 }
 
 // Guards against stopping sound runs because a backend server does not answer polls for a while.
+TEST_F(SchedulerCoreTest, JudgesAStallByWhatTheLastPollHasShown) {
+  AddAgents(1);
+  fleet_.Submit("batch", "shop", MakeStep(1, 1, 60 * kSecond));
+  fleet_.Advance(kSecond);
+  fleet_.agent("a0").reachable = false;
+  AgentReport report = fleet_.agent("a0").report;
+  for (int i = 1; i <= 20; ++i) {
+    fleet_.Advance(200);
+    ++report.number;
+    report.poll_age = Duration(200 * i);
+    fleet_.core().OnReport(TimePoint(fleet_.now_ms()), report);
+  }
+  EXPECT_EQ(fleet_.core().counts().runs_stalled, 0U);
+}
+
 // Guards against counting a failure twice, which would fail the job too early: an end that was not
 // acknowledged is listed again to the next scheduler.
 TEST_F(SchedulerCoreTest, CountsAFailureOnceAcrossSchedulers) {
