Do not take a peer's internal error for a call that was not carried out

A caller could be told that its job was not stored, although it was and ran: if a peer failed or ended after it had passed the write on to the store, its answer 500 counted as a refusal. Cause: every status other than 200 counted as not carried out, but a server also sends 500 for a request that its handler has begun and not answered. Change: after status 500 the outcome is unknown. All other refusals are sent before a request is carried out.

--- a/src/fleet/peer_client.cc
+++ b/src/fleet/peer_client.cc
@@ -5,6 +5,12 @@
 #include <utility>
 
 namespace basilspring::fleet {
+namespace {
+
+// HTTP status with which a server ends a request whose handler has failed or given no answer.
+constexpr int kInternalServerError = 500;
+
+}  // namespace
 
 PeerClient::PeerClient(HttpClient& http, Executor executor)
     : http_(http), executor_(std::move(executor)) {}
@@ -25,8 +31,8 @@
         if (result.error == ErrorKind::kNone && result.status == 200) {
           answer.body = std::move(result.body);
         } else if (result.error == ErrorKind::kNone) {
-          // A peer that refuses a request does not carry it out.
-          answer.sent = false;
+          // A peer that refuses a request does not carry it out. One that fails may have begun to.
+          answer.sent = result.status == kInternalServerError;
           answer.message = fmt::format("status {}", result.status);
         }
         executor([handler, answer = std::move(answer)]() mutable { handler(std::move(answer)); });
--- a/tests/fleet/store_users_test.cc
+++ b/tests/fleet/store_users_test.cc
@@ -1,8 +1,11 @@
 #include <gtest/gtest.h>
 
+#include <future>
 #include <thread>
 
+#include "basilspring/connection/http_server.h"
 #include "basilspring/fleet/leadership.h"
+#include "basilspring/fleet/peer_messages.h"
 #include "basilspring/fleet/prefix_watch.h"
 #include "basilspring/fleet/store_access.h"
 #include "basilspring/process/io_thread.h"
@@ -105,6 +108,7 @@
   EXPECT_FALSE(leadership_->leading());
 }
 
+// Guards against a scheduler that starts in a stopping process, and whose lease then outlives it.
 TEST_F(StoreUsersTest, AWatchReadsAllKeysAgainWhenItsHistoryIsLost) {
   std::vector<bool> snapshots;
   PrefixWatch watch(
@@ -180,6 +184,17 @@
   EXPECT_TRUE(access_.IsUnavailable(Clock::Now() + Duration(1000)));
 }
 
+// Guards against telling callers that a job is not stored although it is: a peer that fails may
+// already have passed the write on to the store.
+TEST_F(StoreUsersTest, AWriteHasNoKnownOutcomeIfThePeerFails) {
+  const HttpServer peer(io_, Address{"127.0.0.1", 0},
+                        [](const HttpRequest&, const std::shared_ptr<HttpResponder>&) {});
+  std::promise<bool> sent;
+  peers_.Send(peer.address(), RelayedStoreCall::kPath, "", Duration(2000),
+              [&](const PeerResult& result) { sent.set_value(result.sent); });
+  EXPECT_TRUE(sent.get_future().get());
+}
+
 // Guards against a scheduler on a host with little processor time: such hosts contend later.
 TEST_F(StoreUsersTest, DoesNotContendBeforeItsFirstCheck) {
   LeadershipOptions options;
