Start no scheduler in a process that is stopping

A process that was told to stop while it acquired the scheduler's lease became the scheduler all the same. It kept the lease to its end and did not return it, so that no other process could take over before the lease had expired. Cause: resigning ended only a lease that was already held. Change: a process that has resigned gives up a lease that it gets afterwards. GivesUpALeaseThatIsAcquiredWhileResigning failed before (elected in term 1, the lease not ended) and passes now.

--- a/src/fleet/leadership.cc
+++ b/src/fleet/leadership.cc
@@ -110,7 +110,7 @@
   store_.CallDirectly(grant, [this, alive = alive_, term, term_revision, leader_revision,
                               sent](const StoreReply& granted) {
     if (!*alive) return;
-    if (granted.status != StoreStatus::kOk) {
+    if (granted.status != StoreStatus::kOk || resigned_) {
       call_in_flight_ = false;
       return;
     }
@@ -126,9 +126,9 @@
     store_.CallDirectly(write, [this, alive, term, lease, valid_until](const StoreReply& reply) {
       if (!*alive) return;
       call_in_flight_ = false;
-      if (reply.status != StoreStatus::kOk) {
-        Log(EventId::kFleetScheduler, "term={} not gained: {} {}", term.value(),
-            StoreStatusName(reply.status), reply.message);
+      if (reply.status != StoreStatus::kOk || resigned_) {
+        Log(EventId::kFleetScheduler, "term={} not gained: {} {} resigned={}", term.value(),
+            StoreStatusName(reply.status), reply.message, resigned_);
         // The store may still apply the transaction; without the lease the key is then removed.
         store_.Call(StoreCall::EndLease(lease), [](const StoreReply&) {});
         return;
--- a/tests/fleet/store_users_test.cc
+++ b/tests/fleet/store_users_test.cc
@@ -109,6 +109,17 @@
 }
 
 // Guards against a scheduler that starts in a stopping process, and whose lease then outlives it.
+TEST_F(StoreUsersTest, GivesUpALeaseThatIsAcquiredWhileResigning) {
+  store_.answer = [this](const StoreCall& call) {
+    if (call.kind() == StoreOperation::kTransaction) leadership_->Resign();
+    return Answer(call);
+  };
+  Tick();
+  EXPECT_EQ(elected_, Term());
+  EXPECT_FALSE(leadership_->leading());
+  EXPECT_EQ(store_.CountOf(StoreOperation::kEndLease), 1U);
+}
+
 TEST_F(StoreUsersTest, AWatchReadsAllKeysAgainWhenItsHistoryIsLost) {
   std::vector<bool> snapshots;
   PrefixWatch watch(
