Wait before a cancellation is tried again

During an outage of the store each cancellation called the store and its peers again as soon as the former call had failed, until its caller's time was over. Cancellations come in waves, and these calls compete with other requests. Cause: only submissions wait between two attempts. Change: cancellations wait for the same 60 ms. WaitsBeforeItRepeatsACancellation failed before (101 calls at once, where the test ends them) and passes now.

--- a/src/fleet/entry_server.cc
+++ b/src/fleet/entry_server.cc
@@ -15,6 +15,7 @@
 using internal::kMaxStoreTimeout;
 using internal::kMaxSummaryAge;
 using internal::kRetryAfter;
+using internal::kStoreRetryDelay;
 using internal::StoreTimeout;
 
 namespace {
@@ -281,7 +282,9 @@
     } else if (reply.status == StoreStatus::kOk) {
       StoreCancel(exchange);
     } else if (TimeLeft(*exchange) > kMaxStoreTimeout / 2) {
-      Cancel(exchange);
+      context_.run_later(kStoreRetryDelay, [this, alive, exchange] {
+        if (*alive) Cancel(exchange);
+      });
     } else {
       Refuse(exchange, ErrorKind::kTimeout, "the store is away: " + reply.message);
     }
@@ -298,7 +301,9 @@
     if (reply.status == StoreStatus::kOk || reply.status == StoreStatus::kConflict) {
       Answer(exchange, JobPhaseAnswer{JobPhase::kCancelled});
     } else if (TimeLeft(*exchange) > kMaxStoreTimeout / 2) {
-      StoreCancel(exchange);
+      context_.run_later(kStoreRetryDelay, [this, alive, exchange] {
+        if (*alive) StoreCancel(exchange);
+      });
     } else {
       Refuse(exchange, ErrorKind::kTimeout, "the cancellation may not be stored: " + reply.message);
     }
--- a/src/fleet/entry_submit.cc
+++ b/src/fleet/entry_submit.cc
@@ -11,11 +11,11 @@
 using internal::kMaxStoreTimeout;
 using internal::kMaxSummaryAge;
 using internal::kRetryAfter;
+using internal::kStoreRetryDelay;
 using internal::StoreTimeout;
 
 namespace {
 
-constexpr Duration kStoreRetryDelay(60);
 // Sent to callers that were refused because of the store, whose outages last several seconds.
 constexpr Duration kStoreRetryAfter(2000);
 constexpr Duration kProbeTimeout(350);
--- a/src/fleet/entry_timing.h
+++ b/src/fleet/entry_timing.h
@@ -12,6 +12,8 @@
 inline constexpr Duration kMaxStoreTimeout(900);
 /// Shortest timeout of a call to the store, also if the caller's time is nearly over.
 inline constexpr Duration kMinStoreTimeout(100);
+/// Delay before a failed call to the store is repeated for a caller.
+inline constexpr Duration kStoreRetryDelay(60);
 /// Retry-After time of a caller that was refused because there is no scheduler or this entry stops.
 /// A new scheduler takes over within about three seconds.
 inline constexpr Duration kRetryAfter(1000);
