Keep the headroom of a service on its own workers

Jobs of one service waited, up to the time at which they would be late, because another service had had a peak of urgent jobs; and batch work filled the workers of a service whose headroom was to be kept, because idle workers of another service counted as free. With one service nothing changes. TheHeadroomOfAServiceDoesNotDelayAnother (not started within 1 s) and TheHeadroomOfAServiceIsKeptOnItsOwnWorkers (16 tasks started, 5 allowed) failed before and pass now, with the other 132 tests of the fleet.

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -527,9 +527,10 @@
   std::set<NodeId> unreported_agents_;
   std::vector<WorkerShape> shapes_;
   RunTimeModel run_times_;
-  /// The exponentially decaying peak of the accelerators that jobs of priority 0 use or wait for.
-  double urgent_peak_ = 0;
-  TimePoint urgent_peak_at_;
+  /// For each service the exponentially decaying peak of the accelerators that jobs of priority 0
+  /// use or wait for, and when the peaks were computed.
+  std::map<ServiceId, double> urgent_peaks_;
+  TimePoint urgent_peaks_at_;
   /// Orders that were sent and have not been answered, with the incarnations they were sent to.
   struct BatchInFlight {
     NodeId node;
--- a/src/fleet/scheduler_pass.h
+++ b/src/fleet/scheduler_pass.h
@@ -45,8 +45,12 @@
   /// Services of whose usable workers less than half of all accelerators, cores and memory are in
   /// use.
   std::set<ServiceId> idle_services;
-  /// Accelerators that other work leaves free for jobs of priority 0.
-  std::int64_t headroom = 0;
+  /// For each service the accelerators that other work leaves free for jobs of priority 0.
+  std::map<ServiceId, std::int64_t> headroom;
+  std::int64_t HeadroomOf(const ServiceId& service) const {
+    const auto found = headroom.find(service);
+    return found == headroom.end() ? 0 : found->second;
+  }
   /// The number of waiting gangs for which capacity is held back.
   std::int32_t gangs_holding_capacity = 0;
 };
--- a/src/fleet/scheduler_room.cc
+++ b/src/fleet/scheduler_room.cc
@@ -270,21 +270,30 @@
 }
 
 void SchedulerCore::UpdateHeadroom(TimePoint now, Pass& pass) {
-  double urgent = 0;
+  std::map<ServiceId, double> urgent;
   for (const JobId& id : active_) {
     const Job& job = jobs_.at(id);
     if (!IsUrgent(job)) continue;
     for (std::size_t i = 0; i < job.steps.size(); ++i) {
       if (!StepIsReady(job, i)) continue;
       const auto open = static_cast<std::int64_t>(job.steps[i].tasks.size()) - job.steps[i].done;
-      urgent += static_cast<double>(SpecOf(job, i).needs.accelerators * open);
+      urgent[job.queue.service] += static_cast<double>(SpecOf(job, i).needs.accelerators * open);
     }
   }
-  const auto elapsed = static_cast<double>((now - urgent_peak_at_).milliseconds());
+  const auto elapsed = static_cast<double>((now - urgent_peaks_at_).milliseconds());
   const auto memory = static_cast<double>(options_.headroom_decay_time.milliseconds());
-  urgent_peak_ = std::max(urgent, urgent_peak_ * std::exp(-elapsed / memory));
-  urgent_peak_at_ = now;
-  pass.headroom = static_cast<std::int64_t>(urgent_peak_ - urgent);
+  const double decay = std::exp(-elapsed / memory);
+  for (auto& [service, peak] : urgent_peaks_) peak *= decay;
+  // A smaller peak gives no headroom.
+  std::erase_if(urgent_peaks_, [](const auto& row) { return row.second < 1.0; });
+  for (const auto& [service, demand] : urgent) {
+    double& peak = urgent_peaks_[service];
+    peak = std::max(peak, demand);
+  }
+  urgent_peaks_at_ = now;
+  for (const auto& [service, peak] : urgent_peaks_) {
+    pass.headroom[service] = static_cast<std::int64_t>(peak - urgent[service]);
+  }
 }
 
 std::int32_t SchedulerCore::TasksWithinHeadroom(TimePoint now, const Pass& pass,
@@ -292,18 +301,19 @@
   const auto count = static_cast<std::int32_t>(ready.waiting.size());
   const StepSpec& spec = SpecOf(*ready.job, ready.step);
   const bool pressing = ready.latest_start - now < options_.headroom_slack;
-  const bool idle = pass.idle_services.count(ready.job->queue.service) > 0;
+  const ServiceId& service = ready.job->queue.service;
+  const bool idle = pass.idle_services.count(service) > 0;
   if (ready.tier < kTierOther || idle || pressing || spec.needs.accelerators == 0) {
     return count;
   }
   std::int64_t free = 0;
   for (const Pass::WorkerCapacity& pass_worker : pass.workers) {
-    if (pass_worker.on_probation) continue;
+    if (pass_worker.on_probation || pass_worker.worker->backend->service != service) continue;
     free += std::max<std::int64_t>(
         0, pass_worker.free.accelerators - pass_worker.reserved.accelerators);
   }
   const std::int64_t fitting =
-      std::max<std::int64_t>(0, free - pass.headroom) / spec.needs.accelerators;
+      std::max<std::int64_t>(0, free - pass.HeadroomOf(service)) / spec.needs.accelerators;
   if (spec.gang) return fitting >= count ? count : 0;
   return static_cast<std::int32_t>(std::min<std::int64_t>(count, fitting));
 }
--- a/src/fleet/scheduler_waits.cc
+++ b/src/fleet/scheduler_waits.cc
@@ -81,8 +81,8 @@
       ready.waiting.size(), spec.needs.milli_cores, spec.needs.memory_mb, spec.needs.accelerators,
       spec.data_rack, spec.same_rack, spec.max_per_worker,
       pass.index.size() - counts_.workers_on_probation, counts_.workers_on_probation, eligible,
-      slots, largest, pass.idle_services.count(ready.job->queue.service) > 0, pass.headroom,
-      pass.gangs_holding_capacity));
+      slots, largest, pass.idle_services.count(ready.job->queue.service) > 0,
+      pass.HeadroomOf(ready.job->queue.service), pass.gangs_holding_capacity));
 }
 
 }  // namespace basilspring::fleet
--- a/tests/fleet/fleet_harness.cc
+++ b/tests/fleet/fleet_harness.cc
@@ -64,10 +64,11 @@
 }
 
 void FleetHarness::AddQueue(const std::string& name, std::int32_t priority, double stretch,
-                            std::int64_t slack_ms, std::int32_t max_attempts) {
+                            std::int64_t slack_ms, std::int32_t max_attempts,
+                            const std::string& service) {
   Queue queue;
   queue.id = QueueId(name);
-  queue.service = ServiceId("service");
+  queue.service = ServiceId(service);
   queue.priority = priority;
   queue.stretch = stretch;
   queue.target_slack = Duration(slack_ms);
--- a/tests/fleet/fleet_harness.h
+++ b/tests/fleet/fleet_harness.h
@@ -54,7 +54,8 @@
   Agent& AddAgent(const std::string& name, const std::string& rack, std::int64_t accelerators = 8);
   Agent& agent(const std::string& name) { return agents_.at(name); }
   void AddQueue(const std::string& name, std::int32_t priority, double stretch,
-                std::int64_t slack_ms, std::int32_t max_attempts = 4);
+                std::int64_t slack_ms, std::int32_t max_attempts = 4,
+                const std::string& service = "service");
   void RemoveQueue(const std::string& name);
   void AddWorkspace(const std::string& name, std::int64_t guaranteed);
   /// Submits a job of one step.
--- a/tests/fleet/scheduler_load_test.cc
+++ b/tests/fleet/scheduler_load_test.cc
@@ -491,5 +491,40 @@
   EXPECT_LE(waited, 3400);
 }
 
+// Guards against headroom that is taken from another service: its workers can't run the urgent
+// jobs, and these then find their own service full.
+TEST_F(SchedulerLoadTest, TheHeadroomOfAServiceIsKeptOnItsOwnWorkers) {
+  for (int i = 0; i < 6; ++i) {
+    FleetHarness::Agent& agent = fleet_.AddAgent("b" + std::to_string(i), "rack9");
+    agent.report.backend.front().service = ServiceId("second");
+  }
+  fleet_.Advance(kSecond);
+  const JobId burst = fleet_.Submit("urgent", "owner", MakeStep(20, 1, 200));
+  ASSERT_TRUE(fleet_.RunUntil(burst, JobPhase::kCompleted, 2 * kSecond));
+  fleet_.Submit("batch", "other", MakeStep(26, 1, 60 * kSecond));
+  fleet_.Advance(100);
+  const JobId batch = fleet_.Submit("batch", "other", MakeStep(16, 1, 60 * kSecond));
+  fleet_.Advance(400);
+  // 22 accelerators are free, and the last peak of urgent work was 20.
+  EXPECT_LE(fleet_.StartsOf(batch), 5U);
+}
+
+// Guards against work that waits because another service has had a peak of urgent jobs.
+TEST_F(SchedulerLoadTest, TheHeadroomOfAServiceDoesNotDelayAnother) {
+  for (int i = 0; i < 3; ++i) {
+    FleetHarness::Agent& agent = fleet_.AddAgent("b" + std::to_string(i), "rack9");
+    agent.report.backend.front().service = ServiceId("second");
+  }
+  fleet_.AddQueue("labels", 2, 3.0, 3000, 4, "second");
+  fleet_.Advance(kSecond);
+  const JobId burst = fleet_.Submit("urgent", "owner", MakeStep(40, 1, 200));
+  ASSERT_TRUE(fleet_.RunUntil(burst, JobPhase::kCompleted, 2 * kSecond));
+  fleet_.Submit("batch", "other", MakeStep(40, 1, 60 * kSecond));
+  fleet_.Submit("labels", "other", MakeStep(13, 1, 60 * kSecond));
+  fleet_.Advance(100);
+  const JobId labels = fleet_.Submit("labels", "other", MakeStep(8, 1, 60 * kSecond));
+  EXPECT_GE(TimeToStart(labels, 8, kSecond), 0);
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
