Count a renewed lease by the time that the store has granted

Two schedulers could act at a time: the holder counted each renewal as the lease time that it had requested, so if the store had granted a shorter one, it went on while another process already held the lease. Cause: the acquisition used the granted time and the renewal the requested one. The class of fault is a default in place of a setting that the store states. Change: the granted time is kept and used for renewals. ARenewalExtendsTheLeaseByTheTimeThatWasGranted (1 s granted) failed before and passes now, with all 392 tests.

--- a/include/basilspring/fleet/leadership.h
+++ b/include/basilspring/fleet/leadership.h
@@ -103,6 +103,8 @@
   TimePoint next_check_;
   /// Id of the lease; 0 while this process does not lead.
   std::int64_t lease_ = 0;
+  /// Time to live that the store has granted; it may differ from the one requested.
+  Duration lease_time_;
   TimePoint valid_until_;
   TimePoint next_renewal_;
   bool renewing_ = false;
--- a/src/fleet/leadership.cc
+++ b/src/fleet/leadership.cc
@@ -116,6 +116,7 @@
     }
     const std::int64_t lease = granted.lease;
     const TimePoint valid_until = sent + granted.lease_time;
+    lease_time_ = granted.lease_time;
     const LeaderRecord record{term, options_.node, options_.address};
     StoreCall write = StoreCall::Transaction()
                           .If(kLeaderKey, leader_revision)
@@ -152,7 +153,7 @@
     renewing_ = false;
     if (reply.status == StoreStatus::kOk) {
       failed_renewals_ = 0;
-      valid_until_ = std::max(valid_until_, now + options_.lease);
+      valid_until_ = std::max(valid_until_, now + lease_time_);
       next_renewal_ = now + options_.renewal_interval;
     } else if (reply.status == StoreStatus::kNotFound) {
       StopLeading("the lease has expired in the store");
--- a/tests/fleet/store_users_test.cc
+++ b/tests/fleet/store_users_test.cc
@@ -75,6 +75,20 @@
   EXPECT_EQ(store_.CountOf(StoreOperation::kEndLease), 1U);
 }
 
+// Guards against two schedulers at a time: the store may grant a shorter lease than it was asked
+// for.
+TEST_F(StoreUsersTest, ARenewalExtendsTheLeaseByTheTimeThatWasGranted) {
+  store_.answer = [this](const StoreCall& call) {
+    StoreReply reply = Answer(call);
+    reply.lease_time = Duration(1000);
+    return reply;
+  };
+  Tick();
+  Tick();
+  EXPECT_EQ(store_.CountOf(StoreOperation::kRenewLease), 1U);
+  EXPECT_LE(leadership_->valid_until(), Clock::Now() + Duration(1000));
+}
+
 TEST_F(StoreUsersTest, StopsLeadingWhenItsLeaseHasEnded) {
   Tick();
   renewal_ = StoreStatus::kNotFound;
