--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -33,7 +33,8 @@
   /// Added to `stop_time` before the scheduler stops expecting the capacity of a stopped run and
   /// plans the waiting work elsewhere. Covers one poll and one report of the agent on a busy host.
   Duration stop_grace = Duration(600);
-  /// A run whose progress has not changed for this long is stopped and restarted elsewhere.
+  /// A run whose progress has not changed for this long is stopped and restarted elsewhere. It gets
+  /// more time if one percent of its task takes longer.
   Duration stall_limit = Duration(3000);
   /// How long a worker on which runs keep failing is first put on probation, which means that it is
   /// assigned new work only as a last resort. The time doubles with each further probation.
@@ -43,9 +44,9 @@
   /// run that fails uses up one of the job's attempts.
   Duration max_probation_wait = Duration(2000);
   /// A task of priority 0 within its workspace's guarantee waits no longer than this for a worker
-  /// that is not on probation, however busy the fleet is. Leaves time to stop the borrowed runs
-  /// there before the guarantee is due.
-  Duration max_guaranteed_probation_wait = Duration(1000);
+  /// that is not on probation, or for the rack of its data, however busy the fleet is. Leaves time
+  /// to stop the borrowed runs elsewhere before the guarantee is due.
+  Duration max_guaranteed_wait = Duration(1000);
   /// Runs on a draining backend server are stopped, to save their state, this long before the last
   /// moment at which a stop could still complete.
   Duration drain_margin = Duration(600);
@@ -273,6 +274,8 @@
     TimePoint not_before;
     /// How often the task was preempted.
     std::uint32_t preemptions = 0;
+    /// How often a run of the task was stopped because it had stalled.
+    std::int32_t stalls = 0;
   };
 
   struct Step {
@@ -414,8 +417,13 @@
   /// Returns the predicted time until the run ends; for a member of a gang, until the gang ends.
   Duration TimeToFinish(TimePoint now, const Job& job, const RunKey& key) const;
   void CheckStalls(TimePoint now);
-  /// Returns whether the step is a gang of which any member has made progress recently.
-  bool IsGangProgressing(TimePoint now, const Job& job, std::size_t step) const;
+  /// Returns whether recent reports show the progress of the worker's runs.
+  bool IsProgressKnown(TimePoint now, const Worker& worker) const;
+  /// Returns for how long a run of the task may show no progress before it counts as stalled.
+  Duration StallLimit(const Job& job, const TaskId& task) const;
+  /// Returns whether the step is a gang of which any member has, or may have, made progress within
+  /// `limit`.
+  bool IsGangProgressing(TimePoint now, const Job& job, std::size_t step, Duration limit) const;
   /// Returns whether an agent that may have runs of the step has not listed its runs yet.
   bool RecoveryPending(TimePoint now, const Step& step) const;
 
@@ -479,8 +487,7 @@
   /// Returns since when the first of the step's waiting tasks has waited.
   static TimePoint WaitingSince(const ReadyStep& ready, TimePoint now);
   /// Returns which preferences are given up for the step. If at least half of the service's
-  /// capacity is in use, none are, unless its tasks are long-running; a guaranteed step may use
-  /// workers on probation.
+  /// capacity is in use, none are, unless its tasks are long-running or guaranteed.
   Relaxation RelaxationFor(TimePoint now, const Pass& pass, const ReadyStep& ready) const;
   /// Returns the rack of the step's other tasks in which the next ones must start; empty if they
   /// may start in any rack.
@@ -529,9 +536,10 @@
   std::set<NodeId> unreported_agents_;
   std::vector<WorkerShape> shapes_;
   RunTimeModel run_times_;
-  /// The exponentially decaying peak of the accelerators that jobs of priority 0 use or wait for.
-  double urgent_peak_ = 0;
-  TimePoint urgent_peak_at_;
+  /// For each service the exponentially decaying peak of the accelerators that jobs of priority 0
+  /// use or wait for, and when the peaks were computed.
+  std::map<ServiceId, double> urgent_peaks_;
+  TimePoint urgent_peaks_at_;
   /// Orders that were sent and have not been answered, with the incarnations they were sent to.
   struct BatchInFlight {
     NodeId node;
--- a/src/fleet/leadership.cc
+++ b/src/fleet/leadership.cc
@@ -110,12 +110,13 @@
   store_.CallDirectly(grant, [this, alive = alive_, term, term_revision, leader_revision,
                               sent](const StoreReply& granted) {
     if (!*alive) return;
-    if (granted.status != StoreStatus::kOk) {
+    if (granted.status != StoreStatus::kOk || resigned_) {
       call_in_flight_ = false;
       return;
     }
     const std::int64_t lease = granted.lease;
     const TimePoint valid_until = sent + granted.lease_time;
+    lease_time_ = granted.lease_time;
     const LeaderRecord record{term, options_.node, options_.address};
     StoreCall write = StoreCall::Transaction()
                           .If(kLeaderKey, leader_revision)
@@ -126,9 +127,9 @@
     store_.CallDirectly(write, [this, alive, term, lease, valid_until](const StoreReply& reply) {
       if (!*alive) return;
       call_in_flight_ = false;
-      if (reply.status != StoreStatus::kOk) {
-        Log(EventId::kFleetScheduler, "term={} not gained: {} {}", term.value(),
-            StoreStatusName(reply.status), reply.message);
+      if (reply.status != StoreStatus::kOk || resigned_) {
+        Log(EventId::kFleetScheduler, "term={} not gained: {} {} resigned={}", term.value(),
+            StoreStatusName(reply.status), reply.message, resigned_);
         // The store may still apply the transaction; without the lease the key is then removed.
         store_.Call(StoreCall::EndLease(lease), [](const StoreReply&) {});
         return;
@@ -152,7 +153,7 @@
     renewing_ = false;
     if (reply.status == StoreStatus::kOk) {
       failed_renewals_ = 0;
-      valid_until_ = std::max(valid_until_, now + options_.lease);
+      valid_until_ = std::max(valid_until_, now + lease_time_);
       next_renewal_ = now + options_.renewal_interval;
     } else if (reply.status == StoreStatus::kNotFound) {
       StopLeading("the lease has expired in the store");
--- a/tests/fleet/scheduler_load_test.cc
+++ b/tests/fleet/scheduler_load_test.cc
@@ -492,5 +492,59 @@
   EXPECT_LE(waited, 3400);
 }
 
+// Guards against a guarantee that is not reclaimed because the rack of the data is occupied by
+// other guaranteed runs. 3.4 s is the bound that the users set.
+TEST_F(SchedulerLoadTest, AGuaranteeIsReclaimedWhenTheRackOfTheDataIsOccupied) {
+  fleet_.AddWorkspace("large", 32);
+  StepSpec occupant = MakeStep(24, 1, 60 * kSecond);
+  occupant.data_rack = "rack0";
+  fleet_.Submit("urgent", "large", occupant);
+  fleet_.Advance(500);
+  fleet_.Submit("batch", "other", MakeStep(24, 1, 60 * kSecond));
+  fleet_.Advance(500);
+  ASSERT_EQ(fleet_.starts().size(), 48U);
+  StepSpec step = MakeStep(8, 1, 2 * kSecond);
+  step.data_rack = "rack0";
+  const JobId urgent = fleet_.Submit("urgent", "large", step);
+  const auto waited = TimeToStart(urgent, 8, 20 * kSecond);
+  EXPECT_GE(waited, 0);
+  EXPECT_LE(waited, 3400);
+}
+
+// Guards against headroom that is taken from another service: its workers can't run the urgent
+// jobs, and these then find their own service full.
+TEST_F(SchedulerLoadTest, TheHeadroomOfAServiceIsKeptOnItsOwnWorkers) {
+  for (int i = 0; i < 6; ++i) {
+    FleetHarness::Agent& agent = fleet_.AddAgent("b" + std::to_string(i), "rack9");
+    agent.report.backend.front().service = ServiceId("second");
+  }
+  fleet_.Advance(kSecond);
+  const JobId burst = fleet_.Submit("urgent", "owner", MakeStep(20, 1, 200));
+  ASSERT_TRUE(fleet_.RunUntil(burst, JobPhase::kCompleted, 2 * kSecond));
+  fleet_.Submit("batch", "other", MakeStep(26, 1, 60 * kSecond));
+  fleet_.Advance(100);
+  const JobId batch = fleet_.Submit("batch", "other", MakeStep(16, 1, 60 * kSecond));
+  fleet_.Advance(400);
+  // 22 accelerators are free, and the last peak of urgent work was 20.
+  EXPECT_LE(fleet_.StartsOf(batch), 5U);
+}
+
+// Guards against work that waits because another service has had a peak of urgent jobs.
+TEST_F(SchedulerLoadTest, TheHeadroomOfAServiceDoesNotDelayAnother) {
+  for (int i = 0; i < 3; ++i) {
+    FleetHarness::Agent& agent = fleet_.AddAgent("b" + std::to_string(i), "rack9");
+    agent.report.backend.front().service = ServiceId("second");
+  }
+  fleet_.AddQueue("labels", 2, 3.0, 3000, 4, "second");
+  fleet_.Advance(kSecond);
+  const JobId burst = fleet_.Submit("urgent", "owner", MakeStep(40, 1, 200));
+  ASSERT_TRUE(fleet_.RunUntil(burst, JobPhase::kCompleted, 2 * kSecond));
+  fleet_.Submit("batch", "other", MakeStep(40, 1, 60 * kSecond));
+  fleet_.Submit("labels", "other", MakeStep(13, 1, 60 * kSecond));
+  fleet_.Advance(100);
+  const JobId labels = fleet_.Submit("labels", "other", MakeStep(8, 1, 60 * kSecond));
+  EXPECT_GE(TimeToStart(labels, 8, kSecond), 0);
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
