Do not start jobs whose record or specification can't be read

Callers would see finished tasks run again: a record that can't be decoded counted as missing, so the job started as if it were new and its record was overwritten. An accepted job that can't be decoded was unknown to the scheduler: ends of its runs were acknowledged and forgotten, and its cancellation had no effect.

Cause: the driver logged the fault and went on without the item. Change: such a job is added with a fault. It starts nothing, its tasks count neither for guarantees nor for headroom, no partial record replaces the unreadable one, and its ends are not acknowledged, so that a scheduler that can read the item gets them. Runs of a job with a readable specification go on; others are stopped, because their needs are unknown. A cancellation ends the job and is recorded. The fault is logged (FleetStore), counted (basilspring_unreadable_items_total) and shown as the cause of blocked steps.

Limit: a backend server forgets ends up to one number, so ends of other jobs that follow on the same server are recorded, but not acknowledged while the fault lasts.

Before the change, three new tests failed: the job was started (1 write of its record instead of 0), ends were acknowledged (4 and 7 instead of 3 and 6), and the cancelled job stayed unknown.

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -139,6 +139,11 @@
   /// there is none. Runs of an earlier term may exist on the agents named in it.
   void AddJob(TimePoint now, std::int64_t wall_ms, JobSpec spec,
               const std::optional<JobProgress>& progress);
+  /// Adds a job whose record exists and can't be read. Runs of it that agents list go on, but
+  /// nothing is started, and no end is acknowledged, because a scheduler that can read the record
+  /// needs it. Only a final phase is recorded. If the specification can't be read, `spec` contains
+  /// the id only, and listed runs are stopped.
+  void AddUnreadableJob(TimePoint now, std::int64_t wall_ms, JobSpec spec);
   /// Cancels a job for its caller. The cancellation is remembered if the job has not been added
   /// yet.
   void CancelJob(const JobId& job);
@@ -159,8 +164,8 @@
   /// lease may have expired.
   SchedulerOutput Tick(TimePoint now, std::int64_t wall_ms, bool may_start);
 
-  /// Returns the phase that callers may see, or std::nullopt if the job is unknown. A final phase
-  /// is visible once it is stored.
+  /// Returns the phase that callers may see, or std::nullopt if the job or its phase is unknown. A
+  /// final phase is visible once it is stored.
   std::optional<JobPhase> PhaseOf(const JobId& job) const;
   /// Returns the answer to an entry's query. Without a valid lease only final phases are reported:
   /// another scheduler may have seen the job end in the meantime, whereas a final phase never
@@ -173,7 +178,7 @@
   /// Returns the number up to which all ends listed by this agent's backend server are stored.
   std::int64_t AcknowledgedEnd(const NodeId& node) const;
   /// Returns whether the answer to the agent's report should be delayed because ends listed in it
-  /// are still being stored.
+  /// are still being stored. Ends that can't be stored at present don't count.
   bool HasUnsavedEnds(const NodeId& node) const;
   const SchedulerCounts& counts() const { return counts_; }
   /// Returns whether the agent may have runs: it reports, or its last lease has not expired yet.
@@ -304,6 +309,15 @@
     kAgentsNotListed,
     /// Runs of an earlier start still occupy capacity.
     kEarlierRuns,
+    /// The job's record can't be read.
+    kRecordUnreadable,
+  };
+
+  /// Why the job's progress can't be recorded.
+  enum class RecordFault : std::uint8_t {
+    kNone,
+    /// The stored record, or the stored specification, can't be read.
+    kUnreadable,
   };
 
   struct Job {
@@ -325,6 +339,7 @@
     std::uint64_t version = 0;
     std::uint64_t saving_version = 0;
     std::uint64_t saved_version = 0;
+    RecordFault record_fault = RecordFault::kNone;
     /// Whether a task has been started, also in an earlier term.
     bool started = false;
     /// When the job last had a live run.
@@ -370,6 +385,8 @@
   static bool IsUrgent(const Job& job) { return job.queue_known && job.queue.priority == 0; }
   /// Gives up the capacity that is reserved or held back for the step.
   static void ReleaseClaims(Step& step);
+  /// Whether the job has active runs.
+  static bool HasLiveRuns(const Job& job);
   void FinishJob(Job& job, JobPhase phase, const std::string& reason);
   static JobProgress ProgressOf(Job& job);
   void CollectSaves(SchedulerOutput& out);
--- a/include/basilspring/fleet/scheduler_driver.h
+++ b/include/basilspring/fleet/scheduler_driver.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "basilspring/error.h"
 #include "basilspring/fleet/fleet_config.h"
 #include "basilspring/fleet/peer_client.h"
 #include "basilspring/fleet/peer_messages.h"
@@ -107,6 +108,10 @@
   void BecomeReadyIfLoaded();
   /// Handles items of the inbox: all that exist if `snapshot` is true, otherwise changes.
   void OnInbox(const std::vector<StoreItem>& items, bool snapshot);
+  /// Adds an accepted job from the store.
+  void AddJob(const JobId& id, const StoreItem& item);
+  /// Logs and counts a stored item that can't be read; `kind` is the label of the counter.
+  void ReportUnreadable(const std::string& kind, const std::string& key, const Error& error);
   /// Whether the item was read before the job's keys were deleted.
   bool IsOlderThanRemoval(const JobId& job, const StoreItem& item) const;
   /// Lets the core decide and carries out its decisions.
@@ -136,6 +141,10 @@
   /// Progress records that were read at the start of the term. They are dropped once all jobs are
   /// loaded.
   std::map<JobId, JobProgress> loaded_progress_;
+  /// Jobs whose record can't be read.
+  std::set<JobId> unreadable_records_;
+  /// Jobs whose specification can't be read.
+  std::set<JobId> unreadable_jobs_;
   /// Revision of each job's record. Each write is conditional on it, so that a write whose answer
   /// was lost can't replace a later one if the store applies it late.
   std::map<JobId, std::int64_t> progress_revisions_;
--- a/src/fleet/scheduler_core.cc
+++ b/src/fleet/scheduler_core.cc
@@ -124,6 +124,23 @@
   FailIfAttemptsUsedUp(added);
 }
 
+void SchedulerCore::AddUnreadableJob(TimePoint now, std::int64_t wall_ms, JobSpec spec) {
+  const JobId id = spec.id;
+  if (jobs_.count(id) != 0) return;
+  // Cancelled jobs are recorded as such, whatever their record contains.
+  AddJob(now, wall_ms, std::move(spec), std::nullopt);
+  Job& job = jobs_.at(id);
+  job.record_fault = RecordFault::kUnreadable;
+  job.started = true;
+}
+
+bool SchedulerCore::HasLiveRuns(const Job& job) {
+  return std::any_of(job.steps.begin(), job.steps.end(), [](const Step& step) {
+    return std::any_of(step.tasks.begin(), step.tasks.end(),
+                       [](const Task& task) { return task.live_runs > 0; });
+  });
+}
+
 void SchedulerCore::CancelJob(const JobId& id) {
   const auto found = jobs_.find(id);
   if (found == jobs_.end()) {
@@ -184,6 +201,8 @@
 void SchedulerCore::CollectSaves(SchedulerOutput& out) {
   for (auto& [id, job] : jobs_) {
     if (job.version == job.saved_version || job.saving_version != 0) continue;
+    // A partial record must not replace one that a later scheduler may be able to read.
+    if (job.record_fault == RecordFault::kUnreadable && !IsFinal(job.phase)) continue;
     job.saving_version = job.version;
     out.saves.push_back({id, job.version, EncodeJobProgress(ProgressOf(job)), false});
   }
@@ -209,6 +228,7 @@
   Job& job = found->second;
   job.saving_version = 0;
   job.saved_version = std::max(job.saved_version, version);
+  job.record_fault = RecordFault::kNone;
   if (IsFinal(job.phase) && job.saved_version == job.version) job.phase_stored = true;
   for (auto& [node, worker] : workers_) {
     for (auto it = worker.unsaved_ends.begin(); it != worker.unsaved_ends.end();) {
@@ -239,6 +259,7 @@
   if (found == jobs_.end()) return std::nullopt;
   const Job& job = found->second;
   if (IsFinal(job.phase) && job.phase_stored) return job.phase;
+  if (job.record_fault == RecordFault::kUnreadable) return std::nullopt;
   return job.started ? JobPhase::kRunning : JobPhase::kQueued;
 }
 
@@ -292,7 +313,13 @@
 
 bool SchedulerCore::HasUnsavedEnds(const NodeId& node) const {
   const auto found = workers_.find(node);
-  return found != workers_.end() && !found->second.unsaved_ends.empty();
+  if (found == workers_.end()) return false;
+  const auto& ends = found->second.unsaved_ends;
+  return std::any_of(ends.begin(), ends.end(), [this](const auto& row) {
+    const auto job = jobs_.find(row.second.first);
+    return job == jobs_.end() || IsFinal(job->second.phase) ||
+           job->second.record_fault == RecordFault::kNone;
+  });
 }
 
 }  // namespace basilspring::fleet
--- a/src/fleet/scheduler_driver.cc
+++ b/src/fleet/scheduler_driver.cc
@@ -60,31 +60,33 @@
 }
 
 void SchedulerDriver::LoadProgress(const std::string& after_key) {
-  context_.store.Call(
-      StoreCall::Range(StoreKeys::kProgress, after_key),
-      [this, alive = alive_, after_key](const StoreReply& reply) {
-        if (!*alive) return;
-        if (reply.status != StoreStatus::kOk) {
-          load_retry_at_ = Clock::Now() + kLoadRetry;
-          return;
-        }
-        for (const StoreItem& item : reply.items) {
-          try {
-            const JobId id(item.key.substr(std::string(StoreKeys::kProgress).size()));
-            loaded_progress_[id] = DecodeJobProgress(item.value);
-            progress_revisions_[id] = item.revision;
-          } catch (const Error& error) {
-            Log(EventId::kFleetDecision, "key={} can't be decoded: {}", item.key, error.what());
-          }
-        }
-        if (reply.more && !reply.items.empty()) {
-          LoadProgress(reply.items.back().key);
-          return;
+  const std::string prefix = StoreKeys::kProgress;
+  const StoreCall call = StoreCall::Range(prefix, after_key);
+  context_.store.Call(call, [this, alive = alive_, prefix](const StoreReply& reply) {
+    if (!*alive) return;
+    if (reply.status != StoreStatus::kOk) {
+      load_retry_at_ = Clock::Now() + kLoadRetry;
+      return;
+    }
+    for (const StoreItem& item : reply.items) {
+      const JobId id(item.key.substr(prefix.size()));
+      progress_revisions_[id] = item.revision;
+      try {
+        loaded_progress_[id] = DecodeJobProgress(item.value);
+      } catch (const Error& error) {
+        if (unreadable_records_.insert(id).second) {
+          ReportUnreadable("record", item.key, error);
         }
-        progress_loaded_ = true;
-        // Jobs are read after the progress records, so a job without a record has no progress.
-        inbox_->Start();
-      });
+      }
+    }
+    if (reply.more && !reply.items.empty()) {
+      LoadProgress(reply.items.back().key);
+      return;
+    }
+    progress_loaded_ = true;
+    // Jobs are read after the progress records, so a job without a record has no progress.
+    inbox_->Start();
+  });
 }
 
 void SchedulerDriver::LoadAgents() {
@@ -132,8 +134,6 @@
 }
 
 void SchedulerDriver::OnInbox(const std::vector<StoreItem>& items, bool snapshot) {
-  const TimePoint now = Clock::Now();
-  const std::int64_t wall_ms = Clock::WallMilliseconds();
   const std::string jobs = StoreKeys::kJobs;
   const std::string cancels = StoreKeys::kCancels;
   for (const StoreItem& item : items) {
@@ -142,16 +142,8 @@
       const JobId id(item.key.substr(cancels.size()));
       if (!IsOlderThanRemoval(id, item)) core_.CancelJob(id);
     } else if (item.key.rfind(jobs, 0) == 0) {
-      if (IsOlderThanRemoval(JobId(item.key.substr(jobs.size())), item)) continue;
-      try {
-        JobSpec spec = DecodeJobSpec(item.value);
-        const auto found = loaded_progress_.find(spec.id);
-        std::optional<JobProgress> progress;
-        if (found != loaded_progress_.end()) progress = found->second;
-        core_.AddJob(now, wall_ms, std::move(spec), progress);
-      } catch (const Error& error) {
-        Log(EventId::kFleetDecision, "key={} can't be decoded: {}", item.key, error.what());
-      }
+      const JobId id(item.key.substr(jobs.size()));
+      if (!IsOlderThanRemoval(id, item)) AddJob(id, item);
     }
   }
   std::erase_if(removal_revisions_,
@@ -161,6 +153,42 @@
   if (ready_) RequestPass();
 }
 
+void SchedulerDriver::AddJob(const JobId& id, const StoreItem& item) {
+  const TimePoint now = Clock::Now();
+  const std::int64_t wall_ms = Clock::WallMilliseconds();
+  try {
+    JobSpec spec = DecodeJobSpec(item.value);
+    if (unreadable_records_.count(id) != 0) {
+      core_.AddUnreadableJob(now, wall_ms, std::move(spec));
+      return;
+    }
+    const auto found = loaded_progress_.find(id);
+    std::optional<JobProgress> progress;
+    if (found != loaded_progress_.end()) progress = found->second;
+    core_.AddJob(now, wall_ms, std::move(spec), progress);
+  } catch (const Error& error) {
+    if (unreadable_jobs_.insert(id).second) ReportUnreadable("job", item.key, error);
+    const auto found = loaded_progress_.find(id);
+    JobSpec unknown;
+    unknown.id = id;
+    if (found != loaded_progress_.end() && IsFinal(static_cast<JobPhase>(found->second.phase))) {
+      core_.AddJob(now, wall_ms, std::move(unknown), found->second);
+    } else {
+      core_.AddUnreadableJob(now, wall_ms, std::move(unknown));
+    }
+  }
+}
+
+void SchedulerDriver::ReportUnreadable(const std::string& kind, const std::string& key,
+                                       const Error& error) {
+  context_.metrics
+      .GetCounter("basilspring_unreadable_items_total", fmt::format("kind=\"{}\"", kind),
+                  "Items of the scheduler in the store that could not be read.")
+      .Add();
+  Log(EventId::kFleetStore, "term={} key={} can't be decoded: {}", term_.value(), key,
+      error.what());
+}
+
 bool SchedulerDriver::IsOlderThanRemoval(const JobId& job, const StoreItem& item) const {
   const auto found = removal_revisions_.find(job);
   return found != removal_revisions_.end() && item.revision < found->second;
@@ -278,6 +306,8 @@
         for (const ProgressSave& save : *batch) {
           if (save.remove) {
             progress_revisions_.erase(save.job);
+            unreadable_records_.erase(save.job);
+            unreadable_jobs_.erase(save.job);
             removal_revisions_[save.job] = reply.revision;
             core_.OnRemoved(save.job);
           } else {
--- a/src/fleet/scheduler_queue.cc
+++ b/src/fleet/scheduler_queue.cc
@@ -60,6 +60,8 @@
   for (const JobId& id : active_) {
     const Job& job = jobs_.at(id);
     if (!IsUrgent(job)) continue;
+    // A job that can't start must not use up the guarantee of others.
+    if (job.record_fault != RecordFault::kNone && !HasLiveRuns(job)) continue;
     by_workspace[job.spec.workspace].push_back(&job);
   }
   std::set<JobId> guaranteed;
@@ -126,11 +128,7 @@
   std::vector<ReadyStep> ready;
   for (const JobId& id : active_) {
     Job& job = jobs_.at(id);
-    const bool live = std::any_of(job.steps.begin(), job.steps.end(), [](const Step& step) {
-      return std::any_of(step.tasks.begin(), step.tasks.end(),
-                         [](const Task& task) { return task.live_runs > 0; });
-    });
-    if (live) job.last_active_at = now;
+    if (HasLiveRuns(job)) job.last_active_at = now;
     for (std::size_t i = 0; i < job.steps.size(); ++i) {
       Step& step = job.steps[i];
       if (!StepIsReady(job, i)) {
@@ -138,7 +136,8 @@
         continue;
       }
       ReadyStep ready_step;
-      if (!job.queue.service.empty() && !RecoveryPending(now, step)) {
+      if (job.record_fault == RecordFault::kNone && !job.queue.service.empty() &&
+          !RecoveryPending(now, step)) {
         if (!step.ready_at) step.ready_at = now;
         ready_step.waiting = WaitingTasks(job, i, now);
       }
--- a/src/fleet/scheduler_room.cc
+++ b/src/fleet/scheduler_room.cc
@@ -275,7 +275,7 @@
   double urgent = 0;
   for (const JobId& id : active_) {
     const Job& job = jobs_.at(id);
-    if (!IsUrgent(job)) continue;
+    if (!IsUrgent(job) || job.record_fault != RecordFault::kNone) continue;
     for (std::size_t i = 0; i < job.steps.size(); ++i) {
       if (!StepIsReady(job, i)) continue;
       const auto open = static_cast<std::int64_t>(job.steps[i].tasks.size()) - job.steps[i].done;
--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -190,9 +190,14 @@
   if (end.number <= worker.last_end) return;
   worker.last_end = end.number;
   ApplyEnd(now, worker, {end.task, end.run}, static_cast<RunEnd>(end.end), end.checkpoint);
-  const Job* job = FindJob(end.task);
-  if (job != nullptr && job->version > job->saved_version) {
-    worker.unsaved_ends[end.number] = {end.task.job, job->version};
+  const auto found = jobs_.find(end.task.job);
+  if (found == jobs_.end()) return;
+  const Job& job = found->second;
+  if (job.record_fault != RecordFault::kNone && !IsFinal(job.phase)) {
+    // Acknowledged once a record that was made after this end is stored.
+    worker.unsaved_ends[end.number] = {end.task.job, std::max(job.version, job.saved_version + 1)};
+  } else if (FindJob(end.task) != nullptr && job.version > job.saved_version) {
+    worker.unsaved_ends[end.number] = {end.task.job, job.version};
   }
 }
 
--- a/tests/fleet/scheduler_driver_test.cc
+++ b/tests/fleet/scheduler_driver_test.cc
@@ -2,12 +2,17 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <deque>
+#include <map>
+#include <mutex>
 
 #include "basilspring/process/io_thread.h"
+#include "connection/frame_archive.h"
+#include "fleet_harness.h"
 #include "scripted_store.h"
 
-// Tests of SchedulerDriver with a store that has no jobs.
+// Tests of SchedulerDriver with scripted answers of the store.
 namespace basilspring::fleet {
 namespace {
 
@@ -21,30 +26,140 @@
   }
 
   std::unique_ptr<SchedulerDriver> MakeDriver() {
-    const SchedulerDriver::Context context{access_,
-                                           peers_,
-                                           metrics_,
-                                           executor_,
-                                           [](Duration, const std::function<void()>&) {},
-                                           Address{"127.0.0.1", 1},
-                                           SchedulerOptions(),
-                                           [] { return Clock::Now() + Duration::Seconds(10); },
-                                           [](const std::string&) {}};
+    const SchedulerDriver::Context context{
+        access_,
+        peers_,
+        metrics_,
+        executor_,
+        [this](Duration, std::function<void()> work) { executor_(std::move(work)); },
+        Address{"127.0.0.1", 1},
+        SchedulerOptions(),
+        [] { return Clock::Now() + Duration::Seconds(10); },
+        [](const std::string&) {}};
     return std::make_unique<SchedulerDriver>(context, Term(1), 5);
   }
 
   void RunPosted() {
-    while (!posted_.empty()) {
-      const std::function<void()> work = std::move(posted_.front());
-      posted_.pop_front();
+    for (;;) {
+      std::function<void()> work;
+      {
+        const std::lock_guard<std::mutex> lock(posted_mutex_);
+        if (posted_.empty()) return;
+        work = std::move(posted_.front());
+        posted_.pop_front();
+      }
       work();
     }
   }
 
+  /// Makes the store return `stored_` and accept transactions.
+  void AnswerFromItems() {
+    store_.answer = [this](const StoreCall& call) {
+      StoreReply reply = MakeReply(StoreStatus::kOk, 50);
+      if (call.kind() == StoreOperation::kRange) {
+        for (const auto& [key, value] : stored_) {
+          if (key.rfind(call.key, 0) == 0) reply.items.push_back({key, value, 3, false});
+        }
+      }
+      if (call.kind() == StoreOperation::kGet) {
+        const auto found = stored_.find(call.key);
+        if (found == stored_.end()) return MakeReply(StoreStatus::kNotFound);
+        reply.items.push_back({call.key, found->second, 3, false});
+      }
+      return reply;
+    };
+  }
+
+  JobSpec AddStoredJob(const std::string& id) {
+    JobSpec spec;
+    spec.id = JobId(id);
+    spec.queue = QueueId("queue");
+    spec.steps.push_back(MakeStep(1, 1, 1000));
+    spec.accepted_unix_ms = Clock::WallMilliseconds();
+    stored_[StoreKeys::Job(spec.id)] = EncodeJobSpec(spec);
+    return spec;
+  }
+
+  void AddStoredAgents(const std::vector<std::string>& names) {
+    std::vector<ListedAgent> rows;
+    for (const std::string& name : names) rows.push_back({NodeId(name), kAgentAddress});
+    std::string bytes;
+    internal::EncodeBody(rows, bytes);
+    stored_[StoreKeys::kAgents] = bytes;
+  }
+
+  /// Returns a report of an agent whose backend server can hold any of the tests' jobs.
+  static AgentReport MakeReport(const std::string& name, std::uint64_t number) {
+    AgentReport report;
+    report.node = NodeId(name);
+    report.address = kAgentAddress;
+    report.incarnation = 1;
+    report.number = number;
+    report.term = Term(1);
+    report.poll = number;
+    BackendAnnouncement backend;
+    backend.id = BackendId("backend-" + name);
+    backend.started_unix_ms = 1;
+    backend.sequence = 1;
+    backend.service = ServiceId("service");
+    backend.data_centre = DataCentreId("here");
+    backend.capacity = {64000, 64000, 8};
+    report.backend.push_back(backend);
+    return report;
+  }
+
+  static std::shared_ptr<const OperatorState> MakeOperatorState() {
+    OperatorState state;
+    state.config.version = 1;
+    state.config.services.push_back({ServiceId("service"), true});
+    Queue queue;
+    queue.id = QueueId("queue");
+    queue.service = ServiceId("service");
+    queue.max_attempts = 4;
+    state.config.queues.push_back(queue);
+    return std::make_shared<OperatorState>(state);
+  }
+
+  std::unique_ptr<SchedulerDriver> MakeReadyDriver() {
+    auto driver = MakeDriver();
+    RunPosted();
+    driver->SetOperatorState(MakeOperatorState());
+    RunPosted();
+    return driver;
+  }
+
+  /// Passes a report to the driver and returns its answer.
+  AgentReportReply Report(SchedulerDriver& driver, const AgentReport& report) {
+    AgentReportReply answer;
+    driver.OnReport(report, [&](const AgentReportReply& reply) { answer = reply; });
+    RunPosted();
+    // A report whose ends can't be recorded is answered after a while.
+    driver.Tick(Clock::Now() + Duration::Seconds(1));
+    RunPosted();
+    return answer;
+  }
+
+  static bool Writes(const StoreCall& call, const std::string& key) {
+    return std::any_of(call.writes.begin(), call.writes.end(),
+                       [&](const StoreWrite& write) { return write.key == key; });
+  }
+  /// Returns the number of transactions so far that write the key.
+  std::size_t WritesOf(const std::string& key) const {
+    return static_cast<std::size_t>(
+        std::count_if(store_.calls.begin(), store_.calls.end(),
+                      [&](const StoreCall& call) { return Writes(call, key); }));
+  }
+  inline static const Address kAgentAddress{"127.0.0.1", 1};
+  std::map<std::string, std::string> stored_;
+  /// Declared before the thread that posts to it.
+  std::deque<std::function<void()>> posted_;
+  std::mutex posted_mutex_;
   IoThread io_;
   HttpClient http_{io_};
-  std::deque<std::function<void()>> posted_;
-  Executor executor_ = [this](std::function<void()> work) { posted_.push_back(std::move(work)); };
+  Executor executor_ = [this](std::function<void()> work) {
+    const std::lock_guard<std::mutex> lock(posted_mutex_);
+    posted_.push_back(std::move(work));
+  };
   PeerClient peers_{http_, executor_};
   ScriptedStore store_;
   StoreAccess access_{store_, peers_, executor_};
@@ -99,5 +214,70 @@
   EXPECT_FALSE(driver->core().PhaseOf(spec.id).has_value());
 }
 
+// Guards against running finished tasks again: a record that can't be decoded counted as missing,
+// so that the job started as if it were new and its record was overwritten.
+TEST_F(SchedulerDriverTest, DoesNotStartAJobWhoseRecordCannotBeRead) {
+  const JobSpec held = AddStoredJob("00000000000000aa");
+  const JobSpec other = AddStoredJob("00000000000000bb");
+  stored_[StoreKeys::Progress(held.id)] = "from a newer version";
+  AddStoredAgents({"a0"});
+  AnswerFromItems();
+  const auto driver = MakeReadyDriver();
+  Report(*driver, MakeReport("a0", 1));
+  EXPECT_EQ(WritesOf(StoreKeys::Progress(held.id)), 0U);
+  EXPECT_EQ(WritesOf(StoreKeys::Progress(other.id)), 1U);
+  EXPECT_FALSE(driver->core().PhaseOf(held.id).has_value());
+  EXPECT_EQ(driver->core().PhaseOf(other.id), JobPhase::kRunning);
+  EXPECT_EQ(metrics_.GetCounter("basilspring_unreadable_items_total", "kind=\"record\"").value(),
+            1U);
+}
+
+// Guards against forgetting the ends of such a job: once an end is acknowledged, the backend server
+// no longer lists it to a scheduler that can read the record.
+TEST_F(SchedulerDriverTest, DoesNotAcknowledgeEndsThatCannotBeRecorded) {
+  const JobSpec without_record = AddStoredJob("00000000000000aa");
+  const JobSpec without_spec = AddStoredJob("00000000000000bb");
+  stored_[StoreKeys::Progress(without_record.id)] = "from a newer version";
+  stored_[StoreKeys::Job(without_spec.id)] = "from a newer version";
+  AddStoredAgents({"a0", "a1"});
+  AnswerFromItems();
+  const auto driver = MakeReadyDriver();
+  AgentReport report = MakeReport("a0", 1);
+  report.ended.push_back({4, {without_record.id, 0, 0, 0}, RunNumber(1), 1, ""});
+  EXPECT_EQ(Report(*driver, report).acknowledged, 3);
+  report = MakeReport("a1", 1);
+  report.ended.push_back({7, {without_spec.id, 0, 0, 0}, RunNumber(1), 0, ""});
+  EXPECT_EQ(Report(*driver, report).acknowledged, 6);
+  EXPECT_EQ(metrics_.GetCounter("basilspring_unreadable_items_total", "kind=\"job\"").value(), 1U);
+}
+
+// Guards against a job that its caller can't get rid of, and whose ends block the acknowledgements
+// of a worker for good.
+TEST_F(SchedulerDriverTest, CancelsJobsThatCannotBeRead) {
+  const JobSpec without_record = AddStoredJob("00000000000000aa");
+  const JobSpec without_spec = AddStoredJob("00000000000000bb");
+  stored_[StoreKeys::Progress(without_record.id)] = "from a newer version";
+  stored_[StoreKeys::Job(without_spec.id)] = "from a newer version";
+  AddStoredAgents({"a0"});
+  AnswerFromItems();
+  const auto driver = MakeReadyDriver();
+  AgentReport report = MakeReport("a0", 1);
+  report.ended.push_back({1, {without_record.id, 0, 0, 0}, RunNumber(1), 1, ""});
+  report.ended.push_back({2, {without_spec.id, 0, 0, 0}, RunNumber(1), 0, ""});
+  EXPECT_EQ(Report(*driver, report).acknowledged, 0);
+  ASSERT_EQ(store_.held.size(), 1U);
+  StoreReply change = MakeReply(StoreStatus::kOk, 60);
+  change.items.push_back({StoreKeys::Cancel(without_record.id), "", 59, false});
+  change.items.push_back({StoreKeys::Cancel(without_spec.id), "", 60, false});
+  const StoreHandler watch = store_.held.front();
+  store_.held.pop_front();
+  watch(change);
+  RunPosted();
+  EXPECT_EQ(driver->core().PhaseOf(without_record.id), JobPhase::kCancelled);
+  EXPECT_EQ(driver->core().PhaseOf(without_spec.id), JobPhase::kCancelled);
+  report.number = 2;
+  EXPECT_EQ(Report(*driver, report).acknowledged, 2);
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
