Wait for the agents that job records name if the list of agents lacks them

Callers could see one task run twice at the same time: if the list of agents could not be decoded, the scheduler knew none of them, and a step waits only for known agents, so it started tasks elsewhere whose runs were still active on an agent that had not reported yet. The list was then written anew without that agent, so the next scheduler had the same fault. Requests could also be refused as too large for all workers although not all workers were known.

Cause: the list was treated as empty. Change: agents that the jobs' records name are expected whether or not the list contains them, for as long as a listed agent is, and after an unreadable list the shapes of workers stay unknown for the term. The fault is logged (FleetStore) and counted.

Before the change, two new tests failed: the task of a job whose record names an agent that is away was started (1 write of its record instead of 0), with an unreadable list and with a list that lacks the agent. With it they pass, as do the other tests of Scheduler*, Fleet*, Node*, Store* and Admission* (130 in all).

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -147,8 +147,10 @@
   /// Cancels a job for its caller. The cancellation is remembered if the job has not been added
   /// yet.
   void CancelJob(const JobId& job);
-  /// Registers an agent that may have runs of an earlier term.
+  /// Registers an agent that may have runs of an earlier term. The address is empty if unknown.
   void ExpectAgent(const NodeId& node, const Address& address);
+  /// Records that agents may exist that were not registered, so the shapes stay unknown.
+  void SetAgentsIncomplete() { agents_incomplete_ = true; }
 
   /// Processes the report of an agent and returns the answer to it.
   AgentReportReply OnReport(TimePoint now, const AgentReport& report);
@@ -535,6 +537,7 @@
   std::map<NodeId, Worker> workers_;
   /// Agents of earlier terms that have not reported in this one.
   std::set<NodeId> unreported_agents_;
+  bool agents_incomplete_ = false;
   std::vector<WorkerShape> shapes_;
   RunTimeModel run_times_;
   /// The exponentially decaying peak of the accelerators that jobs of priority 0 use or wait for.
--- a/src/fleet/scheduler_core.cc
+++ b/src/fleet/scheduler_core.cc
@@ -286,7 +286,8 @@
 }
 
 std::vector<WorkerShape> SchedulerCore::Shapes(TimePoint now) const {
-  const bool settled = now - term_started_at_ >= kShapesSettleTime && unreported_agents_.empty();
+  const bool settled = now - term_started_at_ >= kShapesSettleTime && unreported_agents_.empty() &&
+                       !agents_incomplete_;
   return settled ? shapes_ : std::vector<WorkerShape>();
 }
 
--- a/src/fleet/scheduler_driver.cc
+++ b/src/fleet/scheduler_driver.cc
@@ -104,7 +104,8 @@
               core_.ExpectAgent(row.node, row.address);
             }
           } catch (const Error& error) {
-            Log(EventId::kFleetDecision, "list of agents can't be decoded: {}", error.what());
+            core_.SetAgentsIncomplete();
+            ReportUnreadable("agents", StoreKeys::kAgents, error);
           }
         } else if (reply.status != StoreStatus::kNotFound) {
           load_retry_at_ = Clock::Now() + kLoadRetry;
@@ -118,6 +119,15 @@
 void SchedulerDriver::BecomeReadyIfLoaded() {
   if (ready_ || !progress_loaded_ || !agents_loaded_ || !inbox_loaded_ || !config_loaded_) return;
   ready_ = true;
+  // The records also name agents that may have runs. The list lacks them if it can't be read, or if
+  // an earlier scheduler could not read it and wrote it anew.
+  for (const auto& [id, progress] : loaded_progress_) {
+    for (const StepProgress& step : progress.steps) {
+      for (const NodeId& node : step.agents) {
+        if (agents_.count(node) == 0) core_.ExpectAgent(node, Address());
+      }
+    }
+  }
   loaded_progress_.clear();
   Log(EventId::kFleetScheduler, "term={} ready members={} jobs_revision={} config={}",
       term_.value(), agents_.size(), inbox_->revision(), config_version_);
--- a/tests/fleet/scheduler_driver_test.cc
+++ b/tests/fleet/scheduler_driver_test.cc
@@ -279,5 +279,40 @@
   EXPECT_EQ(Report(*driver, report).acknowledged, 2);
 }
 
+// Guards against starting a task a second time while it may run on an agent that is not known,
+// because an earlier scheduler could not read the list of agents and wrote it anew.
+TEST_F(SchedulerDriverTest, WaitsForRecordedAgentsThatTheListLacks) {
+  const JobSpec job = AddStoredJob("00000000000000aa");
+  JobProgress progress;
+  progress.phase = static_cast<std::uint8_t>(JobPhase::kRunning);
+  progress.steps.emplace_back().agents.emplace_back("away");
+  stored_[StoreKeys::Progress(job.id)] = EncodeJobProgress(progress);
+  AddStoredAgents({"a0"});
+  AnswerFromItems();
+  const auto driver = MakeReadyDriver();
+  Report(*driver, MakeReport("a0", 1));
+  EXPECT_EQ(WritesOf(StoreKeys::Progress(job.id)), 0U);
+}
+
+// The same if the list of agents can't be decoded now.
+TEST_F(SchedulerDriverTest, WaitsForRecordedAgentsIfTheListOfAgentsCannotBeRead) {
+  const JobSpec job = AddStoredJob("00000000000000aa");
+  JobProgress progress;
+  progress.phase = static_cast<std::uint8_t>(JobPhase::kRunning);
+  progress.steps.emplace_back().agents.emplace_back("away");
+  stored_[StoreKeys::Progress(job.id)] = EncodeJobProgress(progress);
+  const JobSpec other = AddStoredJob("00000000000000bb");
+  stored_[StoreKeys::kAgents] = "from a newer version";
+  AnswerFromItems();
+  const auto driver = MakeReadyDriver();
+  Report(*driver, MakeReport("a0", 1));
+  Report(*driver, MakeReport("a0", 2));
+  EXPECT_EQ(WritesOf(StoreKeys::Progress(other.id)), 1U);
+  EXPECT_EQ(WritesOf(StoreKeys::Progress(job.id)), 0U);
+  EXPECT_TRUE(driver->core().Shapes(Clock::Now() + Duration::Seconds(60)).empty());
+  EXPECT_EQ(metrics_.GetCounter("basilspring_unreadable_items_total", "kind=\"agents\"").value(),
+            1U);
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
