Set aside a record that the store rejects, and store the others

Callers would see no job start and no job end any more: a transaction that the store never accepts, for example because the record of a job with many tasks is too large, counted as a store that is away. Its batch went back to the front of the queue every 100 ms, before all other records, for as long as the scheduler held the lease. The same answer made the process treat its way to the store as lost and repeat the transaction through its peers, each of which then refused to relay other calls for 0.5 s and more.

Cause: the adapter mapped every refusal to kUnavailable. A rejected batch is written again with each record by itself, and a single rejected record is tried again after 5 s, doubling to 60 s, or at once when its job ends, because the final record is small. Meanwhile the job starts nothing, and starts that wait for the record give back their capacity. An entry refuses a rejected job without further attempts, with 503 as before. An older process that relays through a newer one reads the new status as kUnknown, which promises nothing.

The ends of such a job are not acknowledged, and neither are later ones on the same backend servers, although they are recorded.

Before the change, two new tests failed: no record of the other two jobs was stored (0 of 2 ends acknowledged, both jobs still running), and a peer's read was refused with kUnavailable. The new lines of DistinguishesDoneNotDoneAndUnknown name the new status. With the change they pass, as do the other tests of Scheduler*, Fleet*, Node*, Store*, Admission* and PlatformStore* (132 in all). The change to the entry has no test of its own.

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -159,6 +159,9 @@
                         const std::optional<OrderBatchReply>& reply);
   /// Records that the given version of a job's record is in the store.
   void OnSaved(const JobId& job, std::uint64_t version);
+  /// Records that the store does not accept the last write for the job. Until a later one is
+  /// stored, the job starts nothing; starts that wait for the record are given up.
+  void OnSaveRejected(TimePoint now, const JobId& job);
   /// Records that all keys of the job have been deleted from the store.
   void OnRemoved(const JobId& job);
 
@@ -313,6 +316,8 @@
     kEarlierRuns,
     /// The job's record can't be read.
     kRecordUnreadable,
+    /// The store does not accept the job's record.
+    kRecordRejected,
   };
 
   /// Why the job's progress can't be recorded.
@@ -320,6 +325,8 @@
     kNone,
     /// The stored record, or the stored specification, can't be read.
     kUnreadable,
+    /// The store does not accept the record.
+    kRejected,
   };
 
   struct Job {
@@ -342,6 +349,10 @@
     std::uint64_t saving_version = 0;
     std::uint64_t saved_version = 0;
     RecordFault record_fault = RecordFault::kNone;
+    /// After the store has not accepted a write: when the next one is made, and the time between
+    /// the two.
+    TimePoint save_not_before;
+    Duration save_retry_delay;
     /// Whether a task has been started, also in an earlier term.
     bool started = false;
     /// When the job last had a live run.
@@ -391,8 +402,8 @@
   static bool HasLiveRuns(const Job& job);
   void FinishJob(Job& job, JobPhase phase, const std::string& reason);
   static JobProgress ProgressOf(Job& job);
-  void CollectSaves(SchedulerOutput& out);
-  void RemoveOldJobs(SchedulerOutput& out);
+  void CollectSaves(TimePoint now, SchedulerOutput& out);
+  void RemoveOldJobs(TimePoint now, SchedulerOutput& out);
 
   // Reports, ends and losses of runs, in scheduler_runs.cc.
   void RecordShape(const BackendAnnouncement& backend);
--- a/include/basilspring/fleet/scheduler_driver.h
+++ b/include/basilspring/fleet/scheduler_driver.h
@@ -125,6 +125,10 @@
   /// lease, or a record has a newer revision because an earlier write was applied without an
   /// answer. In the second case the batch is written again.
   void OnSaveRefused(const std::vector<ProgressSave>& batch, const StoreReply& reply);
+  /// Handles a transaction whose content the store does not accept. The records of a batch are
+  /// written again, each by itself; a single record is set aside, so that it stops no others.
+  void OnSaveRejected(const std::vector<ProgressSave>& batch, const StoreReply& reply);
+  void CountRejectedWrite(const std::string& kind);
   /// Writes the list of agents if the stored list lacks an agent.
   void SaveAgents();
   /// Whether a refused transaction shows that this process no longer holds the lease.
@@ -168,6 +172,9 @@
   std::map<NodeId, Address> entries_;
   std::vector<ProgressSave> save_queue_;
   bool saving_ = false;
+  /// Jobs whose records are written in transactions of their own, because the store has rejected a
+  /// batch that contained them.
+  std::set<JobId> save_alone_;
   TimePoint save_not_before_;
   std::vector<WaitingReport> waiting_reports_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/include/basilspring/fleet/store.h
+++ b/include/basilspring/fleet/store.h
@@ -35,6 +35,9 @@
   kUnavailable,
   /// The call may have been carried out, or may still be carried out.
   kUnknown,
+  /// The store does not accept the transaction as it is, for example because a value is too large.
+  /// It was not carried out, and repeating it is of no use.
+  kRejected,
 };
 
 std::string_view StoreStatusName(StoreStatus status);
--- a/src/fleet/entry_submit.cc
+++ b/src/fleet/entry_submit.cc
@@ -119,8 +119,9 @@
   // A job that is certainly not stored is refused at once when the store is unavailable. If an
   // attempt was not answered, the job is written again as long as its caller waits, because only an
   // answered write shows whether the job is stored.
-  const bool retry =
-      TimeLeft(*exchange) > kMaxStoreTimeout / 2 && (exchange->in_doubt || !unavailable);
+  const bool rejected = reply.status == StoreStatus::kRejected;
+  const bool retry = !rejected && TimeLeft(*exchange) > kMaxStoreTimeout / 2 &&
+                     (exchange->in_doubt || !unavailable);
   if (retry) {
     context_.run_later(kStoreRetryDelay, [this, alive = alive_, exchange, bytes] {
       if (*alive) StoreJob(exchange, bytes);
@@ -129,8 +130,8 @@
     Refuse(exchange, ErrorKind::kStoreOutcomeUnknown,
            "the store did not say whether the job was stored: " + reply.message);
   } else {
-    Refuse(exchange, ErrorKind::kStoreUnavailable, "the store is away: " + reply.message,
-           kStoreRetryAfter);
+    const std::string cause = rejected ? "the store rejects the job: " : "the store is away: ";
+    Refuse(exchange, ErrorKind::kStoreUnavailable, cause + reply.message, kStoreRetryAfter);
   }
 }
 
--- a/src/fleet/scheduler_core.cc
+++ b/src/fleet/scheduler_core.cc
@@ -14,6 +14,10 @@
 // After this long in a term, agents unknown to earlier terms have reported too. Covers several
 // announcement intervals of a backend server.
 constexpr Duration kShapesSettleTime(10000);
+// Time between two writes for a job that the store does not accept; doubles up to the maximum. The
+// record may have changed meanwhile, and the calls must not use up the store's rate limit.
+constexpr Duration kMinRejectedSaveRetry(5000);
+constexpr Duration kMaxRejectedSaveRetry(60000);
 
 }  // namespace
 
@@ -168,6 +172,8 @@
   job.phase = phase;
   job.phase_stored = false;
   job.finished_unix_ms = wall_ms_;
+  // The final record is much smaller, so the store may accept it.
+  job.save_not_before = TimePoint();
   ++job.version;
   active_.erase(job.spec.id);
   for (Step& step : job.steps) ReleaseClaims(step);
@@ -198,9 +204,10 @@
   return progress;
 }
 
-void SchedulerCore::CollectSaves(SchedulerOutput& out) {
+void SchedulerCore::CollectSaves(TimePoint now, SchedulerOutput& out) {
   for (auto& [id, job] : jobs_) {
     if (job.version == job.saved_version || job.saving_version != 0) continue;
+    if (now < job.save_not_before) continue;
     // A partial record must not replace one that a later scheduler may be able to read.
     if (job.record_fault == RecordFault::kUnreadable && !IsFinal(job.phase)) continue;
     job.saving_version = job.version;
@@ -208,11 +215,11 @@
   }
 }
 
-void SchedulerCore::RemoveOldJobs(SchedulerOutput& out) {
+void SchedulerCore::RemoveOldJobs(TimePoint now, SchedulerOutput& out) {
   for (auto& [id, job] : jobs_) {
     const bool old = job.phase_stored && job.saving_version == 0 &&
                      wall_ms_ - job.finished_unix_ms > options_.keep_finished.milliseconds();
-    if (!old || job.removing) continue;
+    if (!old || job.removing || now < job.save_not_before) continue;
     // The job stays known until its keys are deleted. Otherwise the next read of the jobs would
     // add it again without its record.
     job.removing = true;
@@ -229,6 +236,8 @@
   job.saving_version = 0;
   job.saved_version = std::max(job.saved_version, version);
   job.record_fault = RecordFault::kNone;
+  job.save_not_before = TimePoint();
+  job.save_retry_delay = Duration();
   if (IsFinal(job.phase) && job.saved_version == job.version) job.phase_stored = true;
   for (auto& [node, worker] : workers_) {
     for (auto it = worker.unsaved_ends.begin(); it != worker.unsaved_ends.end();) {
@@ -239,6 +248,28 @@
   }
 }
 
+void SchedulerCore::OnSaveRejected(TimePoint now, const JobId& id) {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) return;
+  Job& job = found->second;
+  job.save_retry_delay =
+      std::clamp(job.save_retry_delay * 2, kMinRejectedSaveRetry, kMaxRejectedSaveRetry);
+  job.save_not_before = now + job.save_retry_delay;
+  job.saving_version = 0;
+  if (std::exchange(job.removing, false)) return;
+  if (job.record_fault == RecordFault::kNone) job.record_fault = RecordFault::kRejected;
+  // These starts would occupy capacity for as long as the record is not stored.
+  for (PendingOrder& pending : std::exchange(pending_orders_, {})) {
+    const bool given_up = AwaitsRecord(pending) && pending.order.task.job == id;
+    const auto worker = workers_.find(pending.worker);
+    if (!given_up) {
+      pending_orders_.push_back(std::move(pending));
+    } else if (worker != workers_.end()) {
+      ReleaseRun(now, worker->second, {pending.order.task, pending.order.run}, false);
+    }
+  }
+}
+
 SchedulerOutput SchedulerCore::Tick(TimePoint now, std::int64_t wall_ms, bool may_start) {
   SchedulerOutput out;
   wall_ms_ = wall_ms;
@@ -248,8 +279,8 @@
   StopUnwantedRuns(now);
   if (may_start) Schedule(now);
   EmitOrders(now, out);
-  CollectSaves(out);
-  RemoveOldJobs(out);
+  CollectSaves(now, out);
+  RemoveOldJobs(now, out);
   out.decisions = std::exchange(decisions_, {});
   return out;
 }
@@ -318,8 +349,8 @@
   const auto& ends = found->second.unsaved_ends;
   return std::any_of(ends.begin(), ends.end(), [this](const auto& row) {
     const auto job = jobs_.find(row.second.first);
-    return job == jobs_.end() || IsFinal(job->second.phase) ||
-           job->second.record_fault == RecordFault::kNone;
+    if (job == jobs_.end() || job->second.record_fault == RecordFault::kNone) return true;
+    return IsFinal(job->second.phase) && job->second.record_fault == RecordFault::kUnreadable;
   });
 }
 
--- a/src/fleet/scheduler_driver.cc
+++ b/src/fleet/scheduler_driver.cc
@@ -277,6 +277,8 @@
   auto batch = std::make_shared<std::vector<ProgressSave>>();
   std::size_t entries = 0;
   while (!save_queue_.empty()) {
+    const bool alone = save_alone_.count(save_queue_.front().job) != 0;
+    if (alone && !batch->empty()) break;
     const bool remove = save_queue_.front().remove;
     entries += remove ? kEntriesPerRemoval : kEntriesPerSave;
     if (entries > kMaxTransactionEntries) break;
@@ -290,6 +292,7 @@
       call.If(key, known == progress_revisions_.end() ? 0 : known->second).Set(key, save.bytes);
     }
     batch->push_back(std::move(save));
+    if (alone) break;
   }
   saving_ = true;
   context_.store.Call(
@@ -305,6 +308,10 @@
           OnSaveRefused(*batch, reply);
           return;
         }
+        if (reply.status == StoreStatus::kRejected) {
+          OnSaveRejected(*batch, reply);
+          return;
+        }
         if (reply.status != StoreStatus::kOk) {
           Log(EventId::kFleetStore, "records={} not saved: {} {}", batch->size(),
               StoreStatusName(reply.status), reply.message);
@@ -314,6 +321,7 @@
           return;
         }
         for (const ProgressSave& save : *batch) {
+          save_alone_.erase(save.job);
           if (save.remove) {
             progress_revisions_.erase(save.job);
             unreadable_records_.erase(save.job);
@@ -356,6 +364,32 @@
   Save();
 }
 
+void SchedulerDriver::OnSaveRejected(const std::vector<ProgressSave>& batch,
+                                     const StoreReply& reply) {
+  CountRejectedWrite("record");
+  for (const ProgressSave& save : batch) {
+    Log(EventId::kFleetStore, "term={} job={} bytes={} records={} the store rejects the record: {}",
+        term_.value(), save.job.value(), save.bytes.size(), batch.size(), reply.message);
+    save_alone_.insert(save.job);
+  }
+  if (batch.size() > 1) {
+    // Each record by itself shows which of them the store rejects.
+    save_queue_.insert(save_queue_.begin(), batch.begin(), batch.end());
+  } else {
+    core_.OnSaveRejected(Clock::Now(), batch.front().job);
+  }
+  Save();
+  AnswerWaitingReports(Clock::Now());
+  RequestPass();
+}
+
+void SchedulerDriver::CountRejectedWrite(const std::string& kind) {
+  context_.metrics
+      .GetCounter("basilspring_rejected_writes_total", fmt::format("kind=\"{}\"", kind),
+                  "Writes of the scheduler whose content the store did not accept.")
+      .Add();
+}
+
 void SchedulerDriver::SaveAgents() {
   const bool missing = std::any_of(agents_.begin(), agents_.end(), [&](const auto& row) {
     return stored_agents_.count(row.first) == 0;
--- a/src/fleet/scheduler_waits.cc
+++ b/src/fleet/scheduler_waits.cc
@@ -14,15 +14,20 @@
 // Minimum interval between two log lines about why a step waits.
 constexpr Duration kWaitLogInterval(3000);
 // In the order of SchedulerCore::BlockCause.
-constexpr std::array<std::string_view, 5> kBlockCauseNames = {
-    "none", "its queue is not in the configuration", "agents have not listed their runs",
-    "runs of an earlier start have not ended", "its record can't be read"};
+constexpr std::array<std::string_view, 6> kBlockCauseNames = {
+    "none",
+    "its queue is not in the configuration",
+    "agents have not listed their runs",
+    "runs of an earlier start have not ended",
+    "its record can't be read",
+    "the store rejects its record"};
 
 }  // namespace
 
 SchedulerCore::BlockCause SchedulerCore::FindBlockCause(TimePoint now, const Job& job,
                                                         std::size_t step) const {
   if (job.record_fault == RecordFault::kUnreadable) return BlockCause::kRecordUnreadable;
+  if (job.record_fault == RecordFault::kRejected) return BlockCause::kRecordRejected;
   if (job.queue.service.empty()) return BlockCause::kQueueUnknown;
   if (RecoveryPending(now, job.steps[step])) return BlockCause::kAgentsNotListed;
   const auto& tasks = job.steps[step].tasks;
--- a/src/fleet/store.cc
+++ b/src/fleet/store.cc
@@ -6,8 +6,8 @@
 namespace basilspring::fleet {
 namespace {
 
-constexpr std::array<std::string_view, 6> kStatusNames = {"ok",           "not-found",   "conflict",
-                                                          "history-lost", "unavailable", "unknown"};
+constexpr std::array<std::string_view, 7> kStatusNames = {
+    "ok", "not-found", "conflict", "history-lost", "unavailable", "unknown", "rejected"};
 
 StoreCall MakeCall(StoreOperation operation) {
   StoreCall call;
--- a/src/fleet/store_access.cc
+++ b/src/fleet/store_access.cc
@@ -42,7 +42,7 @@
 
 StoreReply FromRelay(const RelayedStoreReply& relayed) {
   StoreReply reply;
-  if (relayed.status <= static_cast<std::uint8_t>(StoreStatus::kUnknown)) {
+  if (relayed.status <= static_cast<std::uint8_t>(StoreStatus::kRejected)) {
     reply.status = static_cast<StoreStatus>(relayed.status);
   }
   reply.items = relayed.items;
--- a/tests/fleet/scheduler_driver_test.cc
+++ b/tests/fleet/scheduler_driver_test.cc
@@ -10,6 +10,7 @@
 #include "basilspring/process/io_thread.h"
 #include "connection/frame_archive.h"
 #include "fleet_harness.h"
+#include "platform/store_adapter.h"
 #include "scripted_store.h"
 
 // Tests of SchedulerDriver with scripted answers of the store.
@@ -52,10 +53,11 @@
     }
   }
 
-  /// Makes the store return `stored_` and accept transactions.
-  void AnswerFromItems() {
-    store_.answer = [this](const StoreCall& call) {
+  /// Makes the store return `stored_` and accept transactions; `on_write` may change its answers.
+  void AnswerFromItems(const std::function<StoreReply(const StoreCall&)>& on_write = nullptr) {
+    store_.answer = [this, on_write](const StoreCall& call) {
       StoreReply reply = MakeReply(StoreStatus::kOk, 50);
+      if (call.kind() == StoreOperation::kTransaction && on_write) return on_write(call);
       if (call.kind() == StoreOperation::kRange) {
         for (const auto& [key, value] : stored_) {
           if (key.rfind(call.key, 0) == 0) reply.items.push_back({key, value, 3, false});
@@ -149,6 +151,13 @@
         std::count_if(store_.calls.begin(), store_.calls.end(),
                       [&](const StoreCall& call) { return Writes(call, key); }));
   }
+  /// Returns what the platform's store answers to a transaction that it will never accept.
+  static StoreReply MakeRejection() {
+    HttpResult result;
+    result.status = 413;
+    return platform::DecodeStoreReply(StoreOperation::kTransaction, result);
+  }
+
   inline static const Address kAgentAddress{"127.0.0.1", 1};
   std::map<std::string, std::string> stored_;
   /// Declared before the thread that posts to it.
@@ -314,5 +323,31 @@
             1U);
 }
 
+// Guards against one record that the store always rejects stopping the records of all jobs: no
+// task started and no end was acknowledged any more.
+TEST_F(SchedulerDriverTest, StoresOtherRecordsIfTheStoreRejectsOne) {
+  const JobSpec rejected = AddStoredJob("00000000000000aa");
+  const JobSpec first = AddStoredJob("00000000000000bb");
+  const JobSpec second = AddStoredJob("00000000000000cc");
+  AddStoredAgents({"a0"});
+  AnswerFromItems([&](const StoreCall& call) {
+    return Writes(call, StoreKeys::Progress(rejected.id)) ? MakeRejection()
+                                                          : MakeReply(StoreStatus::kOk, 60);
+  });
+  const auto driver = MakeReadyDriver();
+  AgentReport report = MakeReport("a0", 1);
+  EXPECT_TRUE(Report(*driver, report).accepted);
+  EXPECT_EQ(WritesOf(StoreKeys::Progress(rejected.id)), 2U);
+  EXPECT_GE(WritesOf(StoreKeys::Progress(first.id)), 2U);
+  report.number = 2;
+  report.ended.push_back({1, {first.id, 0, 0, 0}, RunNumber(0), 0, ""});
+  report.ended.push_back({2, {second.id, 0, 0, 0}, RunNumber(0), 0, ""});
+  EXPECT_EQ(Report(*driver, report).acknowledged, 2);
+  EXPECT_EQ(driver->core().PhaseOf(first.id), JobPhase::kCompleted);
+  EXPECT_EQ(driver->core().PhaseOf(second.id), JobPhase::kCompleted);
+  EXPECT_EQ(metrics_.GetCounter("basilspring_rejected_writes_total", "kind=\"record\"").value(),
+            2U);
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
--- a/tests/fleet/store_users_test.cc
+++ b/tests/fleet/store_users_test.cc
@@ -6,6 +6,7 @@
 #include "basilspring/fleet/prefix_watch.h"
 #include "basilspring/fleet/store_access.h"
 #include "basilspring/process/io_thread.h"
+#include "platform/store_adapter.h"
 #include "scripted_store.h"
 
 // Tests of Leadership, PrefixWatch and StoreAccess with a store whose answers each test sets.
@@ -169,6 +170,23 @@
   EXPECT_EQ(store_.calls.size(), calls);
 }
 
+// Guards against treating the store as unreachable, and making other calls through peers, because
+// it does not accept the content of one transaction.
+TEST_F(StoreUsersTest, ARejectedTransactionIsAnAnswer) {
+  HttpResult result;
+  result.status = 413;
+  store_.answer = [&](const StoreCall& call) {
+    return call.kind() == StoreOperation::kTransaction
+               ? platform::DecodeStoreReply(StoreOperation::kTransaction, result)
+               : MakeReply(StoreStatus::kOk);
+  };
+  access_.Call(StoreCall::Transaction().Set("k", "v"), [](const StoreReply&) {});
+  EXPECT_EQ(access_.counts().direct_failures, 0U);
+  StoreStatus status = StoreStatus::kUnknown;
+  access_.CallForPeer(StoreCall::Get("k"), [&](const StoreReply& reply) { status = reply.status; });
+  EXPECT_EQ(status, StoreStatus::kOk);
+}
+
 TEST_F(StoreUsersTest, TheStoreIsUnavailableOnlyAfterLastingFailures) {
   store_.answer = [](const StoreCall&) { return MakeReply(StoreStatus::kOk); };
   access_.Call(StoreCall::Get("k"), [](const StoreReply&) {});
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -53,6 +53,13 @@
   EXPECT_EQ(status(MakeResult(429, "")), fleet::StoreStatus::kUnavailable);
   EXPECT_EQ(status(MakeResult(503, "")), fleet::StoreStatus::kUnavailable);
   EXPECT_EQ(status(MakeResult(500, "")), fleet::StoreStatus::kUnknown);
+  // Guards against repeating a transaction that the store never accepts.
+  for (const int rejected : {400, 403, 413, 422}) {
+    EXPECT_EQ(status(MakeResult(rejected, "")), fleet::StoreStatus::kRejected) << rejected;
+  }
+  for (const int transient : {408, 421, 425}) {
+    EXPECT_EQ(status(MakeResult(transient, "")), fleet::StoreStatus::kUnavailable) << transient;
+  }
   // An answer that can't be decoded does not show whether the transaction was carried out.
   EXPECT_EQ(status(MakeResult(200, "not json")), fleet::StoreStatus::kUnknown);
   HttpResult failed;
