Write a rejected list of agents again only after 5 s

Writes of other records would be held up by the store's rate limit: a list of agents that the store does not accept was written again with each report of a new agent and each pass, and nothing in the log said so.

Cause: SaveAgents() repeats any failed write at the next occasion. Change: a rejected list waits 5 s, is logged (FleetStore) and counted (basilspring_rejected_writes_total). Agents of the stored list keep working; others get no runs, because a successor would not know them. The list can't be split, so it stays rejected until it changes or the store accepts it.

Before the change, the new test failed: 6 writes instead of 1 for five reports. With it it passes, as do the other tests of Scheduler*, Fleet*, Node*, Store*, Admission* and PlatformStore* (133 in all).

--- a/include/basilspring/fleet/scheduler_driver.h
+++ b/include/basilspring/fleet/scheduler_driver.h
@@ -169,6 +169,7 @@
   std::map<NodeId, Address> agents_;
   std::set<NodeId> stored_agents_;
   bool saving_agents_ = false;
+  TimePoint save_agents_not_before_;
   std::map<NodeId, Address> entries_;
   std::vector<ProgressSave> save_queue_;
   bool saving_ = false;
--- a/src/fleet/scheduler_driver.cc
+++ b/src/fleet/scheduler_driver.cc
@@ -26,6 +26,8 @@
 constexpr Duration kSaveTimeout(1000);
 constexpr Duration kSaveRetry(100);
 constexpr Duration kLoadRetry(100);
+// Time until a list of agents that the store rejected is written again.
+constexpr Duration kRejectedAgentsRetry(5000);
 // Shortest time between two passes that events request; events within it share one pass.
 constexpr Duration kPassInterval(12);
 // Time between two passes without events, which only check timers.
@@ -394,7 +396,7 @@
   const bool missing = std::any_of(agents_.begin(), agents_.end(), [&](const auto& row) {
     return stored_agents_.count(row.first) == 0;
   });
-  if (!missing || saving_agents_) return;
+  if (!missing || saving_agents_ || Clock::Now() < save_agents_not_before_) return;
   saving_agents_ = true;
   std::vector<ListedAgent> rows;
   auto written = std::make_shared<std::set<NodeId>>();
@@ -410,7 +412,12 @@
   context_.store.Call(call, [this, alive = alive_, written](const StoreReply& reply) {
     if (!*alive) return;
     saving_agents_ = false;
-    if (reply.status == StoreStatus::kOk) {
+    if (reply.status == StoreStatus::kRejected) {
+      CountRejectedWrite("agents");
+      Log(EventId::kFleetStore, "term={} agents={} the store rejects the list of agents: {}",
+          term_.value(), written->size(), reply.message);
+      save_agents_not_before_ = Clock::Now() + kRejectedAgentsRetry;
+    } else if (reply.status == StoreStatus::kOk) {
       stored_agents_ = *written;
       agents_revision_ = reply.revision;
     } else if (reply.status == StoreStatus::kConflict && ShowsNewLeader(reply)) {
--- a/tests/fleet/scheduler_driver_test.cc
+++ b/tests/fleet/scheduler_driver_test.cc
@@ -349,5 +349,24 @@
             2U);
 }
 
+// Guards against using up the rate of store calls, which other writes need, with a list of agents
+// that the store does not accept. Agents of the stored list keep working.
+TEST_F(SchedulerDriverTest, DoesNotRepeatARejectedListOfAgentsAtOnce) {
+  const JobSpec job = AddStoredJob("00000000000000aa");
+  AddStoredAgents({"a0"});
+  AnswerFromItems([&](const StoreCall& call) {
+    return Writes(call, StoreKeys::kAgents) ? MakeRejection() : MakeReply(StoreStatus::kOk, 60);
+  });
+  const auto driver = MakeReadyDriver();
+  for (std::uint64_t number = 1; number <= 5; ++number) {
+    EXPECT_FALSE(Report(*driver, MakeReport("new", number)).accepted);
+  }
+  EXPECT_EQ(WritesOf(StoreKeys::kAgents), 1U);
+  EXPECT_TRUE(Report(*driver, MakeReport("a0", 1)).accepted);
+  EXPECT_EQ(driver->core().PhaseOf(job.id), JobPhase::kRunning);
+  EXPECT_EQ(metrics_.GetCounter("basilspring_rejected_writes_total", "kind=\"agents\"").value(),
+            1U);
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
