Start nothing on a worker with 250 unacknowledged ends

A finished task could run again: a backend server lists at most 500 ends, from the first one that is not acknowledged. If the end of a job whose record can't be read or stored stays unacknowledged there, later ends are no longer listed after 500, and a run that is listed neither as active nor as ended counts as gone.

Change: a worker with 250 unacknowledged ends is not usable for new work until they are acknowledged. Cancelling the job in question is enough.

Before the change, the new test failed: 601 unacknowledged ends on one worker, bound 300. With it the worker stops at the bound, and after the cancellation all 600 tasks are done after one start each. The other tests of Scheduler*, Fleet*, Node*, Store*, Admission* and PlatformStore* pass (134 in all).

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -509,6 +509,8 @@
   /// Returns the workers on which the step may be placed.
   PlacementView BuildView(const Pass& pass, const ReadyStep& ready, Relaxation relaxation) const;
   Resources FreeCapacity(const Worker& worker) const;
+  /// Returns the number of processed ends that the worker has not been told to forget.
+  static std::int64_t UnacknowledgedEnds(const Worker& worker);
   /// Returns whether new work of the service may be started on the worker.
   bool IsUsable(TimePoint now, const Worker& worker, const ServiceId& service) const;
   /// Updates the decaying peak demand of priority 0 and derives the headroom from it.
--- a/src/fleet/scheduler_room.cc
+++ b/src/fleet/scheduler_room.cc
@@ -14,6 +14,9 @@
 
 // Progress from which the run's own pace predicts its end better than the run times of others.
 constexpr std::int32_t kMinPacePercent = 10;
+// A backend server lists at most 500 ends, from the first one that is not acknowledged. With this
+// many, the ends of the runs that are active there would still be listed.
+constexpr std::int64_t kMaxUnacknowledgedEnds = 250;
 
 }  // namespace
 
@@ -23,6 +26,11 @@
   return free;
 }
 
+std::int64_t SchedulerCore::UnacknowledgedEnds(const Worker& worker) {
+  const auto& ends = worker.unsaved_ends;
+  return ends.empty() ? 0 : worker.last_end - ends.begin()->first + 1;
+}
+
 bool SchedulerCore::FreesCapacitySoon(TimePoint now, const Allocation& run) const {
   return run.stopping && now - run.stopping_since <= options_.stop_time + options_.stop_grace;
 }
@@ -31,6 +39,7 @@
   return worker.has_listed_runs && worker.backend && worker.backend->service == service &&
          !worker.backend->draining && now - worker.last_report <= options_.silence_limit &&
          now >= worker.start_pause_until && worker.poll_age <= options_.silence_limit &&
+         UnacknowledgedEnds(worker) < kMaxUnacknowledgedEnds &&
          operator_state_->evacuated.count(worker.backend->data_centre) == 0;
 }
 
--- a/tests/fleet/scheduler_core_test.cc
+++ b/tests/fleet/scheduler_core_test.cc
@@ -511,5 +511,23 @@
   EXPECT_EQ(fleet_.core().counts().runs_started, 0U);
 }
 
+// Guards against running tasks again whose ends are not seen: a backend server lists at most 500
+// ends, beginning with the first one that is not acknowledged.
+TEST_F(SchedulerCoreTest, StartsNothingOnAWorkerWithManyUnacknowledgedEnds) {
+  AddAgents(1);
+  FleetHarness::Agent& agent = fleet_.agent("a0");
+  JobSpec unreadable;
+  unreadable.id = JobId("00000000000000ff");
+  fleet_.core().AddUnreadableJob(TimePoint(fleet_.now_ms()), fleet_.now_ms(), unreadable);
+  agent.report.ended.push_back({1, {unreadable.id, 0, 0, 0}, RunNumber(1), 0, ""});
+  agent.next_end = 2;
+  const JobId job = fleet_.Submit("batch", "shop", MakeStep(600, 1, 40));
+  fleet_.Advance(30 * kSecond);
+  EXPECT_LE(agent.report.ended.size(), 300U);
+  fleet_.Cancel(unreadable.id);
+  EXPECT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, 60 * kSecond));
+  EXPECT_EQ(fleet_.StartsOf(job), 600U);
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
