Treat a stored job with inconsistent steps as unreadable

All jobs would be held up: a stored job that can be decoded but has, for example, a negative number of tasks raised an exception that ended the reading of all jobs, so the scheduler never became active; a dependency on a step that does not exist would be read out of bounds. Entries accept no such job, so it takes another writer or a fault; none was seen.

Change: DecodeJobSpec() checks what the scheduler relies on: at least one step, at least one task a step, dependencies on earlier steps only, and no negative number of occurrences. These are the bounds of entries.

Before the change, the new test failed with std::length_error from the reading of the jobs. With it it passes, as do the other tests of Scheduler*, Fleet*, Node*, Store*, Admission* and PlatformStore* (135 in all).

--- a/include/basilspring/fleet/job_model.h
+++ b/include/basilspring/fleet/job_model.h
@@ -169,7 +169,7 @@
 };
 
 std::string EncodeJobSpec(const JobSpec& spec);
-/// Throws Error(kBadFrame) if the bytes are malformed.
+/// Throws Error(kBadFrame) if the bytes are malformed or describe no possible job.
 JobSpec DecodeJobSpec(const std::string& bytes);
 std::string EncodeJobProgress(const JobProgress& progress);
 /// Throws Error(kBadFrame) if the bytes are malformed or the phase is out of range.
--- a/src/fleet/job_model.cc
+++ b/src/fleet/job_model.cc
@@ -72,7 +72,19 @@
   return bytes;
 }
 
-JobSpec DecodeJobSpec(const std::string& bytes) { return internal::DecodeBody<JobSpec>(bytes); }
+JobSpec DecodeJobSpec(const std::string& bytes) {
+  auto spec = internal::DecodeBody<JobSpec>(bytes);
+  bool possible = !spec.steps.empty() && spec.occurrences >= 0;
+  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+    const StepSpec& step = spec.steps[i];
+    possible = possible && step.task_count > 0;
+    for (const std::int32_t before : step.after) {
+      possible = possible && before >= 0 && static_cast<std::size_t>(before) < i;
+    }
+  }
+  if (!possible) throw Error(ErrorKind::kBadFrame, "bad job: its steps are not consistent");
+  return spec;
+}
 
 std::string EncodeJobProgress(const JobProgress& progress) {
   std::string bytes;
--- a/tests/fleet/scheduler_driver_test.cc
+++ b/tests/fleet/scheduler_driver_test.cc
@@ -288,6 +288,20 @@
   EXPECT_EQ(Report(*driver, report).acknowledged, 2);
 }
 
+// Guards against a scheduler that never becomes active, because the exception for one job that
+// can't be represented ended the reading of all jobs.
+TEST_F(SchedulerDriverTest, ReadsOtherJobsIfOneIsInconsistent) {
+  JobSpec inconsistent = AddStoredJob("00000000000000aa");
+  inconsistent.steps.front().task_count = -1;
+  stored_[StoreKeys::Job(inconsistent.id)] = EncodeJobSpec(inconsistent);
+  const JobSpec other = AddStoredJob("00000000000000bb");
+  AnswerFromItems();
+  std::unique_ptr<SchedulerDriver> driver;
+  ASSERT_NO_THROW(driver = MakeReadyDriver());
+  EXPECT_TRUE(driver->IsActive());
+  EXPECT_TRUE(driver->core().PhaseOf(other.id).has_value());
+}
+
 // Guards against starting a task a second time while it may run on an agent that is not known,
 // because an earlier scheduler could not read the list of agents and wrote it anew.
 TEST_F(SchedulerDriverTest, WaitsForRecordedAgentsThatTheListLacks) {
