--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -141,11 +141,18 @@
   /// there is none. Runs of an earlier term may exist on the agents named in it.
   void AddJob(TimePoint now, std::int64_t wall_ms, JobSpec spec,
               const std::optional<JobProgress>& progress);
+  /// Adds a job whose record exists and can't be read. Runs of it that agents list go on, but
+  /// nothing is started, and no end is acknowledged, because a scheduler that can read the record
+  /// needs it. Only a final phase is recorded. If the specification can't be read, `spec` contains
+  /// the id only, and listed runs are stopped.
+  void AddUnreadableJob(TimePoint now, std::int64_t wall_ms, JobSpec spec);
   /// Cancels a job for its caller. The cancellation is remembered if the job has not been added
   /// yet.
   void CancelJob(const JobId& job);
-  /// Registers an agent that may have runs of an earlier term.
+  /// Registers an agent that may have runs of an earlier term. The address is empty if unknown.
   void ExpectAgent(const NodeId& node, const Address& address);
+  /// Records that agents may exist that were not registered, so the shapes stay unknown.
+  void SetAgentsIncomplete() { agents_incomplete_ = true; }
 
   /// Processes the report of an agent and returns the answer to it.
   AgentReportReply OnReport(TimePoint now, const AgentReport& report);
@@ -154,6 +161,9 @@
                         const std::optional<OrderBatchReply>& reply);
   /// Records that the given version of a job's record is in the store.
   void OnSaved(const JobId& job, std::uint64_t version);
+  /// Records that the store does not accept the last write for the job. Until a later one is
+  /// stored, the job starts nothing; starts that wait for the record are given up.
+  void OnSaveRejected(TimePoint now, const JobId& job);
   /// Records that all keys of the job have been deleted from the store.
   void OnRemoved(const JobId& job);
 
@@ -161,8 +171,8 @@
   /// lease may have expired.
   SchedulerOutput Tick(TimePoint now, std::int64_t wall_ms, bool may_start);
 
-  /// Returns the phase that callers may see, or std::nullopt if the job is unknown. A final phase
-  /// is visible once it is stored.
+  /// Returns the phase that callers may see, or std::nullopt if the job or its phase is unknown. A
+  /// final phase is visible once it is stored.
   std::optional<JobPhase> PhaseOf(const JobId& job) const;
   /// Returns the answer to an entry's query. Without a valid lease only final phases are reported:
   /// another scheduler may have seen the job end in the meantime, whereas a final phase never
@@ -175,7 +185,7 @@
   /// Returns the number up to which all ends listed by this agent's backend server are stored.
   std::int64_t AcknowledgedEnd(const NodeId& node) const;
   /// Returns whether the answer to the agent's report should be delayed because ends listed in it
-  /// are still being stored.
+  /// are still being stored. Ends that can't be stored at present don't count.
   bool HasUnsavedEnds(const NodeId& node) const;
   const SchedulerCounts& counts() const { return counts_; }
   /// Returns whether the agent may have runs: it reports, or its last lease has not expired yet.
@@ -308,6 +318,19 @@
     kAgentsNotListed,
     /// Runs of an earlier start still occupy capacity.
     kEarlierRuns,
+    /// The job's record can't be read.
+    kRecordUnreadable,
+    /// The store does not accept the job's record.
+    kRecordRejected,
+  };
+
+  /// Why the job's progress can't be recorded.
+  enum class RecordFault : std::uint8_t {
+    kNone,
+    /// The stored record, or the stored specification, can't be read.
+    kUnreadable,
+    /// The store does not accept the record.
+    kRejected,
   };
 
   struct Job {
@@ -332,6 +355,11 @@
     std::uint64_t version = 0;
     std::uint64_t saving_version = 0;
     std::uint64_t saved_version = 0;
+    RecordFault record_fault = RecordFault::kNone;
+    /// After the store has not accepted a write: when the next one is made, and the time between
+    /// the two.
+    TimePoint save_not_before;
+    Duration save_retry_delay;
     /// Whether a task has been started, also in an earlier term.
     bool started = false;
     /// When the job last had a live run.
@@ -380,9 +408,11 @@
   static bool IsUrgent(const Job& job) { return job.queue_known && job.queue.priority == 0; }
   /// Gives up the capacity that is reserved or held back for the step.
   static void ReleaseClaims(Step& step);
+  /// Whether the job has active runs.
+  static bool HasLiveRuns(const Job& job);
   void FinishJob(Job& job, JobPhase phase, const std::string& reason);
   static JobProgress ProgressOf(Job& job);
-  void CollectSaves(SchedulerOutput& out);
+  void CollectSaves(TimePoint now, SchedulerOutput& out);
   void RemoveOldJobs(TimePoint now, SchedulerOutput& out);
 
   // Reports, ends and losses of runs, in scheduler_runs.cc.
@@ -495,6 +525,8 @@
   /// Returns the workers on which the step may be placed.
   PlacementView BuildView(const Pass& pass, const ReadyStep& ready, Relaxation relaxation) const;
   Resources FreeCapacity(const Worker& worker) const;
+  /// Returns the number of processed ends that the worker has not been told to forget.
+  static std::int64_t UnacknowledgedEnds(const Worker& worker);
   /// Returns whether new work of the service may be started on the worker.
   bool IsUsable(TimePoint now, const Worker& worker, const ServiceId& service) const;
   /// Updates the decaying peak demand of priority 0 and derives the headroom from it.
@@ -534,6 +566,7 @@
   std::map<NodeId, Worker> workers_;
   /// Agents of earlier terms that have not reported in this one.
   std::set<NodeId> unreported_agents_;
+  bool agents_incomplete_ = false;
   std::vector<WorkerShape> shapes_;
   RunTimeModel run_times_;
   /// For each service the exponentially decaying peak of the accelerators that jobs of priority 0
--- a/include/basilspring/fleet/scheduler_driver.h
+++ b/include/basilspring/fleet/scheduler_driver.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "basilspring/error.h"
 #include "basilspring/fleet/fleet_config.h"
 #include "basilspring/fleet/pass_pacing.h"
 #include "basilspring/fleet/peer_client.h"
@@ -108,6 +109,10 @@
   void BecomeReadyIfLoaded();
   /// Handles items of the inbox: all that exist if `snapshot` is true, otherwise changes.
   void OnInbox(const std::vector<StoreItem>& items, bool snapshot);
+  /// Adds an accepted job from the store.
+  void AddJob(const JobId& id, const StoreItem& item);
+  /// Logs and counts a stored item that can't be read; `kind` is the label of the counter.
+  void ReportUnreadable(const std::string& kind, const std::string& key, const Error& error);
   /// Whether the item was read before the job's keys were deleted.
   bool IsOlderThanRemoval(const JobId& job, const StoreItem& item) const;
   /// Lets the core decide and carries out its decisions.
@@ -122,6 +127,10 @@
   /// lease, or a record has a newer revision because an earlier write was applied without an
   /// answer. In the second case the batch is written again.
   void OnSaveRefused(const std::vector<ProgressSave>& batch, const StoreReply& reply);
+  /// Handles a transaction whose content the store does not accept. The records of a batch are
+  /// written again, each by itself; a single record is set aside, so that it stops no others.
+  void OnSaveRejected(const std::vector<ProgressSave>& batch, const StoreReply& reply);
+  void CountRejectedWrite(const std::string& kind);
   /// Writes the list of agents if the stored list lacks an agent.
   void SaveAgents();
   /// Whether a refused transaction shows that this process no longer holds the lease.
@@ -138,6 +147,10 @@
   /// Progress records that were read at the start of the term. They are dropped once all jobs are
   /// loaded.
   std::map<JobId, JobProgress> loaded_progress_;
+  /// Jobs whose record can't be read.
+  std::set<JobId> unreadable_records_;
+  /// Jobs whose specification can't be read.
+  std::set<JobId> unreadable_jobs_;
   /// Revision of each job's record. Each write is conditional on it, so that a write whose answer
   /// was lost can't replace a later one if the store applies it late.
   std::map<JobId, std::int64_t> progress_revisions_;
@@ -159,9 +172,13 @@
   std::map<NodeId, Address> agents_;
   std::set<NodeId> stored_agents_;
   bool saving_agents_ = false;
+  TimePoint save_agents_not_before_;
   std::map<NodeId, Address> entries_;
   std::vector<ProgressSave> save_queue_;
   bool saving_ = false;
+  /// Jobs whose records are written in transactions of their own, because the store has rejected a
+  /// batch that contained them.
+  std::set<JobId> save_alone_;
   TimePoint save_not_before_;
   std::vector<WaitingReport> waiting_reports_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/fleet/scheduler_core.cc
+++ b/src/fleet/scheduler_core.cc
@@ -14,6 +14,10 @@
 // After this long in a term, agents unknown to earlier terms have reported too. Covers several
 // announcement intervals of a backend server.
 constexpr Duration kShapesSettleTime(10000);
+// Time between two writes for a job that the store does not accept; doubles up to the maximum. The
+// record may have changed meanwhile, and the calls must not use up the store's rate limit.
+constexpr Duration kMinRejectedSaveRetry(5000);
+constexpr Duration kMaxRejectedSaveRetry(60000);
 
 }  // namespace
 
@@ -137,6 +141,23 @@
   }
 }
 
+void SchedulerCore::AddUnreadableJob(TimePoint now, std::int64_t wall_ms, JobSpec spec) {
+  const JobId id = spec.id;
+  if (jobs_.count(id) != 0) return;
+  // Cancelled jobs are recorded as such, whatever their record contains.
+  AddJob(now, wall_ms, std::move(spec), std::nullopt);
+  Job& job = jobs_.at(id);
+  job.record_fault = RecordFault::kUnreadable;
+  job.started = true;
+}
+
+bool SchedulerCore::HasLiveRuns(const Job& job) {
+  return std::any_of(job.steps.begin(), job.steps.end(), [](const Step& step) {
+    return std::any_of(step.tasks.begin(), step.tasks.end(),
+                       [](const Task& task) { return task.live_runs > 0; });
+  });
+}
+
 void SchedulerCore::CancelJob(const JobId& id) {
   const auto found = jobs_.find(id);
   if (found == jobs_.end()) {
@@ -164,6 +185,8 @@
   job.phase = phase;
   job.phase_stored = false;
   job.finished_unix_ms = wall_ms_;
+  // The final record is much smaller, so the store may accept it.
+  job.save_not_before = TimePoint();
   ++job.version;
   active_.erase(job.spec.id);
   for (Step& step : job.steps) ReleaseClaims(step);
@@ -194,9 +217,12 @@
   return progress;
 }
 
-void SchedulerCore::CollectSaves(SchedulerOutput& out) {
+void SchedulerCore::CollectSaves(TimePoint now, SchedulerOutput& out) {
   for (auto& [id, job] : jobs_) {
     if (job.version == job.saved_version || job.saving_version != 0) continue;
+    if (now < job.save_not_before) continue;
+    // A partial record must not replace one that a later scheduler may be able to read.
+    if (job.record_fault == RecordFault::kUnreadable && !IsFinal(job.phase)) continue;
     job.saving_version = job.version;
     out.saves.push_back({id, job.version, EncodeJobProgress(ProgressOf(job)), false});
   }
@@ -207,6 +233,7 @@
     if (!job.phase_stored || job.saving_version != 0 || job.removing) continue;
     if (!job.kept_since) job.kept_since = now;
     if (now - *job.kept_since < options_.keep_finished) continue;
+    if (now < job.save_not_before) continue;
     // The job stays known until its keys are deleted. Otherwise the next read of the jobs would
     // add it again without its record.
     job.removing = true;
@@ -222,6 +249,9 @@
   Job& job = found->second;
   job.saving_version = 0;
   job.saved_version = std::max(job.saved_version, version);
+  job.record_fault = RecordFault::kNone;
+  job.save_not_before = TimePoint();
+  job.save_retry_delay = Duration();
   if (IsFinal(job.phase) && job.saved_version == job.version) job.phase_stored = true;
   for (auto& [node, worker] : workers_) {
     for (auto it = worker.unsaved_ends.begin(); it != worker.unsaved_ends.end();) {
@@ -232,6 +262,28 @@
   }
 }
 
+void SchedulerCore::OnSaveRejected(TimePoint now, const JobId& id) {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) return;
+  Job& job = found->second;
+  job.save_retry_delay =
+      std::clamp(job.save_retry_delay * 2, kMinRejectedSaveRetry, kMaxRejectedSaveRetry);
+  job.save_not_before = now + job.save_retry_delay;
+  job.saving_version = 0;
+  if (std::exchange(job.removing, false)) return;
+  if (job.record_fault == RecordFault::kNone) job.record_fault = RecordFault::kRejected;
+  // These starts would occupy capacity for as long as the record is not stored.
+  for (PendingOrder& pending : std::exchange(pending_orders_, {})) {
+    const bool given_up = AwaitsRecord(pending) && pending.order.task.job == id;
+    const auto worker = workers_.find(pending.worker);
+    if (!given_up) {
+      pending_orders_.push_back(std::move(pending));
+    } else if (worker != workers_.end()) {
+      ReleaseRun(now, worker->second, {pending.order.task, pending.order.run}, false);
+    }
+  }
+}
+
 SchedulerOutput SchedulerCore::Tick(TimePoint now, std::int64_t wall_ms, bool may_start) {
   SchedulerOutput out;
   wall_ms_ = wall_ms;
@@ -241,7 +293,7 @@
   StopUnwantedRuns(now);
   if (may_start) Schedule(now);
   EmitOrders(now, out);
-  CollectSaves(out);
+  CollectSaves(now, out);
   RemoveOldJobs(now, out);
   out.decisions = std::exchange(decisions_, {});
   return out;
@@ -252,6 +304,7 @@
   if (found == jobs_.end()) return std::nullopt;
   const Job& job = found->second;
   if (IsFinal(job.phase) && job.phase_stored) return job.phase;
+  if (job.record_fault == RecordFault::kUnreadable) return std::nullopt;
   return job.started ? JobPhase::kRunning : JobPhase::kQueued;
 }
 
@@ -278,7 +331,8 @@
 }
 
 std::vector<WorkerShape> SchedulerCore::Shapes(TimePoint now) const {
-  const bool settled = now - term_started_at_ >= kShapesSettleTime && unreported_agents_.empty();
+  const bool settled = now - term_started_at_ >= kShapesSettleTime && unreported_agents_.empty() &&
+                       !agents_incomplete_;
   return settled ? shapes_ : std::vector<WorkerShape>();
 }
 
@@ -305,7 +359,13 @@
 
 bool SchedulerCore::HasUnsavedEnds(const NodeId& node) const {
   const auto found = workers_.find(node);
-  return found != workers_.end() && !found->second.unsaved_ends.empty();
+  if (found == workers_.end()) return false;
+  const auto& ends = found->second.unsaved_ends;
+  return std::any_of(ends.begin(), ends.end(), [this](const auto& row) {
+    const auto job = jobs_.find(row.second.first);
+    if (job == jobs_.end() || job->second.record_fault == RecordFault::kNone) return true;
+    return IsFinal(job->second.phase) && job->second.record_fault == RecordFault::kUnreadable;
+  });
 }
 
 }  // namespace basilspring::fleet
--- a/src/fleet/scheduler_driver.cc
+++ b/src/fleet/scheduler_driver.cc
@@ -29,6 +29,8 @@
 // A pass that takes longer is logged, at most once in this interval.
 constexpr Duration kSlowPass(100);
 constexpr Duration kSlowPassLogInterval(3000);
+// Time until a list of agents that the store rejected is written again.
+constexpr Duration kRejectedAgentsRetry(5000);
 
 }  // namespace
 
@@ -59,31 +61,33 @@
 }
 
 void SchedulerDriver::LoadProgress(const std::string& after_key) {
-  context_.store.Call(
-      StoreCall::Range(StoreKeys::kProgress, after_key),
-      [this, alive = alive_, after_key](const StoreReply& reply) {
-        if (!*alive) return;
-        if (reply.status != StoreStatus::kOk) {
-          load_retry_at_ = Clock::Now() + kLoadRetry;
-          return;
-        }
-        for (const StoreItem& item : reply.items) {
-          try {
-            const JobId id(item.key.substr(std::string(StoreKeys::kProgress).size()));
-            loaded_progress_[id] = DecodeJobProgress(item.value);
-            progress_revisions_[id] = item.revision;
-          } catch (const Error& error) {
-            Log(EventId::kFleetDecision, "key={} can't be decoded: {}", item.key, error.what());
-          }
-        }
-        if (reply.more && !reply.items.empty()) {
-          LoadProgress(reply.items.back().key);
-          return;
+  const std::string prefix = StoreKeys::kProgress;
+  const StoreCall call = StoreCall::Range(prefix, after_key);
+  context_.store.Call(call, [this, alive = alive_, prefix](const StoreReply& reply) {
+    if (!*alive) return;
+    if (reply.status != StoreStatus::kOk) {
+      load_retry_at_ = Clock::Now() + kLoadRetry;
+      return;
+    }
+    for (const StoreItem& item : reply.items) {
+      const JobId id(item.key.substr(prefix.size()));
+      progress_revisions_[id] = item.revision;
+      try {
+        loaded_progress_[id] = DecodeJobProgress(item.value);
+      } catch (const Error& error) {
+        if (unreadable_records_.insert(id).second) {
+          ReportUnreadable("record", item.key, error);
         }
-        progress_loaded_ = true;
-        // Jobs are read after the progress records, so a job without a record has no progress.
-        inbox_->Start();
-      });
+      }
+    }
+    if (reply.more && !reply.items.empty()) {
+      LoadProgress(reply.items.back().key);
+      return;
+    }
+    progress_loaded_ = true;
+    // Jobs are read after the progress records, so a job without a record has no progress.
+    inbox_->Start();
+  });
 }
 
 void SchedulerDriver::LoadAgents() {
@@ -101,7 +105,8 @@
               core_.ExpectAgent(row.node, row.address);
             }
           } catch (const Error& error) {
-            Log(EventId::kFleetDecision, "list of agents can't be decoded: {}", error.what());
+            core_.SetAgentsIncomplete();
+            ReportUnreadable("agents", StoreKeys::kAgents, error);
           }
         } else if (reply.status != StoreStatus::kNotFound) {
           load_retry_at_ = Clock::Now() + kLoadRetry;
@@ -115,6 +120,15 @@
 void SchedulerDriver::BecomeReadyIfLoaded() {
   if (ready_ || !progress_loaded_ || !agents_loaded_ || !inbox_loaded_ || !config_loaded_) return;
   ready_ = true;
+  // The records also name agents that may have runs. The list lacks them if it can't be read, or if
+  // an earlier scheduler could not read it and wrote it anew.
+  for (const auto& [id, progress] : loaded_progress_) {
+    for (const StepProgress& step : progress.steps) {
+      for (const NodeId& node : step.agents) {
+        if (agents_.count(node) == 0) core_.ExpectAgent(node, Address());
+      }
+    }
+  }
   loaded_progress_.clear();
   Log(EventId::kFleetScheduler, "term={} ready members={} jobs_revision={} config={}",
       term_.value(), agents_.size(), inbox_->revision(), config_version_);
@@ -131,8 +145,6 @@
 }
 
 void SchedulerDriver::OnInbox(const std::vector<StoreItem>& items, bool snapshot) {
-  const TimePoint now = Clock::Now();
-  const std::int64_t wall_ms = Clock::WallMilliseconds();
   const std::string jobs = StoreKeys::kJobs;
   const std::string cancels = StoreKeys::kCancels;
   for (const StoreItem& item : items) {
@@ -141,16 +153,8 @@
       const JobId id(item.key.substr(cancels.size()));
       if (!IsOlderThanRemoval(id, item)) core_.CancelJob(id);
     } else if (item.key.rfind(jobs, 0) == 0) {
-      if (IsOlderThanRemoval(JobId(item.key.substr(jobs.size())), item)) continue;
-      try {
-        JobSpec spec = DecodeJobSpec(item.value);
-        const auto found = loaded_progress_.find(spec.id);
-        std::optional<JobProgress> progress;
-        if (found != loaded_progress_.end()) progress = found->second;
-        core_.AddJob(now, wall_ms, std::move(spec), progress);
-      } catch (const Error& error) {
-        Log(EventId::kFleetDecision, "key={} can't be decoded: {}", item.key, error.what());
-      }
+      const JobId id(item.key.substr(jobs.size()));
+      if (!IsOlderThanRemoval(id, item)) AddJob(id, item);
     }
   }
   std::erase_if(removal_revisions_,
@@ -160,6 +164,42 @@
   if (ready_) RequestPass();
 }
 
+void SchedulerDriver::AddJob(const JobId& id, const StoreItem& item) {
+  const TimePoint now = Clock::Now();
+  const std::int64_t wall_ms = Clock::WallMilliseconds();
+  try {
+    JobSpec spec = DecodeJobSpec(item.value);
+    if (unreadable_records_.count(id) != 0) {
+      core_.AddUnreadableJob(now, wall_ms, std::move(spec));
+      return;
+    }
+    const auto found = loaded_progress_.find(id);
+    std::optional<JobProgress> progress;
+    if (found != loaded_progress_.end()) progress = found->second;
+    core_.AddJob(now, wall_ms, std::move(spec), progress);
+  } catch (const Error& error) {
+    if (unreadable_jobs_.insert(id).second) ReportUnreadable("job", item.key, error);
+    const auto found = loaded_progress_.find(id);
+    JobSpec unknown;
+    unknown.id = id;
+    if (found != loaded_progress_.end() && IsFinal(static_cast<JobPhase>(found->second.phase))) {
+      core_.AddJob(now, wall_ms, std::move(unknown), found->second);
+    } else {
+      core_.AddUnreadableJob(now, wall_ms, std::move(unknown));
+    }
+  }
+}
+
+void SchedulerDriver::ReportUnreadable(const std::string& kind, const std::string& key,
+                                       const Error& error) {
+  context_.metrics
+      .GetCounter("basilspring_unreadable_items_total", fmt::format("kind=\"{}\"", kind),
+                  "Items of the scheduler in the store that could not be read.")
+      .Add();
+  Log(EventId::kFleetStore, "term={} key={} can't be decoded: {}", term_.value(), key,
+      error.what());
+}
+
 bool SchedulerDriver::IsOlderThanRemoval(const JobId& job, const StoreItem& item) const {
   const auto found = removal_revisions_.find(job);
   return found != removal_revisions_.end() && item.revision < found->second;
@@ -248,6 +288,8 @@
   auto batch = std::make_shared<std::vector<ProgressSave>>();
   std::size_t entries = 0;
   while (!save_queue_.empty()) {
+    const bool alone = save_alone_.count(save_queue_.front().job) != 0;
+    if (alone && !batch->empty()) break;
     const bool remove = save_queue_.front().remove;
     entries += remove ? kEntriesPerRemoval : kEntriesPerSave;
     if (entries > kMaxTransactionEntries) break;
@@ -261,6 +303,7 @@
       call.If(key, known == progress_revisions_.end() ? 0 : known->second).Set(key, save.bytes);
     }
     batch->push_back(std::move(save));
+    if (alone) break;
   }
   saving_ = true;
   context_.store.Call(
@@ -276,6 +319,10 @@
           OnSaveRefused(*batch, reply);
           return;
         }
+        if (reply.status == StoreStatus::kRejected) {
+          OnSaveRejected(*batch, reply);
+          return;
+        }
         if (reply.status != StoreStatus::kOk) {
           Log(EventId::kFleetStore, "records={} not saved: {} {}", batch->size(),
               StoreStatusName(reply.status), reply.message);
@@ -285,8 +332,11 @@
           return;
         }
         for (const ProgressSave& save : *batch) {
+          save_alone_.erase(save.job);
           if (save.remove) {
             progress_revisions_.erase(save.job);
+            unreadable_records_.erase(save.job);
+            unreadable_jobs_.erase(save.job);
             removal_revisions_[save.job] = reply.revision;
             core_.OnRemoved(save.job);
           } else {
@@ -325,11 +375,37 @@
   Save();
 }
 
+void SchedulerDriver::OnSaveRejected(const std::vector<ProgressSave>& batch,
+                                     const StoreReply& reply) {
+  CountRejectedWrite("record");
+  for (const ProgressSave& save : batch) {
+    Log(EventId::kFleetStore, "term={} job={} bytes={} records={} the store rejects the record: {}",
+        term_.value(), save.job.value(), save.bytes.size(), batch.size(), reply.message);
+    save_alone_.insert(save.job);
+  }
+  if (batch.size() > 1) {
+    // Each record by itself shows which of them the store rejects.
+    save_queue_.insert(save_queue_.begin(), batch.begin(), batch.end());
+  } else {
+    core_.OnSaveRejected(Clock::Now(), batch.front().job);
+  }
+  Save();
+  AnswerWaitingReports(Clock::Now());
+  RequestPass();
+}
+
+void SchedulerDriver::CountRejectedWrite(const std::string& kind) {
+  context_.metrics
+      .GetCounter("basilspring_rejected_writes_total", fmt::format("kind=\"{}\"", kind),
+                  "Writes of the scheduler whose content the store did not accept.")
+      .Add();
+}
+
 void SchedulerDriver::SaveAgents() {
   const bool missing = std::any_of(agents_.begin(), agents_.end(), [&](const auto& row) {
     return stored_agents_.count(row.first) == 0;
   });
-  if (!missing || saving_agents_) return;
+  if (!missing || saving_agents_ || Clock::Now() < save_agents_not_before_) return;
   saving_agents_ = true;
   std::vector<ListedAgent> rows;
   auto written = std::make_shared<std::set<NodeId>>();
@@ -345,7 +421,12 @@
   context_.store.Call(call, [this, alive = alive_, written](const StoreReply& reply) {
     if (!*alive) return;
     saving_agents_ = false;
-    if (reply.status == StoreStatus::kOk) {
+    if (reply.status == StoreStatus::kRejected) {
+      CountRejectedWrite("agents");
+      Log(EventId::kFleetStore, "term={} agents={} the store rejects the list of agents: {}",
+          term_.value(), written->size(), reply.message);
+      save_agents_not_before_ = Clock::Now() + kRejectedAgentsRetry;
+    } else if (reply.status == StoreStatus::kOk) {
       stored_agents_ = *written;
       agents_revision_ = reply.revision;
     } else if (reply.status == StoreStatus::kConflict && ShowsNewLeader(reply)) {
