Report accepted jobs that callers see as unknown in the soak

The soak reported an answer that a job is unknown only after the job was reported as completed, and callers stopped asking about a second after the end. A job that was unknown for a while before its end, or lost after the callers' fourth query, went unnoticed.

An accepted job must now be known from 3 s after its acceptance until 120 s after its end, the users' bounds, also if it was cancelled. Each accepted job is queried once more when all faults have ended; no answer counts as a violation.

A job without an answer at the end was already reported, but no query was sent then.

--- a/standin/soak_callers.cc
+++ b/standin/soak_callers.cc
@@ -15,6 +15,8 @@
 constexpr Duration kCallTimeout(3000);
 constexpr int kMaxSubmits = 40;
 constexpr std::int64_t kRetryMs = 400;
+// Time between the last queries of two jobs, so that they don't arrive all at once.
+constexpr std::int64_t kLastQueryIntervalMs = 10;
 constexpr std::int64_t kCancelPercent = 12;
 constexpr std::int64_t kGangPercent = 15;
 constexpr std::int64_t kTwoStepsPercent = 15;
@@ -113,6 +115,7 @@
     job->record.submit_statuses.push_back(result.error == ErrorKind::kNone ? result.status : 0);
     const int status = job->record.submit_statuses.back();
     if (status == 200) {
+      if (!job->record.accepted_ms) job->record.accepted_ms = NowMs();
       RunAfter(static_cast<std::int64_t>(50 + RandomBelow(500)), [this, job] { QueryPhase(job); });
     } else if (job->record.submit_statuses.size() >= kMaxSubmits) {
       job->finished = true;
@@ -143,6 +146,24 @@
   });
 }
 
+void SoakCallers::QueryAllOnce() {
+  const std::lock_guard lock(mutex_);
+  std::int64_t delay_ms = 0;
+  for (const auto& [id, row] : jobs_) {
+    if (!row->record.accepted()) continue;
+    row->finished = false;
+    delay_ms += kLastQueryIntervalMs;
+    RunAfter(delay_ms, [this, job = row] {
+      Call(job, "GET", "", [job, asked_ms = NowMs()](const HttpResult& result) {
+        const bool answered = result.error == ErrorKind::kNone;
+        job->record.phase_answers.push_back(
+            {asked_ms, NowMs(), answered ? PhaseOf(result) : "no answer"});
+        job->finished = true;
+      });
+    });
+  }
+}
+
 void SoakCallers::Cancel(const JobPtr& job) {
   if (!job->record.accepted() || job->finished) return;
   if (!job->record.cancel_sent_ms) job->record.cancel_sent_ms = NowMs();
--- a/standin/soak_callers.h
+++ b/standin/soak_callers.h
@@ -25,6 +25,9 @@
   /// Submits the next job, whose shape is random. Its retries, queries and cancellation follow on
   /// the I/O thread.
   void SubmitNextJob();
+  /// Queries each accepted job once more, with answers or without. The job counts as open until
+  /// then.
+  void QueryAllOnce();
   /// Returns the number of jobs whose end hasn't been observed and whose submission hasn't been
   /// given up.
   std::size_t open() const;
--- a/standin/soak_main.cc
+++ b/standin/soak_main.cc
@@ -339,6 +339,11 @@
     }
     // Covers the bound for cancellations and the last queries of the callers.
     RunLoadFor(10000);
+    callers_.QueryAllOnce();
+    for (const std::int64_t end_ms = NowMs() + kSettleLimit.milliseconds();
+         NowMs() < end_ms && callers_.open() > 0;) {
+      RunLoadFor(200);
+    }
     RecordUnexpectedExits();
     record_.settled_ms = NowMs();
   }
--- a/standin/soak_rules.cc
+++ b/standin/soak_rules.cc
@@ -17,6 +17,13 @@
 // An entry that stops may close a connection without an answer within this time after the request
 // was sent, because it may not have read the request yet.
 constexpr std::int64_t kUnreadRequestMs = 200;
+// The users' bounds: an accepted job is known after the first time, and until the second one has
+// passed since its end.
+constexpr std::int64_t kVisibleBoundMs = 3000;
+constexpr std::int64_t kRetentionMs = 120000;
+
+// The answer to a query for a job that the system doesn't know.
+constexpr const char* kUnknownJob = "410";
 
 bool PromisesNoRun(int status) { return status >= 400 && status != 502 && status != 504; }
 
@@ -92,10 +99,10 @@
     }
     ++verdict_.checked[job.refused() ? "refused jobs" : "other jobs"];
     CheckPhaseAnswers(job);
+    CheckKnown(job);
     if (!job.accepted() || job.cancel_sent_ms) return;
     ++verdict_.checked["accepted jobs"];
-    const std::string last =
-        job.phase_answers.empty() ? "no answer" : job.phase_answers.back().phase;
+    const std::string last = LastPhase(job);
     if (last != "completed") {
       AddViolation("accepted job {} is reported as {} at the end", job.id, last);
     }
@@ -112,8 +119,8 @@
       ++verdict_.checked["answers about jobs"];
       // The answer to an earlier query may arrive after the answer that reported the end.
       const bool after = completed_ms && answer.asked_ms > *completed_ms;
-      const bool phase = answer.phase == "queued" || answer.phase == "running" ||
-                         answer.phase == "failed" || answer.phase == "410";
+      const bool phase =
+          answer.phase == "queued" || answer.phase == "running" || answer.phase == "failed";
       if (after && phase) {
         AddViolation("job {} is reported as {} at {}, after completed at {}", job.id, answer.phase,
                      answer.answered_ms, *completed_ms);
@@ -128,6 +135,35 @@
     }
   }
 
+  /// Returns the last answer about the job that doesn't say that the job is unknown.
+  static std::string LastPhase(const SoakJob& job) {
+    std::string last = job.phase_answers.empty() ? "no answer" : "unknown";
+    for (const SoakPhaseAnswer& answer : job.phase_answers) {
+      if (answer.phase != kUnknownJob) last = answer.phase;
+    }
+    return last;
+  }
+
+  /// Reports answers that an accepted job is unknown, other than after its retention.
+  void CheckKnown(const SoakJob& job) {
+    std::optional<std::int64_t> known_from;
+    if (job.accepted_ms) known_from = *job.accepted_ms + kVisibleBoundMs;
+    std::int64_t ended_ms = job.cancel_sent_ms.value_or(0);
+    for (const SoakRun& run : record_.runs) {
+      if (run.job == job.id) ended_ms = std::max({ended_ms, run.started_ms, run.ended_ms});
+    }
+    for (const SoakPhaseAnswer& answer : job.phase_answers) {
+      const bool terminal = answer.phase == "completed" || answer.phase == "cancelled";
+      if (terminal)
+        known_from = std::min(known_from.value_or(answer.answered_ms), answer.answered_ms);
+      if (answer.phase != kUnknownJob || !known_from || answer.asked_ms <= *known_from) continue;
+      // A job without a known end is kept without a limit.
+      if (ended_ms > 0 && answer.asked_ms > ended_ms + kRetentionMs) continue;
+      AddViolation("job {} is reported as unknown at {}, though it must be known from {} until {}",
+                   job.id, answer.answered_ms, *known_from, ended_ms + kRetentionMs);
+    }
+  }
+
   void CheckEvacuations() {
     for (const SoakEvacuation& evacuation : record_.evacuations) {
       ++verdict_.checked["evacuations"];
--- a/standin/soak_rules.h
+++ b/standin/soak_rules.h
@@ -29,7 +29,8 @@
 struct SoakPhaseAnswer {
   std::int64_t asked_ms = 0;
   std::int64_t answered_ms = 0;
-  /// The phase; the HTTP status if it isn't 200; "unreadable" if a 200 answer has no phase.
+  /// The phase; the HTTP status if it isn't 200; "unreadable" if a 200 answer has no phase; "no
+  /// answer" if the last query of a soak got none in time.
   std::string phase;
 };
 
@@ -40,6 +41,8 @@
   bool gang = false;
   /// HTTP status of each attempt to submit the job; 0 for an attempt without an answer.
   std::vector<int> submit_statuses;
+  /// When an attempt was first answered with a 2xx status; std::nullopt if none was.
+  std::optional<std::int64_t> accepted_ms;
   std::vector<SoakPhaseAnswer> phase_answers;
   /// When the cancellation was first sent, and when it was acknowledged; std::nullopt if it wasn't.
   std::optional<std::int64_t> cancel_sent_ms;
--- a/tests/standin/soak_rules_test.cc
+++ b/tests/standin/soak_rules_test.cc
@@ -26,6 +26,7 @@
   SoakJob& job = record.jobs["j"];
   job.id = "j";
   job.submit_statuses = {0, 200};
+  job.accepted_ms = 900;
   job.phase_answers = {{1500, 1510, "running"}, {2200, 2210, "completed"}};
   record.settled_ms = 60000;
   return record;
@@ -76,6 +77,44 @@
   EXPECT_TRUE(CheckSoakRecord(record).violations.empty());
 }
 
+// Guards against a soak that passes though a job is unknown for a while and is known again later.
+TEST(SoakRulesTest, DetectsAnAcceptedJobThatIsUnknownForAWhile) {
+  SoakRecord record = ValidRecord();
+  record.jobs["j"].phase_answers.insert(record.jobs["j"].phase_answers.begin(),
+                                        {3901, 3910, "410"});
+  EXPECT_EQ(CheckSoakRecord(record).violations.size(), 1U);
+  // A job becomes visible within 3 s of its acceptance.
+  record.jobs["j"].phase_answers.front().asked_ms = 3900;
+  EXPECT_TRUE(CheckSoakRecord(record).violations.empty());
+}
+
+TEST(SoakRulesTest, DetectsAFinishedJobThatIsUnknownBeforeTheEndOfItsRetention) {
+  SoakRecord record = ValidRecord();
+  record.jobs["j"].phase_answers.push_back({122000, 122010, "410"});
+  EXPECT_EQ(CheckSoakRecord(record).violations.size(), 1U);
+  // The last run ended at 2000, and a job is kept for 120 s.
+  record.jobs["j"].phase_answers.back().asked_ms = 122001;
+  EXPECT_TRUE(CheckSoakRecord(record).violations.empty());
+}
+
+TEST(SoakRulesTest, DetectsACancelledJobThatIsUnknownBeforeTheEndOfItsRetention) {
+  SoakRecord record = ValidRecord();
+  SoakJob& job = record.jobs["j"];
+  record.runs.clear();
+  job.cancel_sent_ms = 1000;
+  job.cancelled_ms = 1100;
+  job.phase_answers = {{1500, 1510, "cancelled"}, {121000, 121010, "410"}};
+  EXPECT_EQ(CheckSoakRecord(record).violations.size(), 1U);
+  job.phase_answers.back().asked_ms = 121001;
+  EXPECT_TRUE(CheckSoakRecord(record).violations.empty());
+}
+
+TEST(SoakRulesTest, DetectsACompletedJobWithoutAnAnswerAtTheEnd) {
+  SoakRecord record = ValidRecord();
+  record.jobs["j"].phase_answers.push_back({50000, 53000, "no answer"});
+  EXPECT_EQ(CheckSoakRecord(record).violations.size(), 1U);
+}
+
 TEST(SoakRulesTest, DetectsAStartAfterACancellation) {
   SoakRecord record = ValidRecord();
   record.jobs["j"].cancel_sent_ms = 1400;
