Report jobs that wait beside idle workers at the end of a soak

The soak waited up to 70 s after the last fault for accepted jobs to complete, so a job that waited most of that time beside idle workers passed.

From 14 s after the end of the traffic and the faults on, no unfinished job may have nothing running for more than 3 s while less than half of the capacity is in use, the users' bounds. The rule uses the runs that the backend servers saw.

--- a/standin/platform_worker.cc
+++ b/standin/platform_worker.cc
@@ -12,7 +12,6 @@
 namespace json = boost::json;
 
 constexpr std::int64_t kStopDurationMs = 200;
-constexpr std::int64_t kAccelerators = 8;
 
 HttpResponse Reply(int status, const json::value& body) {
   HttpResponse response;
--- a/standin/platform_worker.h
+++ b/standin/platform_worker.h
@@ -18,6 +18,9 @@
 /// is added to `history`, which tests check.
 class PlatformWorkerStandin {
  public:
+  /// Number of tasks that run at the same time, of which each uses one accelerator.
+  static constexpr int kAccelerators = 8;
+
   PlatformWorkerStandin(std::string id, std::int64_t started_unix_ms, std::string zone = "here")
       : id_(std::move(id)), zone_(std::move(zone)), started_unix_ms_(started_unix_ms) {}
 
--- a/standin/soak_main.cc
+++ b/standin/soak_main.cc
@@ -63,6 +63,7 @@
     load_enabled_ = true;
     while (NowMs() < end_ms) RunFaultRound();
     load_enabled_ = false;
+    record_.quiet_from_ms = NowMs();
     WaitUntilSettled();
     return Report();
   }
@@ -351,6 +352,7 @@
   int Report() {
     callers_.Collect(record_);
     record_.runs = fleet_.Runs();
+    record_.capacity = static_cast<int>(fleet_.workers()) * PlatformWorkerStandin::kAccelerators;
     const SoakVerdict verdict = CheckSoakRecord(record_);
     for (const auto& [what, count] : verdict.checked) fmt::print("checked {}: {}\n", what, count);
     for (const std::string& violation : verdict.violations) fmt::print("BROKEN {}\n", violation);
--- a/standin/soak_rules.cc
+++ b/standin/soak_rules.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace basilspring::standin {
 namespace {
@@ -21,6 +22,11 @@
 // passed since its end.
 constexpr std::int64_t kVisibleBoundMs = 3000;
 constexpr std::int64_t kRetentionMs = 120000;
+// The users' bounds for jobs that haven't ended: from the first time after the end of the traffic
+// on, none has nothing running for longer than the second one while less than half of the capacity
+// is in use.
+constexpr std::int64_t kFinishBoundMs = 14000;
+constexpr std::int64_t kIdleWaitBoundMs = 3000;
 
 // The answer to a query for a job that the system doesn't know.
 constexpr const char* kUnknownJob = "410";
@@ -107,6 +113,7 @@
       AddViolation("accepted job {} is reported as {} at the end", job.id, last);
     }
     const std::size_t needed = job.gang ? 1 : static_cast<std::size_t>(job.tasks);
+    CheckIdleWaits(job, needed);
     if (last == "completed" && done.size() < needed) {
       AddViolation("job {} is reported as completed with {} of {} tasks done", job.id, done.size(),
                    needed);
@@ -135,6 +142,46 @@
     }
   }
 
+  static bool InProgressAt(const SoakRun& run, std::int64_t time_ms) {
+    return run.started_ms <= time_ms && (run.end.empty() || run.ended_ms > time_ms);
+  }
+
+  /// Reports an accepted job that waits beside idle capacity after the end of all faults.
+  void CheckIdleWaits(const SoakJob& job, std::size_t needed) {
+    std::vector<const SoakRun*> own;
+    const std::int64_t from_ms =
+        std::max(record_.quiet_from_ms + kFinishBoundMs, job.accepted_ms.value_or(0));
+    // Between two of these times, the runs in progress don't change.
+    std::set<std::int64_t> times = {from_ms, record_.settled_ms};
+    for (const SoakRun& run : record_.runs) {
+      if (run.job == job.id) own.push_back(&run);
+      times.insert(run.started_ms);
+      if (!run.end.empty()) times.insert(run.ended_ms);
+    }
+    bool waits = false;
+    std::int64_t waits_since_ms = from_ms;
+    for (auto it = times.find(from_ms); it != times.end(); ++it) {
+      if (*it > record_.settled_ms) return;
+      if (waits && *it - waits_since_ms > kIdleWaitBoundMs) {
+        AddViolation("job {} had nothing running from {} to {}, beside idle capacity", job.id,
+                     waits_since_ms, *it);
+        return;
+      }
+      std::set<std::string> done;
+      bool running = false;
+      for (const SoakRun* run : own) {
+        running = running || InProgressAt(*run, *it);
+        if (run->end == "done" && run->ended_ms <= *it) done.insert(run->task);
+      }
+      if (done.size() >= needed) return;
+      const auto in_use =
+          std::count_if(record_.runs.begin(), record_.runs.end(),
+                        [time_ms = *it](const SoakRun& run) { return InProgressAt(run, time_ms); });
+      const bool waited = std::exchange(waits, !running && 2 * in_use < record_.capacity);
+      if (!waited) waits_since_ms = *it;
+    }
+  }
+
   /// Returns the last answer about the job that doesn't say that the job is unknown.
   static std::string LastPhase(const SoakJob& job) {
     std::string last = job.phase_answers.empty() ? "no answer" : "unknown";
--- a/standin/soak_rules.h
+++ b/standin/soak_rules.h
@@ -85,6 +85,10 @@
   std::vector<SoakGracefulStop> stops;
   /// Violations that the soak itself detected, such as a process that exited unexpectedly.
   std::vector<std::string> events;
+  /// The number of tasks that the backend servers can run at the same time.
+  int capacity = 0;
+  /// When the traffic and all faults had ended.
+  std::int64_t quiet_from_ms = 0;
   /// When all faults had ended and the callers had their last answers.
   std::int64_t settled_ms = 0;
 };
--- a/tests/standin/soak_rules_test.cc
+++ b/tests/standin/soak_rules_test.cc
@@ -115,6 +115,46 @@
   EXPECT_EQ(CheckSoakRecord(record).violations.size(), 1U);
 }
 
+// Guards against a soak that passes though a job waits for most of a minute beside idle workers.
+TEST(SoakRulesTest, DetectsAJobThatWaitsBesideIdleCapacity) {
+  SoakRecord record = ValidRecord();
+  record.capacity = 4;
+  record.quiet_from_ms = 10000;
+  // From 14 s after the end of the traffic and the faults, a job may wait 3 s beside idle capacity.
+  record.runs.front() = RunOf(27100, 28000, "done");
+  EXPECT_EQ(CheckSoakRecord(record).violations.size(), 1U);
+  record.runs.front().started_ms = 26900;
+  EXPECT_TRUE(CheckSoakRecord(record).violations.empty());
+  // A job that is accepted later waits from then on.
+  record.runs.front().started_ms = 27100;
+  record.jobs["j"].accepted_ms = 24200;
+  EXPECT_TRUE(CheckSoakRecord(record).violations.empty());
+  record.jobs["j"].accepted_ms = 900;
+  // A job whose tasks are all done doesn't wait.
+  record.runs.front() = RunOf(20000, 21000, "done");
+  EXPECT_TRUE(CheckSoakRecord(record).violations.empty());
+  // It waits again once a run was stopped, and a run that has crashed doesn't work for it.
+  record.runs.front() = RunOf(20000, 24500, "crashed");
+  record.runs.push_back(RunOf(27900, 28500, "done", 2));
+  EXPECT_EQ(CheckSoakRecord(record).violations.size(), 1U);
+  record.runs.back().started_ms = 27400;
+  EXPECT_TRUE(CheckSoakRecord(record).violations.empty());
+}
+
+TEST(SoakRulesTest, AllowsAJobToWaitForCapacityInUse) {
+  SoakRecord record = ValidRecord();
+  record.capacity = 2;
+  record.quiet_from_ms = 10000;
+  record.runs.front() = RunOf(30000, 31000, "done");
+  // Another job uses half of the capacity until 29 s.
+  record.runs.push_back(RunOf(9000, 29000, "done"));
+  record.runs.back().job = "k";
+  record.runs.back().task = "k.0.0.0";
+  EXPECT_TRUE(CheckSoakRecord(record).violations.empty());
+  record.capacity = 3;
+  EXPECT_EQ(CheckSoakRecord(record).violations.size(), 1U);
+}
+
 TEST(SoakRulesTest, DetectsAStartAfterACancellation) {
   SoakRecord record = ValidRecord();
   record.jobs["j"].cancel_sent_ms = 1400;
