Overlap stops, reloads and configurations of entries in the soak

The soak judged broken requests only around the graceful stop of one entry with a store that answers at once, where hardly any request is open. Reloads were not judged at all.

The stop is now one of a series: further entries stop, stopping entries get the signal again, settings are reloaded and configurations change meanwhile, and the store may be silent or answer late, because an entry that stops answers what it has read also then. No request that an entry must have read may be cut off by a stop, nor by a reload if it was sent up to 4 s after it, the users' bound.

The series has a random generator of its own, so that the other faults of a seed stay the same. The test of the rule for reloads failed before.

--- a/standin/soak_main.cc
+++ b/standin/soak_main.cc
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstdio>
 #include <fstream>
+#include <map>
 #include <random>
 #include <set>
 #include <thread>
@@ -29,6 +30,8 @@
 // Time between SIGTERM and SIGKILL on the users' platform (6 s), plus 1 s in which a busy host may
 // delay the detection of the end.
 constexpr Duration kStopLimit = Duration::Seconds(7);
+// Time after which the users no longer attribute effects to a fault that has ended.
+constexpr std::int64_t kCalmMs = 4000;
 
 std::int64_t NowMs() { return Clock::Now().milliseconds(); }
 
@@ -45,6 +48,7 @@
  public:
   Soak(const SoakFleetOptions& options, Duration length)
       : random_(options.seed),
+        planned_random_(options.seed),
         length_(length),
         fleet_(options),
         callers_(fleet_.io(), fleet_.http(), fleet_.CallerAddresses(), options.seed) {}
@@ -72,7 +76,7 @@
   using Undo = std::function<void()>;
   struct FaultKind {
     const char* name;
-    /// nullptr for StopEntryAlone, whose effects on callers are checked and which must therefore
+    /// nullptr for RunPlannedWork, whose effects on callers are checked and which must therefore
     /// not overlap with other faults.
     Undo (Soak::*begin)();
   };
@@ -172,7 +176,7 @@
       {"backend server crashes", &Soak::CrashWorker},
       {"configuration", &Soak::ChangeConfiguration},
       {"evacuation", &Soak::Evacuate},
-      {"graceful stop alone", nullptr},
+      {"planned work", nullptr},
   }};
 
   std::uint64_t RandomBelow(std::uint64_t below) { return random_() % below; }
@@ -265,8 +269,8 @@
       fmt::print("{} {}\n", NowMs(), kind.name);
       if (kind.begin == nullptr) {
         // The effects of faults of this round that are still active would be attributed to the
-        // stop.
-        if (undos.empty()) StopEntryAlone();
+        // planned work.
+        if (undos.empty()) RunPlannedWork();
         continue;
       }
       Undo undo = (this->*kind.begin)();
@@ -283,23 +287,65 @@
     RunLoadFor(static_cast<std::int64_t>(RandomBelow(2500)));
   }
 
-  /// Stops an entry gracefully while no other fault is active.
-  void StopEntryAlone() {
-    RunLoadFor(4000);
-    SoakNode& node = RandomNode(true);
-    const std::int64_t signalled_ms = NowMs();
+  /// Stops an entry gracefully, beside up to four further stops, reloads and changes of the
+  /// configuration. No fault is active but that the store may fail, because an entry that stops
+  /// answers what it has read also then.
+  void RunPlannedWork() {
+    RunLoadFor(kCalmMs);
+    static constexpr std::array<const char*, 4> kStoreModes = {"none", "late", "lost", "silent"};
+    const std::string mode = kStoreModes[planned_random_() % kStoreModes.size()];
+    fmt::print("{} store {}\n", NowMs(), mode);
+    fleet_.WithStore([&](PlatformStoreStandin& store) { store.SetMode(mode); });
+    const std::size_t first_reload = record_.reloads.size();
+    BeginStop(RandomNode(true));
+    for (std::uint64_t left = planned_random_() % 5; left > 0; --left) {
+      WaitDuringStops(static_cast<std::int64_t>(planned_random_() % 1200));
+      SoakNode& node = fleet_.nodes()[planned_random_() % fleet_.CallerAddresses().size()];
+      switch (planned_random_() % 4) {
+        case 0:
+          // At least one entry stays.
+          if (stops_.size() + 1 < fleet_.CallerAddresses().size()) BeginStop(node);
+          break;
+        case 1:
+          ChangeConfiguration();
+          break;
+        default:
+          fmt::print("{} reload {}\n", NowMs(), node.name);
+          std::ofstream(node.settings_file, std::ios::app) << "\n";
+          SoakFleet::Signal(node, SIGHUP);
+          record_.reloads.push_back({node.name, NowMs(), 0});
+      }
+    }
+    while (!stops_.empty()) WaitDuringStops(kLoadTick.milliseconds());
+    fleet_.WithStore([](PlatformStoreStandin& store) { store.SetMode("none"); });
+    RunLoadFor(1500);
+    for (std::size_t i = first_reload; i < record_.reloads.size(); ++i) {
+      record_.reloads[i].calm_until_ms = NowMs();
+    }
+  }
+
+  /// Sends SIGTERM, also if the entry is stopping already.
+  void BeginStop(SoakNode& node) {
+    fmt::print("{} stop {}\n", NowMs(), node.name);
     SoakFleet::Signal(node, SIGTERM);
-    while (!SoakFleet::WaitForEnd(node, Duration(0)) &&
-           NowMs() - signalled_ms < kStopLimit.milliseconds()) {
+    stops_.try_emplace(&node, NowMs());
+  }
+
+  /// Waits, and meanwhile starts stopped entries again.
+  void WaitDuringStops(std::int64_t milliseconds) {
+    for (const std::int64_t end_ms = NowMs() + milliseconds; NowMs() < end_ms;) {
       RunLoadFor(kLoadTick.milliseconds());
+      std::erase_if(stops_, [this](const auto& stop) {
+        const auto& [node, signalled_ms] = stop;
+        const bool ended = SoakFleet::WaitForEnd(*node, Duration(0));
+        if (!ended && NowMs() - signalled_ms < kStopLimit.milliseconds()) return false;
+        record_.stops.push_back({node->name, signalled_ms, NowMs()});
+        if (!ended) SoakFleet::Signal(*node, SIGKILL);
+        SoakFleet::WaitForEnd(*node, kStopLimit);
+        fleet_.Start(*node);
+        return true;
+      });
     }
-    record_.stops.push_back({node.name, signalled_ms, NowMs()});
-    if (node.pid > 0) {
-      SoakFleet::Signal(node, SIGKILL);
-      SoakFleet::WaitForEnd(node, kStopLimit);
-    }
-    fleet_.Start(node);
-    RunLoadFor(1500);
   }
 
   void RecordUnexpectedExits() {
@@ -361,12 +407,16 @@
   }
 
   std::mt19937_64 random_;
+  /// Separate, so that the faults that follow from a seed don't depend on the planned work.
+  std::mt19937_64 planned_random_;
   const Duration length_;
   SoakRecord record_;
   int version_ = 1;
   bool load_enabled_ = false;
   std::int64_t next_submit_ms_ = 0;
   std::set<std::string> evacuated_;
+  /// The entries that are stopping for planned work, and when they got the signal.
+  std::map<SoakNode*, std::int64_t> stops_;
   SoakFleet fleet_;
   SoakCallers callers_;
 };
--- a/standin/soak_rules.cc
+++ b/standin/soak_rules.cc
@@ -18,6 +18,8 @@
 // An entry that stops may close a connection without an answer within this time after the request
 // was sent, because it may not have read the request yet.
 constexpr std::int64_t kUnreadRequestMs = 200;
+// The users' bound for a reload to take effect. Requests sent until then may not be cut off by it.
+constexpr std::int64_t kReloadBoundMs = 4000;
 // The users' bounds: an accepted job is known after the first time, and until the second one has
 // passed since its end.
 constexpr std::int64_t kVisibleBoundMs = 3000;
@@ -53,6 +55,7 @@
     for (const auto& [id, job] : record_.jobs) CheckJob(job);
     CheckEvacuations();
     CheckStops();
+    CheckReloads();
     for (const std::string& event : record_.events) AddViolation("{}", event);
     return std::move(verdict_);
   }
@@ -233,19 +236,38 @@
         AddViolation("{} took {} ms to stop", stop.entry, stop.ended_ms - stop.signalled_ms);
       }
       for (const SoakBrokenCall& call : record_.broken_calls) {
-        const bool cut = call.entry == stop.entry && call.broken_ms >= stop.signalled_ms &&
-                         call.broken_ms <= stop.ended_ms + kUnreadRequestMs &&
-                         call.broken_ms - call.sent_ms > kUnreadRequestMs;
-        if (cut) {
-          AddViolation(
-              "{} broke the connection of a request sent at {} at {}, during its graceful stop "
-              "from {} to {}",
-              stop.entry, call.sent_ms, call.broken_ms, stop.signalled_ms, stop.ended_ms);
+        if (!CutOff(call, stop.entry, stop.signalled_ms, stop.ended_ms + kUnreadRequestMs)) {
+          continue;
+        }
+        AddViolation(
+            "{} broke the connection of a request sent at {} at {}, during its graceful stop "
+            "from {} to {}",
+            stop.entry, call.sent_ms, call.broken_ms, stop.signalled_ms, stop.ended_ms);
+      }
+    }
+  }
+
+  void CheckReloads() {
+    for (const SoakReload& reload : record_.reloads) {
+      ++verdict_.checked["reloads of entries"];
+      for (const SoakBrokenCall& call : record_.broken_calls) {
+        if (!CutOff(call, reload.entry, reload.signalled_ms, reload.calm_until_ms) ||
+            call.sent_ms > reload.signalled_ms + kReloadBoundMs) {
+          continue;
         }
+        AddViolation("{} broke the connection of a request sent at {} at {}, after a reload at {}",
+                     reload.entry, call.sent_ms, call.broken_ms, reload.signalled_ms);
       }
     }
   }
 
+  /// Whether the connection broke in the given time, though the entry must have read the request.
+  static bool CutOff(const SoakBrokenCall& call, const std::string& entry, std::int64_t from_ms,
+                     std::int64_t until_ms) {
+    return call.entry == entry && call.broken_ms >= from_ms && call.broken_ms <= until_ms &&
+           call.broken_ms - call.sent_ms > kUnreadRequestMs;
+  }
+
   const SoakRecord& record_;
   SoakVerdict verdict_;
 };
--- a/standin/soak_rules.h
+++ b/standin/soak_rules.h
@@ -69,13 +69,20 @@
   std::int64_t broken_ms = 0;
 };
 
-/// A graceful stop of an entry without another active fault.
+/// A graceful stop of an entry while there are no faults but those of the store.
 struct SoakGracefulStop {
   std::string entry;
   std::int64_t signalled_ms = 0;
   std::int64_t ended_ms = 0;
 };
 
+/// A reload signal to an entry, with no faults but those of the store until `calm_until_ms`.
+struct SoakReload {
+  std::string entry;
+  std::int64_t signalled_ms = 0;
+  std::int64_t calm_until_ms = 0;
+};
+
 /// The observations of one soak.
 struct SoakRecord {
   std::vector<SoakRun> runs;
@@ -83,6 +90,7 @@
   std::vector<SoakEvacuation> evacuations;
   std::vector<SoakBrokenCall> broken_calls;
   std::vector<SoakGracefulStop> stops;
+  std::vector<SoakReload> reloads;
   /// Violations that the soak itself detected, such as a process that exited unexpectedly.
   std::vector<std::string> events;
   /// The number of tasks that the backend servers can run at the same time.
--- a/tests/standin/soak_rules_test.cc
+++ b/tests/standin/soak_rules_test.cc
@@ -180,5 +180,17 @@
   EXPECT_TRUE(CheckSoakRecord(record).violations.empty());
 }
 
+TEST(SoakRulesTest, DetectsARequestBrokenByAReload) {
+  SoakRecord record = ValidRecord();
+  record.reloads.push_back({"entry-0", 3000, 9000});
+  record.broken_calls.push_back({"entry-0", 2500, 3000});
+  record.broken_calls.push_back({"entry-0", 7000, 8000});
+  EXPECT_EQ(CheckSoakRecord(record).violations.size(), 2U);
+  // A request sent later than 4 s after the signal isn't attributed to the reload, nor is one that
+  // was broken by another fault.
+  record.broken_calls = {{"entry-0", 7001, 8000}, {"entry-0", 6000, 9001}, {"entry-1", 2500, 3000}};
+  EXPECT_TRUE(CheckSoakRecord(record).violations.empty());
+}
+
 }  // namespace
 }  // namespace basilspring::standin
