Leave the answer to the store while the end of a job may be stored

Callers saw a job as running after it had been reported as completed.

An entry that had just started and did not know the scheduler yet read the store and answered completed; 0.65 s later another entry asked the scheduler, which still waited for the answer of the store, and answered running.

The scheduler now declines queries for a job that has ended until the record is known to be stored, and the entry reads the store. If the store does not answer either, the caller gets 504, as it does without a valid lease.

The new test failed before.

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -164,7 +164,8 @@
   std::optional<JobPhase> PhaseOf(const JobId& job) const;
   /// Returns the answer to an entry's query. Without a valid lease only final phases are reported:
   /// another scheduler may have seen the job end in the meantime, whereas a final phase never
-  /// changes.
+  /// changes. The same holds while the write of a final phase isn't answered: the store may have
+  /// applied it, and another entry may have read it there.
   JobQueryReply AnswerQuery(const JobId& job, bool lease_valid) const;
   std::vector<QueueSummary> Summaries() const;
   /// Returns the shapes of the workers seen in this term; empty while some workers may not have
--- a/src/fleet/scheduler_core.cc
+++ b/src/fleet/scheduler_core.cc
@@ -245,7 +245,10 @@
 JobQueryReply SchedulerCore::AnswerQuery(const JobId& job, bool lease_valid) const {
   JobQueryReply reply;
   const auto phase = PhaseOf(job);
-  reply.accepted = lease_valid || (phase && IsFinal(*phase));
+  const auto found = jobs_.find(job);
+  const bool end_may_be_stored =
+      found != jobs_.end() && IsFinal(found->second.phase) && !found->second.phase_stored;
+  reply.accepted = (lease_valid && !end_may_be_stored) || (phase && IsFinal(*phase));
   reply.known = phase.has_value();
   if (phase) reply.phase = static_cast<std::uint8_t>(*phase);
   return reply;
--- a/tests/fleet/scheduler_core_test.cc
+++ b/tests/fleet/scheduler_core_test.cc
@@ -55,6 +55,18 @@
   EXPECT_FALSE(fleet_.agent("a0").report.ended.empty());
 }
 
+// Guards against reporting a job as running after an entry has reported it as completed: a write
+// that was not answered may have been applied, and entries without a scheduler read the store.
+TEST_F(SchedulerCoreTest, LeavesTheAnswerToTheStoreWhileAnEndMayBeStored) {
+  AddAgents(1);
+  const JobId job = fleet_.Submit("batch", "shop", MakeStep(1, 1, 500));
+  fleet_.Advance(300);
+  EXPECT_TRUE(fleet_.core().AnswerQuery(job, true).accepted);
+  fleet_.store_available = false;
+  fleet_.Advance(2 * kSecond);
+  EXPECT_FALSE(fleet_.core().AnswerQuery(job, true).accepted);
+}
+
 // Guards against running a finished job again that is read before its removal is stored.
 TEST_F(SchedulerCoreTest, AFinishedJobStaysKnownUntilItsRemovalIsStored) {
   AddAgents(1);
