--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Soak test: runs the programs as separate processes on this machine under load and injected faults, both derived from
 # a seed, and checks the records of callers and backend servers:
-#   soak.sh [--seed N] [--minutes M | --seconds S] [--agents N] [--entries N]
+#   soak.sh [--seed N] [--minutes M | --seconds S] [--agents N] [--entries N] [--faults all|planned]
+# --faults planned leaves only stops and reloads of entries, changes of the configuration and failures of the store.
 # soak.sh --kept runs all seeds of scripts/soak-seeds.txt in parallel. Exits 0 only if no rule was broken. The folder
 # with the logs is kept if the run failed, or if KEEP=1 is set.
 set -euo pipefail
@@ -15,7 +16,7 @@
   for id in "${ids[@]}"; do wait "$id" || failed=1; done
   exit "$failed"
 fi
-seed=$RANDOM seconds=60 agents=5 entries=3
+seed=$RANDOM seconds=60 agents=5 entries=3 options=()
 while [ "$#" -gt 1 ]; do
   case $1 in
     --seed) seed=$2 ;;
@@ -23,7 +24,8 @@
     --seconds) seconds=$2 ;;
     --agents) agents=$2 ;;
     --entries) entries=$2 ;;
-    *) echo "usage: soak.sh [--seed N] [--minutes M | --seconds S] [--agents N] [--entries N]" >&2 && exit 2 ;;
+    --faults) if [ "$2" = planned ]; then options=(--planned-only); fi ;;
+    *) sed -n 's/^#   soak.sh/usage: soak.sh/p' scripts/soak.sh >&2 && exit 2 ;;
   esac
   shift 2
 done
@@ -32,7 +34,7 @@
 echo "soak seed $seed for $seconds s, logs in $run_dir"
 status=0
 "$build_dir/basilspring-standin" soak --program "$build_dir/basilspring" --folder "$run_dir" --seed "$seed" \
-  --network "$((20 + seed % 200))" --seconds "$seconds" --agents "$agents" --entries "$entries" >"$run_dir/soak.log" 2>&1 || status=$?
+  --network "$((20 + seed % 200))" --seconds "$seconds" --agents "$agents" --entries "$entries" "${options[@]}" >"$run_dir/soak.log" 2>&1 || status=$?
 grep -E '^(checked|BROKEN|soak)' "$run_dir/soak.log" || tail -n 5 "$run_dir/soak.log"
 if [ "$status" -eq 0 ] && [ -z "${KEEP:-}" ]; then rm -r "$run_dir"; fi
 exit "$status"
--- a/standin/soak_main.cc
+++ b/standin/soak_main.cc
@@ -46,10 +46,11 @@
 
 class Soak {
  public:
-  Soak(const SoakFleetOptions& options, Duration length)
+  Soak(const SoakFleetOptions& options, Duration length, bool planned_only)
       : random_(options.seed),
         planned_random_(options.seed),
         length_(length),
+        planned_only_(planned_only),
         fleet_(options),
         callers_(fleet_.io(), fleet_.http(), fleet_.CallerAddresses(), options.seed) {}
 
@@ -65,7 +66,13 @@
     }
     const std::int64_t end_ms = NowMs() + length_.milliseconds();
     load_enabled_ = true;
-    while (NowMs() < end_ms) RunFaultRound();
+    while (NowMs() < end_ms) {
+      if (planned_only_) {
+        RunPlannedWork();
+      } else {
+        RunFaultRound();
+      }
+    }
     load_enabled_ = false;
     record_.quiet_from_ms = NowMs();
     WaitUntilSettled();
@@ -410,6 +417,7 @@
   /// Separate, so that the faults that follow from a seed don't depend on the planned work.
   std::mt19937_64 planned_random_;
   const Duration length_;
+  const bool planned_only_;
   SoakRecord record_;
   int version_ = 1;
   bool load_enabled_ = false;
@@ -436,6 +444,7 @@
   TCLAP::ValueArg<int> agents("", "agents", "Agents", false, 5, "N", command_line);
   TCLAP::ValueArg<int> network("", "network", "Second byte of the loopback addresses", false, 40,
                                "N", command_line);
+  TCLAP::SwitchArg planned_only("", "planned-only", "Planned work instead of faults", command_line);
   command_line.parse(argc, argv);
   SoakFleetOptions options;
   options.network = network.getValue();
@@ -444,7 +453,7 @@
   options.entries = entries.getValue();
   options.agents = agents.getValue();
   options.seed = seed.getValue();
-  return Soak(options, Duration::Seconds(seconds.getValue())).Run();
+  return Soak(options, Duration::Seconds(seconds.getValue()), planned_only.getValue()).Run();
 }
 
 }  // namespace basilspring::standin
--- a/standin/soak_rules.cc
+++ b/standin/soak_rules.cc
@@ -204,8 +204,9 @@
     }
     for (const SoakPhaseAnswer& answer : job.phase_answers) {
       const bool terminal = answer.phase == "completed" || answer.phase == "cancelled";
-      if (terminal)
+      if (terminal) {
         known_from = std::min(known_from.value_or(answer.answered_ms), answer.answered_ms);
+      }
       if (answer.phase != kUnknownJob || !known_from || answer.asked_ms <= *known_from) continue;
       // A job without a known end is kept without a limit.
       if (ended_ms > 0 && answer.asked_ms > ended_ms + kRetentionMs) continue;
