--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -9,8 +9,8 @@
 cd "$(dirname "$0")/.."
 if [ "${1:-}" = --kept ]; then
   ids=() failed=0
-  while read -r seed seconds _; do
-    scripts/soak.sh --seed "$seed" --seconds "$seconds" &
+  while read -r seed seconds faults _; do
+    scripts/soak.sh --seed "$seed" --seconds "$seconds" --faults "$faults" &
     ids+=($!)
   done < <(grep -v '^#' scripts/soak-seeds.txt)
   for id in "${ids[@]}"; do wait "$id" || failed=1; done
