--- a/standin/soak_main.cc
+++ b/standin/soak_main.cc
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstdio>
 #include <fstream>
+#include <map>
 #include <random>
 #include <set>
 #include <thread>
@@ -29,6 +30,8 @@
 // Time between SIGTERM and SIGKILL on the users' platform (6 s), plus 1 s in which a busy host may
 // delay the detection of the end.
 constexpr Duration kStopLimit = Duration::Seconds(7);
+// Time after which the users no longer attribute effects to a fault that has ended.
+constexpr std::int64_t kCalmMs = 4000;
 
 std::int64_t NowMs() { return Clock::Now().milliseconds(); }
 
@@ -43,9 +46,11 @@
 
 class Soak {
  public:
-  Soak(const SoakFleetOptions& options, Duration length)
+  Soak(const SoakFleetOptions& options, Duration length, bool planned_only)
       : random_(options.seed),
+        planned_random_(options.seed),
         length_(length),
+        planned_only_(planned_only),
         fleet_(options),
         callers_(fleet_.io(), fleet_.http(), fleet_.CallerAddresses(), options.seed) {}
 
@@ -61,8 +66,15 @@
     }
     const std::int64_t end_ms = NowMs() + length_.milliseconds();
     load_enabled_ = true;
-    while (NowMs() < end_ms) RunFaultRound();
+    while (NowMs() < end_ms) {
+      if (planned_only_) {
+        RunPlannedWork();
+      } else {
+        RunFaultRound();
+      }
+    }
     load_enabled_ = false;
+    record_.quiet_from_ms = NowMs();
     WaitUntilSettled();
     return Report();
   }
@@ -71,7 +83,7 @@
   using Undo = std::function<void()>;
   struct FaultKind {
     const char* name;
-    /// nullptr for StopEntryAlone, whose effects on callers are checked and which must therefore
+    /// nullptr for RunPlannedWork, whose effects on callers are checked and which must therefore
     /// not overlap with other faults.
     Undo (Soak::*begin)();
   };
@@ -171,7 +183,7 @@
       {"backend server crashes", &Soak::CrashWorker},
       {"configuration", &Soak::ChangeConfiguration},
       {"evacuation", &Soak::Evacuate},
-      {"graceful stop alone", nullptr},
+      {"planned work", nullptr},
   }};
 
   std::uint64_t RandomBelow(std::uint64_t below) { return random_() % below; }
@@ -264,8 +276,8 @@
       fmt::print("{} {}\n", NowMs(), kind.name);
       if (kind.begin == nullptr) {
         // The effects of faults of this round that are still active would be attributed to the
-        // stop.
-        if (undos.empty()) StopEntryAlone();
+        // planned work.
+        if (undos.empty()) RunPlannedWork();
         continue;
       }
       Undo undo = (this->*kind.begin)();
@@ -282,23 +294,65 @@
     RunLoadFor(static_cast<std::int64_t>(RandomBelow(2500)));
   }
 
-  /// Stops an entry gracefully while no other fault is active.
-  void StopEntryAlone() {
-    RunLoadFor(4000);
-    SoakNode& node = RandomNode(true);
-    const std::int64_t signalled_ms = NowMs();
+  /// Stops an entry gracefully, beside up to four further stops, reloads and changes of the
+  /// configuration. No fault is active but that the store may fail, because an entry that stops
+  /// answers what it has read also then.
+  void RunPlannedWork() {
+    RunLoadFor(kCalmMs);
+    static constexpr std::array<const char*, 4> kStoreModes = {"none", "late", "lost", "silent"};
+    const std::string mode = kStoreModes[planned_random_() % kStoreModes.size()];
+    fmt::print("{} store {}\n", NowMs(), mode);
+    fleet_.WithStore([&](PlatformStoreStandin& store) { store.SetMode(mode); });
+    const std::size_t first_reload = record_.reloads.size();
+    BeginStop(RandomNode(true));
+    for (std::uint64_t left = planned_random_() % 5; left > 0; --left) {
+      WaitDuringStops(static_cast<std::int64_t>(planned_random_() % 1200));
+      SoakNode& node = fleet_.nodes()[planned_random_() % fleet_.CallerAddresses().size()];
+      switch (planned_random_() % 4) {
+        case 0:
+          // At least one entry stays.
+          if (stops_.size() + 1 < fleet_.CallerAddresses().size()) BeginStop(node);
+          break;
+        case 1:
+          ChangeConfiguration();
+          break;
+        default:
+          fmt::print("{} reload {}\n", NowMs(), node.name);
+          std::ofstream(node.settings_file, std::ios::app) << "\n";
+          SoakFleet::Signal(node, SIGHUP);
+          record_.reloads.push_back({node.name, NowMs(), 0});
+      }
+    }
+    while (!stops_.empty()) WaitDuringStops(kLoadTick.milliseconds());
+    fleet_.WithStore([](PlatformStoreStandin& store) { store.SetMode("none"); });
+    RunLoadFor(1500);
+    for (std::size_t i = first_reload; i < record_.reloads.size(); ++i) {
+      record_.reloads[i].calm_until_ms = NowMs();
+    }
+  }
+
+  /// Sends SIGTERM, also if the entry is stopping already.
+  void BeginStop(SoakNode& node) {
+    fmt::print("{} stop {}\n", NowMs(), node.name);
     SoakFleet::Signal(node, SIGTERM);
-    while (!SoakFleet::WaitForEnd(node, Duration(0)) &&
-           NowMs() - signalled_ms < kStopLimit.milliseconds()) {
+    stops_.try_emplace(&node, NowMs());
+  }
+
+  /// Waits, and meanwhile starts stopped entries again.
+  void WaitDuringStops(std::int64_t milliseconds) {
+    for (const std::int64_t end_ms = NowMs() + milliseconds; NowMs() < end_ms;) {
       RunLoadFor(kLoadTick.milliseconds());
+      std::erase_if(stops_, [this](const auto& stop) {
+        const auto& [node, signalled_ms] = stop;
+        const bool ended = SoakFleet::WaitForEnd(*node, Duration(0));
+        if (!ended && NowMs() - signalled_ms < kStopLimit.milliseconds()) return false;
+        record_.stops.push_back({node->name, signalled_ms, NowMs()});
+        if (!ended) SoakFleet::Signal(*node, SIGKILL);
+        SoakFleet::WaitForEnd(*node, kStopLimit);
+        fleet_.Start(*node);
+        return true;
+      });
     }
-    record_.stops.push_back({node.name, signalled_ms, NowMs()});
-    if (node.pid > 0) {
-      SoakFleet::Signal(node, SIGKILL);
-      SoakFleet::WaitForEnd(node, kStopLimit);
-    }
-    fleet_.Start(node);
-    RunLoadFor(1500);
   }
 
   void RecordUnexpectedExits() {
@@ -339,6 +393,11 @@
     }
     // Covers the bound for cancellations and the last queries of the callers.
     RunLoadFor(10000);
+    callers_.QueryAllOnce();
+    for (const std::int64_t end_ms = NowMs() + kSettleLimit.milliseconds();
+         NowMs() < end_ms && callers_.open() > 0;) {
+      RunLoadFor(200);
+    }
     RecordUnexpectedExits();
     record_.settled_ms = NowMs();
   }
@@ -346,6 +405,7 @@
   int Report() {
     callers_.Collect(record_);
     record_.runs = fleet_.Runs();
+    record_.capacity = static_cast<int>(fleet_.workers()) * PlatformWorkerStandin::kAccelerators;
     const SoakVerdict verdict = CheckSoakRecord(record_);
     for (const auto& [what, count] : verdict.checked) fmt::print("checked {}: {}\n", what, count);
     for (const std::string& violation : verdict.violations) fmt::print("BROKEN {}\n", violation);
@@ -354,12 +414,17 @@
   }
 
   std::mt19937_64 random_;
+  /// Separate, so that the faults that follow from a seed don't depend on the planned work.
+  std::mt19937_64 planned_random_;
   const Duration length_;
+  const bool planned_only_;
   SoakRecord record_;
   int version_ = 1;
   bool load_enabled_ = false;
   std::int64_t next_submit_ms_ = 0;
   std::set<std::string> evacuated_;
+  /// The entries that are stopping for planned work, and when they got the signal.
+  std::map<SoakNode*, std::int64_t> stops_;
   SoakFleet fleet_;
   SoakCallers callers_;
 };
@@ -379,6 +444,7 @@
   TCLAP::ValueArg<int> agents("", "agents", "Agents", false, 5, "N", command_line);
   TCLAP::ValueArg<int> network("", "network", "Second byte of the loopback addresses", false, 40,
                                "N", command_line);
+  TCLAP::SwitchArg planned_only("", "planned-only", "Planned work instead of faults", command_line);
   command_line.parse(argc, argv);
   SoakFleetOptions options;
   options.network = network.getValue();
@@ -387,7 +453,7 @@
   options.entries = entries.getValue();
   options.agents = agents.getValue();
   options.seed = seed.getValue();
-  return Soak(options, Duration::Seconds(seconds.getValue())).Run();
+  return Soak(options, Duration::Seconds(seconds.getValue()), planned_only.getValue()).Run();
 }
 
 }  // namespace basilspring::standin
--- a/standin/soak_rules.h
+++ b/standin/soak_rules.h
@@ -29,7 +29,8 @@
 struct SoakPhaseAnswer {
   std::int64_t asked_ms = 0;
   std::int64_t answered_ms = 0;
-  /// The phase; the HTTP status if it isn't 200; "unreadable" if a 200 answer has no phase.
+  /// The phase; the HTTP status if it isn't 200; "unreadable" if a 200 answer has no phase; "no
+  /// answer" if the last query of a soak got none in time.
   std::string phase;
 };
 
@@ -40,6 +41,8 @@
   bool gang = false;
   /// HTTP status of each attempt to submit the job; 0 for an attempt without an answer.
   std::vector<int> submit_statuses;
+  /// When an attempt was first answered with a 2xx status; std::nullopt if none was.
+  std::optional<std::int64_t> accepted_ms;
   std::vector<SoakPhaseAnswer> phase_answers;
   /// When the cancellation was first sent, and when it was acknowledged; std::nullopt if it wasn't.
   std::optional<std::int64_t> cancel_sent_ms;
@@ -66,13 +69,20 @@
   std::int64_t broken_ms = 0;
 };
 
-/// A graceful stop of an entry without another active fault.
+/// A graceful stop of an entry while there are no faults but those of the store.
 struct SoakGracefulStop {
   std::string entry;
   std::int64_t signalled_ms = 0;
   std::int64_t ended_ms = 0;
 };
 
+/// A reload signal to an entry, with no faults but those of the store until `calm_until_ms`.
+struct SoakReload {
+  std::string entry;
+  std::int64_t signalled_ms = 0;
+  std::int64_t calm_until_ms = 0;
+};
+
 /// The observations of one soak.
 struct SoakRecord {
   std::vector<SoakRun> runs;
@@ -80,8 +90,13 @@
   std::vector<SoakEvacuation> evacuations;
   std::vector<SoakBrokenCall> broken_calls;
   std::vector<SoakGracefulStop> stops;
+  std::vector<SoakReload> reloads;
   /// Violations that the soak itself detected, such as a process that exited unexpectedly.
   std::vector<std::string> events;
+  /// The number of tasks that the backend servers can run at the same time.
+  int capacity = 0;
+  /// When the traffic and all faults had ended.
+  std::int64_t quiet_from_ms = 0;
   /// When all faults had ended and the callers had their last answers.
   std::int64_t settled_ms = 0;
 };
--- a/tests/standin/soak_rules_test.cc
+++ b/tests/standin/soak_rules_test.cc
@@ -26,6 +26,7 @@
   SoakJob& job = record.jobs["j"];
   job.id = "j";
   job.submit_statuses = {0, 200};
+  job.accepted_ms = 900;
   job.phase_answers = {{1500, 1510, "running"}, {2200, 2210, "completed"}};
   record.settled_ms = 60000;
   return record;
@@ -76,6 +77,84 @@
   EXPECT_TRUE(CheckSoakRecord(record).violations.empty());
 }
 
+// Guards against a soak that passes though a job is unknown for a while and is known again later.
+TEST(SoakRulesTest, DetectsAnAcceptedJobThatIsUnknownForAWhile) {
+  SoakRecord record = ValidRecord();
+  record.jobs["j"].phase_answers.insert(record.jobs["j"].phase_answers.begin(),
+                                        {3901, 3910, "410"});
+  EXPECT_EQ(CheckSoakRecord(record).violations.size(), 1U);
+  // A job becomes visible within 3 s of its acceptance.
+  record.jobs["j"].phase_answers.front().asked_ms = 3900;
+  EXPECT_TRUE(CheckSoakRecord(record).violations.empty());
+}
+
+TEST(SoakRulesTest, DetectsAFinishedJobThatIsUnknownBeforeTheEndOfItsRetention) {
+  SoakRecord record = ValidRecord();
+  record.jobs["j"].phase_answers.push_back({122000, 122010, "410"});
+  EXPECT_EQ(CheckSoakRecord(record).violations.size(), 1U);
+  // The last run ended at 2000, and a job is kept for 120 s.
+  record.jobs["j"].phase_answers.back().asked_ms = 122001;
+  EXPECT_TRUE(CheckSoakRecord(record).violations.empty());
+}
+
+TEST(SoakRulesTest, DetectsACancelledJobThatIsUnknownBeforeTheEndOfItsRetention) {
+  SoakRecord record = ValidRecord();
+  SoakJob& job = record.jobs["j"];
+  record.runs.clear();
+  job.cancel_sent_ms = 1000;
+  job.cancelled_ms = 1100;
+  job.phase_answers = {{1500, 1510, "cancelled"}, {121000, 121010, "410"}};
+  EXPECT_EQ(CheckSoakRecord(record).violations.size(), 1U);
+  job.phase_answers.back().asked_ms = 121001;
+  EXPECT_TRUE(CheckSoakRecord(record).violations.empty());
+}
+
+TEST(SoakRulesTest, DetectsACompletedJobWithoutAnAnswerAtTheEnd) {
+  SoakRecord record = ValidRecord();
+  record.jobs["j"].phase_answers.push_back({50000, 53000, "no answer"});
+  EXPECT_EQ(CheckSoakRecord(record).violations.size(), 1U);
+}
+
+// Guards against a soak that passes though a job waits for most of a minute beside idle workers.
+TEST(SoakRulesTest, DetectsAJobThatWaitsBesideIdleCapacity) {
+  SoakRecord record = ValidRecord();
+  record.capacity = 4;
+  record.quiet_from_ms = 10000;
+  // From 14 s after the end of the traffic and the faults, a job may wait 3 s beside idle capacity.
+  record.runs.front() = RunOf(27100, 28000, "done");
+  EXPECT_EQ(CheckSoakRecord(record).violations.size(), 1U);
+  record.runs.front().started_ms = 26900;
+  EXPECT_TRUE(CheckSoakRecord(record).violations.empty());
+  // A job that is accepted later waits from then on.
+  record.runs.front().started_ms = 27100;
+  record.jobs["j"].accepted_ms = 24200;
+  EXPECT_TRUE(CheckSoakRecord(record).violations.empty());
+  record.jobs["j"].accepted_ms = 900;
+  // A job whose tasks are all done doesn't wait.
+  record.runs.front() = RunOf(20000, 21000, "done");
+  EXPECT_TRUE(CheckSoakRecord(record).violations.empty());
+  // It waits again once a run was stopped, and a run that has crashed doesn't work for it.
+  record.runs.front() = RunOf(20000, 24500, "crashed");
+  record.runs.push_back(RunOf(27900, 28500, "done", 2));
+  EXPECT_EQ(CheckSoakRecord(record).violations.size(), 1U);
+  record.runs.back().started_ms = 27400;
+  EXPECT_TRUE(CheckSoakRecord(record).violations.empty());
+}
+
+TEST(SoakRulesTest, AllowsAJobToWaitForCapacityInUse) {
+  SoakRecord record = ValidRecord();
+  record.capacity = 2;
+  record.quiet_from_ms = 10000;
+  record.runs.front() = RunOf(30000, 31000, "done");
+  // Another job uses half of the capacity until 29 s.
+  record.runs.push_back(RunOf(9000, 29000, "done"));
+  record.runs.back().job = "k";
+  record.runs.back().task = "k.0.0.0";
+  EXPECT_TRUE(CheckSoakRecord(record).violations.empty());
+  record.capacity = 3;
+  EXPECT_EQ(CheckSoakRecord(record).violations.size(), 1U);
+}
+
 TEST(SoakRulesTest, DetectsAStartAfterACancellation) {
   SoakRecord record = ValidRecord();
   record.jobs["j"].cancel_sent_ms = 1400;
@@ -101,5 +180,17 @@
   EXPECT_TRUE(CheckSoakRecord(record).violations.empty());
 }
 
+TEST(SoakRulesTest, DetectsARequestBrokenByAReload) {
+  SoakRecord record = ValidRecord();
+  record.reloads.push_back({"entry-0", 3000, 9000});
+  record.broken_calls.push_back({"entry-0", 2500, 3000});
+  record.broken_calls.push_back({"entry-0", 7000, 8000});
+  EXPECT_EQ(CheckSoakRecord(record).violations.size(), 2U);
+  // A request sent later than 4 s after the signal isn't attributed to the reload, nor is one that
+  // was broken by another fault.
+  record.broken_calls = {{"entry-0", 7001, 8000}, {"entry-0", 6000, 9001}, {"entry-1", 2500, 3000}};
+  EXPECT_TRUE(CheckSoakRecord(record).violations.empty());
+}
+
 }  // namespace
 }  // namespace basilspring::standin
