Deliver the answer of an urgent job to an entry that did not submit it

Callers that polled an urgent idempotent job at another entry than the one that accepted it (for example at a restarted one) got 202 in state "done" for as long as they polled.

Cause: the entry asked the cell scheduler for the state only and read the answer from the store, which has none of urgent jobs. The answer that the scheduler had pushed was dropped if no poll was waiting. The count of reports without an answer began anew with each poll, so that a poll of up to 2 s never ended with "not found" either.

Change: a scheduler that is queried for a finished job of which it has the only copy sends the answer before the report. An entry that has the answer ignores the report, and an entry takes a complete answer of an observed job already.

Test: CellOperations.AQueryFromAnotherEntryDeliversTheAnswerOfAnUrgentJob failed before (0 answers delivered, expected 1). EntryCoreTest.TheAnswerOfAnotherEntrysUrgentJobComesFromItsScheduler guards the entry's half, which was right before. Failures of such jobs are still reported as a state only.

--- a/src/process/cell_jobs.cc
+++ b/src/process/cell_jobs.cc
@@ -174,6 +174,14 @@
   const auto found = jobs_.find(query.job);
   if (found != jobs_.end()) {
     const Job& job = found->second;
+    // The store has no answers of jobs that aren't durable, so an entry that didn't submit such a
+    // job gets its answer only from here. It is sent before the report, since an entry that did
+    // submit the job would otherwise submit it again to get the answer. Queries with a number ask
+    // for an explanation only.
+    const bool only_copy = job.result && !job.spec.durable;
+    if (only_copy && query.query == 0 && job.result->error == ErrorKind::kNone) {
+      Send(from, JobFinished{query.job, *job.result, job.attempts});
+    }
     report.known = true;
     report.state = job.state;
     report.attempts = job.attempts;
--- a/tests/process/cell_operations_test.cc
+++ b/tests/process/cell_operations_test.cc
@@ -45,6 +45,26 @@
   EXPECT_EQ(cell.Running("next"), 2U);
 }
 
+// Guards against a caller that polls the job of a lost entry at another one and never gets the
+// answer: the store has no answers of urgent jobs, so only the cell scheduler can deliver it.
+TEST_F(CellOperations, AQueryFromAnotherEntryDeliversTheAnswerOfAnUrgentJob) {
+  const Address other{"127.0.0.1", 2};
+  const auto delivered = [&] {
+    return std::count_if(cell.sent.begin(), cell.sent.end(), [&](const CellSend& send) {
+      const auto* const finished = std::get_if<JobFinished>(&send.message);
+      return finished != nullptr && send.to == other && finished->result.answer.outputs.size() == 2;
+    });
+  };
+  cell.Submit("j", 2);
+  cell.Deliver(CellMessage{other, QueryJob{JobId("j"), 0}});
+  EXPECT_EQ(delivered(), 0) << "the job still runs";
+  cell.FinishTasks("j");
+  cell.Deliver(CellMessage{other, QueryJob{JobId("j"), 7}});
+  EXPECT_EQ(delivered(), 0) << "a query with a number asks for an explanation only";
+  cell.Deliver(CellMessage{other, QueryJob{JobId("j"), 0}});
+  EXPECT_EQ(delivered(), 1);
+}
+
 // Guards against a worker that fails every task immediately and, being free again, attracts all
 // further tasks.
 TEST_F(CellOperations, WorkerThatFailsEverythingIsQuarantined) {
--- a/tests/process/entry_core_test.cc
+++ b/tests/process/entry_core_test.cc
@@ -196,6 +196,18 @@
   EXPECT_EQ(Sent<SubmitJob>(Handle(ProcessMessage{SchedulerAddress(1), report})).size(), 1U);
 }
 
+// Guards against dropping the answer of another entry's urgent job: its scheduler sends the answer
+// before the report that confirms the job, and the store has none.
+TEST_F(EntryCoreTest, TheAnswerOfAnotherEntrysUrgentJobComesFromItsScheduler) {
+  ReceiveSummary(1);
+  const auto asked =
+      Sent<QueryJob>(Handle(ResultRequest{CallerId(1), JobId("other"), Duration(2000)}));
+  ASSERT_EQ(asked.size(), 1U);
+  EXPECT_EQ(asked[0].second.query, 0U) << "a query with a number gets no answer";
+  ReceiveFinished(SchedulerAddress(1), "other", Success("one"));
+  EXPECT_EQ(OutputOf(1), "one");
+}
+
 // Guards against jobs that wait in a data centre that is out of service while a cell in service has
 // free capacity, and against "not run" for a job that ran before its cell returned it.
 TEST_F(EntryCoreTest, ReturnedJobsAreRoutedAgain) {
