Return an urgent job to its entry after three preemptions in a cell

The gang needs 16 accelerators; outside the guarantees its cell has 8 of 24 (stara-zagora-a) or 4 of 32 (plovdiv-a), so each attempt borrows and is evicted by the next owner. ruse-a had 24 of 24 free, but a job left its cell only if it was refused, or if the cell was silent or out of service.

Change: an urgent idempotent job that was preempted three times in a cell is returned as if its data centre were out of service. The entry prefers cells that have not returned the job, also remote ones, and begins anew once all have. Durable jobs stay, because their records would have to be moved.

--- a/include/basilspring/connection/job_messages.h
+++ b/include/basilspring/connection/job_messages.h
@@ -66,8 +66,8 @@
   BASILSPRING_SERIALIZE(job, query, known, state, attempts, workers, reasons)
 };
 
-/// Returns a queued idempotent job to its entry, which places it elsewhere. Sent by a cell
-/// scheduler whose data centre is out of service; the scheduler has removed the job from its state.
+/// Returns a queued idempotent job to its entry, which places it elsewhere. Sent if the data centre
+/// is out of service or the job was preempted too often; the scheduler has removed the job.
 struct JobReturned {
   JobId job;
   std::uint32_t attempts = 0;
--- a/src/process/cell_core.cc
+++ b/src/process/cell_core.cc
@@ -97,6 +97,7 @@
   }
   TickWorkers();
   TickDataCentreOut();
+  ReturnPreemptedJobs();
   TickAttempts();
   TickJobs();
   for (std::size_t i = 0; i < kJobClassCount; ++i) {
--- a/src/process/cell_core_internal.h
+++ b/src/process/cell_core_internal.h
@@ -248,6 +248,12 @@
   /// Returns queued jobs to their entries while the data centre is out of service.
   void ReturnQueuedJobs();
   bool CanReturn(const Job& job) const;
+  /// Whether the job is to be returned because it was preempted too often in this cell.
+  static bool MustLeaveCell(const Job& job);
+  /// Returns queued jobs that must leave the cell to their entries.
+  void ReturnPreemptedJobs();
+  /// Returns the job to its entry and forgets it.
+  void ReturnJob(const JobId& id, std::string_view reason);
   void TickDataCentreOut();
 
   // cell_configuration.cc: the operators' settings.
--- a/src/process/cell_model.h
+++ b/src/process/cell_model.h
@@ -48,6 +48,10 @@
 /// failure.
 inline constexpr Duration kInitialBackoff = Duration(100);
 inline constexpr Duration kMaxBackoff = Duration(5000);
+/// Number of preemptions in this cell after which an urgent job is returned to its entry, which
+/// prefers other cells. An urgent gang that is larger than the capacity outside the guarantees of
+/// other workspaces is preempted at each reclaim, while another cell may have enough free capacity.
+inline constexpr std::uint32_t kMaxPreemptionsBeforeReturn = 3;
 /// Delay before a failed store write is retried.
 inline constexpr Duration kStoreRetryDelay = Duration(1000);
 /// Maximum number of cancellations of unknown jobs that are kept until the state has been rebuilt.
@@ -182,6 +186,8 @@
   std::uint32_t attempts = 0;
   /// Failed attempts that count against attempts.max.
   std::uint32_t failures = 0;
+  /// Preemptions in this cell.
+  std::uint32_t preemptions = 0;
   /// Uncounted failures since the last counted one, without preemptions; they lengthen the backoff.
   std::uint32_t refusals = 0;
   /// The current attempt; empty if there is none.
--- a/src/process/cell_outcome.cc
+++ b/src/process/cell_outcome.cc
@@ -135,6 +135,7 @@
     }
     return;
   }
+  if (failure.reason == StopReason::kPreempted) ++job.preemptions;
   if (failure.counts_toward_limit) {
     ++job.failures;
     job.refusals = 0;
--- a/src/process/cell_permits.cc
+++ b/src/process/cell_permits.cc
@@ -104,14 +104,31 @@
   for (const auto& [id, job] : jobs_) {
     if (CanReturn(job)) returned.push_back(id);
   }
-  for (const JobId& id : returned) {
-    const Job& job = jobs_.at(id);
-    Log(EventId::kJobRequeued, "job={} returned_to={} reason=\"the data centre is out of service\"",
-        id.value(), job.entry.ToString());
-    Send(job.entry, JobReturned{id, job.attempts, MayHaveRun(job)});
-    queue_.Cancel(id);
-    ForgetJob(id);
+  for (const JobId& id : returned) ReturnJob(id, "the data centre is out of service");
+}
+
+bool CellCore::Impl::MustLeaveCell(const Job& job) {
+  // The records of a durable job would have to be moved in the store, and it can wait.
+  return !job.spec.durable && !job.entry.empty() &&
+         job.preemptions >= internal::kMaxPreemptionsBeforeReturn;
+}
+
+void CellCore::Impl::ReturnPreemptedJobs() {
+  if (!ready_) return;
+  std::vector<JobId> returned;
+  for (const auto& [id, job] : jobs_) {
+    if (MustLeaveCell(job) && CanReturn(job)) returned.push_back(id);
   }
+  for (const JobId& id : returned) ReturnJob(id, "preempted too often in this cell");
+}
+
+void CellCore::Impl::ReturnJob(const JobId& id, std::string_view reason) {
+  const Job& job = jobs_.at(id);
+  Log(EventId::kJobRequeued, "job={} returned_to={} preemptions={} reason=\"{}\"", id.value(),
+      job.entry.ToString(), job.preemptions, reason);
+  Send(job.entry, JobReturned{id, job.attempts, MayHaveRun(job)});
+  queue_.Cancel(id);
+  ForgetJob(id);
 }
 
 void CellCore::Impl::TickDataCentreOut() {
--- a/src/process/cell_placement.cc
+++ b/src/process/cell_placement.cc
@@ -58,8 +58,9 @@
 }
 
 bool CellCore::Impl::MayPlace(const Job& job) const {
+  // A job that must leave the cell is returned in the next scan.
   return job.spec_known && !job.cancel_requested && !job.refusal && now_ >= job.not_before &&
-         !HasReportedAttempt(job.spec.id);
+         !MustLeaveCell(job) && !HasReportedAttempt(job.spec.id);
 }
 
 std::uint64_t CellCore::Impl::AcceleratorsInUse(const WorkspaceId& workspace) const {
--- a/src/process/entry_core_internal.h
+++ b/src/process/entry_core_internal.h
@@ -61,9 +61,10 @@
   bool sent = false;
   /// Whether the scheduler has confirmed that it has the job.
   bool accepted = false;
-  /// Whether the cell has returned the job because its data centre is out of service, and no other
-  /// cell has been found yet.
+  /// Whether the cell has returned the job, and no other cell has been found yet.
   bool returned = false;
+  /// Cells in service that have returned the job; other cells are preferred.
+  std::set<CellId> returned_by;
   /// Whether a task of the job has run, or may have run, under a scheduler that returned the job.
   bool ran = false;
   bool records_created = false;
@@ -189,7 +190,9 @@
   /// Sends the job to the routed cell, after creating its records or moving them there. `refused`
   /// has the meaning described at MoveRecords.
   void AssignToCell(internal::EntryRequest& request, const Routed& routed, bool refused = false);
-  RoutingResult ChooseCell(const internal::EntryRequest& request);
+  /// Chooses a cell that has not refused the job and is not in `avoid`.
+  RoutingResult ChooseCell(const internal::EntryRequest& request,
+                           const std::set<CellId>& avoid = {});
   /// Sends the job to the scheduler of its cell. If the cell is vacant, the job is sent once the
   /// next scheduler is known.
   void Submit(internal::EntryRequest& request);
@@ -236,7 +239,9 @@
   void OnMessage(const Address& from, const JobFinished& message);
   void OnMessage(const Address& from, const JobReport& message);
   void OnMessage(const Address& from, const JobReturned& message);
-  /// Sends a returned job to a cell in service; without one it is tried again later.
+  bool InService(const CellId& cell) const;
+  /// Sends a returned job to a cell in service, if possible to one that has not returned it;
+  /// without a cell in service it is tried again later.
   void RerouteReturnedJob(internal::EntryRequest& request);
   void OnMessage(const Address& from, const CellSummary& message);
   void OnEvent(const CellChanged& event);
--- a/src/process/entry_core_messages.cc
+++ b/src/process/entry_core_messages.cc
@@ -165,21 +165,33 @@
   if (from != request->scheduler) return;
   request->returned = true;
   request->ran = request->ran || message.ran;
+  // Otherwise the cell returned the job because its data centre is out of service, and is a good
+  // choice once it is back.
+  if (InService(request->cell)) request->returned_by.insert(request->cell);
   UpdateState(*request, JobState::kQueued, std::max(request->attempts, message.attempts));
   RerouteReturnedJob(*request);
 }
 
+bool EntryCore::Impl::InService(const CellId& cell) const {
+  const auto known = cells.find(cell);
+  return known != cells.end() && known->second.summary.has_value() &&
+         configuration.out_of_service.count(known->second.summary->data_centre) == 0;
+}
+
 void EntryCore::Impl::RerouteReturnedJob(EntryRequest& request) {
   request.next_poll = now + kReturnedPollInterval;
   if (request.operation != 0) return;
-  const RoutingResult route = ChooseCell(request);
+  RoutingResult route = ChooseCell(request, request.returned_by);
+  if (!std::holds_alternative<Routed>(route)) {
+    request.returned_by.clear();
+    route = ChooseCell(request);
+  }
   const auto* const routed = std::get_if<Routed>(&route);
   if (routed == nullptr) return;
   request.returned = false;
   if (routed->cell == request.cell) return Submit(request);
-  LogLine(EventId::kRequestResubmitted,
-          fmt::format("job={} reason=\"data centre of cell {} is out of service\"",
-                      request.spec.id.value(), request.cell.value()));
+  LogLine(EventId::kRequestResubmitted, fmt::format("job={} reason=\"returned by cell {}\"",
+                                                    request.spec.id.value(), request.cell.value()));
   AssignToCell(request, *routed);
 }
 
--- a/src/process/entry_core_submit.cc
+++ b/src/process/entry_core_submit.cc
@@ -114,7 +114,8 @@
   request.waiters.push_back({caller, now + wait, streams_progress});
 }
 
-RoutingResult EntryCore::Impl::ChooseCell(const EntryRequest& request) {
+RoutingResult EntryCore::Impl::ChooseCell(const EntryRequest& request,
+                                          const std::set<CellId>& avoid) {
   std::vector<CellCandidate> candidates;
   for (const auto& [id, cell] : cells) {
     if (!cell.summary.has_value()) continue;
@@ -134,6 +135,7 @@
   input.cells = &candidates;
   input.link = &link_budget;
   input.avoid = request.tried;
+  input.avoid.insert(avoid.begin(), avoid.end());
   return RouteJob(input);
 }
 
--- a/tests/process/cell_operations_test.cc
+++ b/tests/process/cell_operations_test.cc
@@ -170,6 +170,35 @@
       << "the preempted borrowed jobs must run again";
 }
 
+// Guards against an urgent gang that is preempted again and again in a cell where it can run only
+// on capacity that others hold as a guarantee: its entry must get it back to try another cell.
+TEST_F(CellOperations, AnUrgentJobIsReturnedAfterRepeatedPreemption) {
+  cell.Configure(7, {{"/*/*/w", R"({"workspace":true,"guarantee.run8":2})"},
+                     {"/*/*/other", R"({"workspace":true})"}});
+  JobSpec borrower = cell.Submit("x", 1, 8);
+  cell.FinishTasks("x");
+  borrower.id = JobId("gang");
+  borrower.workspace = WorkspaceId("other");
+  borrower.shape.tasks = 2;
+  borrower.payload = "p";
+  cell.FromEntry(SubmitJob{borrower});
+  for (int i = 0; i < 3; ++i) {
+    cell.Run(500);
+    ASSERT_EQ(cell.Running("gang"), 2U) << "preemptions: " << i;
+    EXPECT_TRUE(cell.Sent<JobReturned>().empty()) << "preemptions: " << i;
+    const std::string owner = "owner" + std::to_string(i);
+    cell.Submit(owner, 1, 8);
+    cell.Run(200);
+    cell.FinishTasks(owner);
+  }
+  cell.Run(1000);
+  const std::vector<JobReturned> returned = cell.Sent<JobReturned>();
+  ASSERT_EQ(returned.size(), 1U);
+  EXPECT_EQ(returned[0].job, JobId("gang"));
+  EXPECT_TRUE(returned[0].ran);
+  EXPECT_EQ(cell.Running("gang"), 0U);
+}
+
 // Guards against the answer "not run" for a job that is running when its deadline passes, and
 // against queued jobs that outlive their deadline.
 TEST_F(CellOperations, DeadlineEndsQueuedAndRunningJobs) {
--- a/tests/process/entry_core_test.cc
+++ b/tests/process/entry_core_test.cc
@@ -226,5 +226,27 @@
   EXPECT_EQ(ErrorOf(2), ErrorKind::kDeadlineExceeded);
 }
 
+// Guards against sending a job back to the cell that has returned it after repeated preemptions
+// while another cell could run it, and against losing the job if there is no other cell.
+TEST_F(EntryCoreTest, AReturnedJobPrefersCellsThatHaveNotReturnedIt) {
+  // The link budget starts empty.
+  now_ = now_ + Duration(1000);
+  ReceiveSummary(1);
+  ReceiveSummary(2, 1, 0, "north");
+  Submit(1, Spec("j1"));
+  const auto return_from = [this](int cell) {
+    return Sent<SubmitJob>(
+        Handle(ProcessMessage{SchedulerAddress(cell), JobReturned{JobId("j1"), 3, true}}));
+  };
+  const auto second = return_from(1);
+  ASSERT_EQ(second.size(), 1U);
+  EXPECT_EQ(second[0].first, SchedulerAddress(2));
+  const auto third = return_from(2);
+  ASSERT_EQ(third.size(), 1U);
+  EXPECT_EQ(third[0].first, SchedulerAddress(1)) << "all cells have returned it";
+  ReceiveFinished(SchedulerAddress(1), "j1", Success("one"));
+  EXPECT_EQ(OutputOf(1), "one");
+}
+
 }  // namespace
 }  // namespace basilspring
