Count an attempt whose members are reported in parts as one failure

A caller was refused with attempts_exhausted after a single lost attempt, though all its tasks had finished.

Its successor decided on the attempt one second after the first report, with four of eight members, and failed it. Three more members were reported two seconds later and the last one when the paused host was resumed; each time the same attempt was adopted and failed again, "4 of 8", "3 of 8" and "1 of 8 tasks were found", which made attempts.max (3).

Change: a job remembers the attempt that was incomplete when it was adopted. Members of it that are reported later are stopped and acknowledged, and neither counted nor made the job's current attempt, unless a cancellation waits for them.

Tests: CellRecoveryInParts.AnAttemptReportedInPartsCountsOnce failed before with attempts_exhausted; ACancellationWaitsForTheLateMember guards the exception for cancellations and was not run against the former code. The outputs of the incomplete attempt are still dropped, so its work is done again.

--- a/src/process/cell_core_internal.h
+++ b/src/process/cell_core_internal.h
@@ -226,6 +226,8 @@
   /// Makes a reported attempt the current attempt of its job, or stops it if the job has another
   /// attempt or a result.
   void AdoptAttempt(const AttemptId& id, const ReportedAttempt& found);
+  /// Processes the tasks of an adopted attempt that have finished.
+  void ApplyFinishedTasks(const ReportedAttempt& found);
   /// Processes the finished tasks of an adopted attempt; fails the attempt if tasks are missing or
   /// the job was cancelled.
   void ResumeAdoptedAttempt(const AttemptId& id, const ReportedAttempt& found);
--- a/src/process/cell_model.h
+++ b/src/process/cell_model.h
@@ -186,6 +186,9 @@
   std::uint32_t attempts = 0;
   /// Failed attempts that count against attempts.max.
   std::uint32_t failures = 0;
+  /// The last attempt that was incomplete when it was adopted from agents' reports. Its failure is
+  /// counted; members that are reported later belong to the same failure.
+  AttemptId incomplete_attempt;
   /// Preemptions in this cell.
   std::uint32_t preemptions = 0;
   /// Uncounted failures since the last counted one, without preemptions; they lengthen the backoff.
--- a/src/process/cell_recovery.cc
+++ b/src/process/cell_recovery.cc
@@ -245,11 +245,17 @@
   Attempt* const current = FindAttempt(job.attempt);
   const bool replaceable = current == nullptr || (!current->start_sent && !current->failure &&
                                                   !current->maybe_claimed && found.fully_started());
-  if (job.result || job.refusal || !replaceable) {
+  // The other members of this attempt were given up before these were reported. A cancellation
+  // that waits for the reported members is concluded by their attempt.
+  const bool given_up = job.incomplete_attempt == id && !job.cancel_requested;
+  if (job.result || job.refusal || !replaceable || given_up) {
     FailAttempt(attempt,
-                {ErrorKind::kNone, "another attempt or a result of the job exists",
+                {ErrorKind::kNone,
+                 given_up ? "the other members were given up before"
+                          : "another attempt or a result of the job exists",
                  StopReason::kGangNotStarted},
                 Duration(0));
+    ApplyFinishedTasks(found);
     return;
   }
   queue_.Cancel(job.spec.id);
@@ -266,11 +272,19 @@
   ResumeAdoptedAttempt(id, found);
 }
 
+void CellCore::Impl::ApplyFinishedTasks(const ReportedAttempt& found) {
+  for (const auto& [rank, reported] : found.ranks) {
+    if (reported.task.state != TaskState::kFinished) continue;
+    OnTaskDone(reported.agent, TaskDoneFromReport(reported.task));
+  }
+}
+
 void CellCore::Impl::ResumeAdoptedAttempt(const AttemptId& id, const ReportedAttempt& found) {
   Attempt& attempt = attempts_.at(id);
   Job& job = jobs_.at(attempt.job);
   const bool complete = found.fully_started() && !found.any_stopping();
   if (!complete) {
+    job.incomplete_attempt = id;
     FailAttempt(attempt,
                 {ErrorKind::kConnectionLost,
                  fmt::format("{} of {} tasks were found running after the change of scheduler",
@@ -281,10 +295,7 @@
     FailAttempt(attempt, {ErrorKind::kCancelled, "cancelled by caller", StopReason::kCancelled},
                 Duration(0));
   }
-  for (const auto& [rank, reported] : found.ranks) {
-    if (reported.task.state != TaskState::kFinished) continue;
-    OnTaskDone(reported.agent, TaskDoneFromReport(reported.task));
-  }
+  ApplyFinishedTasks(found);
   Log(EventId::kJobStarted, "job={} attempt={} tasks={} found={} recovered=true",
       found.first_report.job.value(), id.value(), found.first_report.tasks, found.ranks.size());
 }
--- a/tests/process/cell_recovery_test.cc
+++ b/tests/process/cell_recovery_test.cc
@@ -8,6 +8,7 @@
 namespace {
 
 using testing::CellHarness;
+using testing::FakeAgent;
 
 class CellRecovery : public ::testing::TestWithParam<bool> {
  protected:
@@ -62,6 +63,59 @@
   EXPECT_EQ(cell.Outcome("j"), GetParam() ? ErrorKind::kCount : ErrorKind::kOutcomeUnknown);
 }
 
+// A gang of three whose tasks finished while the scheduler was away, and whose members report to
+// the next scheduler one after another.
+class CellRecoveryInParts : public CellRecovery {
+ protected:
+  CellRecoveryInParts() {
+    cell.AddWorker("c");
+    cell.Run(2000);
+    cell.Submit("j", 3);
+    EXPECT_EQ(cell.Running("j"), 3U);
+    for (const char* name : {"a", "b", "c"}) cell.agent(name).silent = true;
+    cell.FinishTasks("j");
+    cell.ReplaceScheduler(false);
+    cell.Submit("j", 3);
+  }
+  void Report(const std::string& name) {
+    FakeAgent& agent = cell.agent(name);
+    agent.silent = false;
+    agent.unsent.clear();
+    agent.epoch = Epoch(CellHarness::kFirstEpoch + 10);
+    AgentReport report{
+        agent.id, RackId("rack"), CellId("dc/0"), agent.epoch, agent.address, agent.capacity, true};
+    for (const auto& [key, task] : agent.tasks) report.tasks.push_back(task);
+    EXPECT_EQ(report.tasks.size(), 1U) << name;
+    cell.FromAgent(agent, report);
+  }
+};
+
+// Guards against refusing a job after one lost attempt: its members report their finished tasks one
+// after another, each after the scheduler has given up the others, and must count as one failure.
+TEST_F(CellRecoveryInParts, AnAttemptReportedInPartsCountsOnce) {
+  for (const char* name : {"a", "b", "c"}) {
+    Report(name);
+    cell.Run(1200);
+  }
+  cell.Run(500);
+  EXPECT_EQ(cell.Outcome("j"), ErrorKind::kCount);
+  EXPECT_EQ(cell.Running("j"), 3U);
+  cell.FinishTasks("j");
+  EXPECT_EQ(cell.Outcome("j"), ErrorKind::kNone);
+}
+
+// Guards against a cancellation without an answer if it arrives between the report of a late member
+// and the decision about it.
+TEST_F(CellRecoveryInParts, ACancellationWaitsForTheLateMember) {
+  Report("a");
+  cell.Run(1200);
+  Report("b");
+  cell.Cancel("j");
+  EXPECT_EQ(cell.Outcome("j"), ErrorKind::kCount);
+  cell.Run(1200);
+  EXPECT_EQ(cell.Outcome("j"), ErrorKind::kCancelledRunning);
+}
+
 // Guards against stopping a running job or running it again because the scheduler changed.
 TEST_P(CellRecovery, ChangeWhileRunning) {
   cell.Submit("j", 2, 8, GetParam());
