Submit a job again until its scheduler has accepted it

The entry's query after 2 s was answered "known", which the entry took for an acceptance, and it never submitted the job again. The job stood still for 43 s, until the cell changed its scheduler once more.

Change: only JobAccepted counts as an acceptance. If a query finds an unfinished job that was not accepted, the entry submits it again, which a scheduler that has the job answers with JobAccepted.

Test: EntryCoreTest.AJobThatItsSchedulerHasNotAcceptedIsSentAgain failed before (0 submissions, expected 1).

--- a/src/process/entry_core_messages.cc
+++ b/src/process/entry_core_messages.cc
@@ -131,9 +131,12 @@
   if (request == nullptr) return;
   if (request->phase == RequestPhase::kSubmitted && from == request->scheduler) {
     if (message.known && !HasEnded(message.state)) {
-      request->accepted = true;
+      UpdateState(*request, message.state, message.attempts);
       request->next_poll = now + kAcceptedPollInterval;
-      return UpdateState(*request, message.state, message.attempts);
+      // A new scheduler may know the job only from its agents, without the payload, if the
+      // submission did not reach it. Another submission of a known job is harmless.
+      if (!request->accepted && request->operation == 0) Submit(*request);
+      return;
     }
     // The result was lost in transit, or the scheduler never received the job.
     if (request->operation != 0) return;
--- a/tests/process/entry_core_test.cc
+++ b/tests/process/entry_core_test.cc
@@ -208,6 +208,23 @@
   EXPECT_EQ(OutputOf(1), "one");
 }
 
+// Guards against a job that a new scheduler knows only from its agents, without the payload,
+// because the submission arrived before that scheduler was ready to receive it: it could never be
+// placed.
+TEST_F(EntryCoreTest, AJobThatItsSchedulerHasNotAcceptedIsSentAgain) {
+  ReceiveSummary(1);
+  Submit(1, Spec("j1"));
+  Handle(CellChanged{CellId("a/1"), SchedulerAddress(2), Epoch(2)});
+  JobReport report;
+  report.job = JobId("j1");
+  report.known = true;
+  EXPECT_EQ(Sent<QueryJob>(AdvanceAndTick(Duration(2100))).size(), 1U);
+  EXPECT_EQ(Sent<SubmitJob>(Handle(ProcessMessage{SchedulerAddress(2), report})).size(), 1U);
+  Handle(ProcessMessage{SchedulerAddress(2), JobAccepted{JobId("j1"), JobState::kQueued}});
+  EXPECT_EQ(Sent<QueryJob>(AdvanceAndTick(Duration(10100))).size(), 1U);
+  EXPECT_TRUE(Sent<SubmitJob>(Handle(ProcessMessage{SchedulerAddress(2), report})).empty());
+}
+
 // Guards against jobs that wait in a data centre that is out of service while a cell in service has
 // free capacity, and against "not run" for a job that ran before its cell returned it.
 TEST_F(EntryCoreTest, ReturnedJobsAreRoutedAgain) {
