--- a/src/process/cell_core_internal.h
+++ b/src/process/cell_core_internal.h
@@ -226,6 +226,8 @@
   /// Makes a reported attempt the current attempt of its job, or stops it if the job has another
   /// attempt or a result.
   void AdoptAttempt(const AttemptId& id, const ReportedAttempt& found);
+  /// Processes the tasks of an adopted attempt that have finished.
+  void ApplyFinishedTasks(const ReportedAttempt& found);
   /// Processes the finished tasks of an adopted attempt; fails the attempt if tasks are missing or
   /// the job was cancelled.
   void ResumeAdoptedAttempt(const AttemptId& id, const ReportedAttempt& found);
@@ -248,6 +250,12 @@
   /// Returns queued jobs to their entries while the data centre is out of service.
   void ReturnQueuedJobs();
   bool CanReturn(const Job& job) const;
+  /// Whether the job is to be returned because it was preempted too often in this cell.
+  static bool MustLeaveCell(const Job& job);
+  /// Returns queued jobs that must leave the cell to their entries.
+  void ReturnPreemptedJobs();
+  /// Returns the job to its entry and forgets it.
+  void ReturnJob(const JobId& id, std::string_view reason);
   void TickDataCentreOut();
 
   // cell_configuration.cc: the operators' settings.
--- a/tests/process/cell_operations_test.cc
+++ b/tests/process/cell_operations_test.cc
@@ -45,6 +45,26 @@
   EXPECT_EQ(cell.Running("next"), 2U);
 }
 
+// Guards against a caller that polls the job of a lost entry at another one and never gets the
+// answer: the store has no answers of urgent jobs, so only the cell scheduler can deliver it.
+TEST_F(CellOperations, AQueryFromAnotherEntryDeliversTheAnswerOfAnUrgentJob) {
+  const Address other{"127.0.0.1", 2};
+  const auto delivered = [&] {
+    return std::count_if(cell.sent.begin(), cell.sent.end(), [&](const CellSend& send) {
+      const auto* const finished = std::get_if<JobFinished>(&send.message);
+      return finished != nullptr && send.to == other && finished->result.answer.outputs.size() == 2;
+    });
+  };
+  cell.Submit("j", 2);
+  cell.Deliver(CellMessage{other, QueryJob{JobId("j"), 0}});
+  EXPECT_EQ(delivered(), 0) << "the job still runs";
+  cell.FinishTasks("j");
+  cell.Deliver(CellMessage{other, QueryJob{JobId("j"), 7}});
+  EXPECT_EQ(delivered(), 0) << "a query with a number asks for an explanation only";
+  cell.Deliver(CellMessage{other, QueryJob{JobId("j"), 0}});
+  EXPECT_EQ(delivered(), 1);
+}
+
 // Guards against a worker that fails every task immediately and, being free again, attracts all
 // further tasks.
 TEST_F(CellOperations, WorkerThatFailsEverythingIsQuarantined) {
@@ -150,6 +170,35 @@
       << "the preempted borrowed jobs must run again";
 }
 
+// Guards against an urgent gang that is preempted again and again in a cell where it can run only
+// on capacity that others hold as a guarantee: its entry must get it back to try another cell.
+TEST_F(CellOperations, AnUrgentJobIsReturnedAfterRepeatedPreemption) {
+  cell.Configure(7, {{"/*/*/w", R"({"workspace":true,"guarantee.run8":2})"},
+                     {"/*/*/other", R"({"workspace":true})"}});
+  JobSpec borrower = cell.Submit("x", 1, 8);
+  cell.FinishTasks("x");
+  borrower.id = JobId("gang");
+  borrower.workspace = WorkspaceId("other");
+  borrower.shape.tasks = 2;
+  borrower.payload = "p";
+  cell.FromEntry(SubmitJob{borrower});
+  for (int i = 0; i < 3; ++i) {
+    cell.Run(500);
+    ASSERT_EQ(cell.Running("gang"), 2U) << "preemptions: " << i;
+    EXPECT_TRUE(cell.Sent<JobReturned>().empty()) << "preemptions: " << i;
+    const std::string owner = "owner" + std::to_string(i);
+    cell.Submit(owner, 1, 8);
+    cell.Run(200);
+    cell.FinishTasks(owner);
+  }
+  cell.Run(1000);
+  const std::vector<JobReturned> returned = cell.Sent<JobReturned>();
+  ASSERT_EQ(returned.size(), 1U);
+  EXPECT_EQ(returned[0].job, JobId("gang"));
+  EXPECT_TRUE(returned[0].ran);
+  EXPECT_EQ(cell.Running("gang"), 0U);
+}
+
 // Guards against the answer "not run" for a job that is running when its deadline passes, and
 // against queued jobs that outlive their deadline.
 TEST_F(CellOperations, DeadlineEndsQueuedAndRunningJobs) {
--- a/tests/process/entry_core_test.cc
+++ b/tests/process/entry_core_test.cc
@@ -196,6 +196,35 @@
   EXPECT_EQ(Sent<SubmitJob>(Handle(ProcessMessage{SchedulerAddress(1), report})).size(), 1U);
 }
 
+// Guards against dropping the answer of another entry's urgent job: its scheduler sends the answer
+// before the report that confirms the job, and the store has none.
+TEST_F(EntryCoreTest, TheAnswerOfAnotherEntrysUrgentJobComesFromItsScheduler) {
+  ReceiveSummary(1);
+  const auto asked =
+      Sent<QueryJob>(Handle(ResultRequest{CallerId(1), JobId("other"), Duration(2000)}));
+  ASSERT_EQ(asked.size(), 1U);
+  EXPECT_EQ(asked[0].second.query, 0U) << "a query with a number gets no answer";
+  ReceiveFinished(SchedulerAddress(1), "other", Success("one"));
+  EXPECT_EQ(OutputOf(1), "one");
+}
+
+// Guards against a job that a new scheduler knows only from its agents, without the payload,
+// because the submission arrived before that scheduler was ready to receive it: it could never be
+// placed.
+TEST_F(EntryCoreTest, AJobThatItsSchedulerHasNotAcceptedIsSentAgain) {
+  ReceiveSummary(1);
+  Submit(1, Spec("j1"));
+  Handle(CellChanged{CellId("a/1"), SchedulerAddress(2), Epoch(2)});
+  JobReport report;
+  report.job = JobId("j1");
+  report.known = true;
+  EXPECT_EQ(Sent<QueryJob>(AdvanceAndTick(Duration(2100))).size(), 1U);
+  EXPECT_EQ(Sent<SubmitJob>(Handle(ProcessMessage{SchedulerAddress(2), report})).size(), 1U);
+  Handle(ProcessMessage{SchedulerAddress(2), JobAccepted{JobId("j1"), JobState::kQueued}});
+  EXPECT_EQ(Sent<QueryJob>(AdvanceAndTick(Duration(10100))).size(), 1U);
+  EXPECT_TRUE(Sent<SubmitJob>(Handle(ProcessMessage{SchedulerAddress(2), report})).empty());
+}
+
 // Guards against jobs that wait in a data centre that is out of service while a cell in service has
 // free capacity, and against "not run" for a job that ran before its cell returned it.
 TEST_F(EntryCoreTest, ReturnedJobsAreRoutedAgain) {
@@ -214,5 +243,27 @@
   EXPECT_EQ(ErrorOf(2), ErrorKind::kDeadlineExceeded);
 }
 
+// Guards against sending a job back to the cell that has returned it after repeated preemptions
+// while another cell could run it, and against losing the job if there is no other cell.
+TEST_F(EntryCoreTest, AReturnedJobPrefersCellsThatHaveNotReturnedIt) {
+  // The link budget starts empty.
+  now_ = now_ + Duration(1000);
+  ReceiveSummary(1);
+  ReceiveSummary(2, 1, 0, "north");
+  Submit(1, Spec("j1"));
+  const auto return_from = [this](int cell) {
+    return Sent<SubmitJob>(
+        Handle(ProcessMessage{SchedulerAddress(cell), JobReturned{JobId("j1"), 3, true}}));
+  };
+  const auto second = return_from(1);
+  ASSERT_EQ(second.size(), 1U);
+  EXPECT_EQ(second[0].first, SchedulerAddress(2));
+  const auto third = return_from(2);
+  ASSERT_EQ(third.size(), 1U);
+  EXPECT_EQ(third[0].first, SchedulerAddress(1)) << "all cells have returned it";
+  ReceiveFinished(SchedulerAddress(1), "j1", Success("one"));
+  EXPECT_EQ(OutputOf(1), "one");
+}
+
 }  // namespace
 }  // namespace basilspring
