--- a/src/fleet/scheduler_driver.cc
+++ b/src/fleet/scheduler_driver.cc
@@ -12,25 +12,17 @@
 namespace basilspring::fleet {
 namespace {
 
-// A transaction of the store may have 32 entries: the condition on the leader key, and for each
-// record a condition and a write, or three removals.
-constexpr std::size_t kMaxTransactionEntries = 31;
-constexpr std::size_t kEntriesPerSave = 2;
-constexpr std::size_t kEntriesPerRemoval = 3;
 // Time before the end of the lease in which no run is started.
 constexpr Duration kStartMargin(400);
 // Longest time for which the answer to a report waits for the report's ends to be recorded.
 constexpr Duration kReportWait(300);
 // Covers all attempts that an agent makes at its backend server before it answers a batch.
 constexpr Duration kOrderTimeout(2500);
-constexpr Duration kSaveTimeout(1000);
-constexpr Duration kSaveRetry(100);
+constexpr Duration kAnnouncementTimeout(1000);
 constexpr Duration kLoadRetry(100);
 // A pass that takes longer is logged, at most once in this interval.
 constexpr Duration kSlowPass(100);
 constexpr Duration kSlowPassLogInterval(3000);
-// Time until a list of agents that the store rejected is written again.
-constexpr Duration kRejectedAgentsRetry(5000);
 
 }  // namespace
 
@@ -138,7 +130,7 @@
     OrderBatch announcement;
     announcement.term = term_;
     announcement.scheduler = context_.own_address;
-    internal::CallPeer<OrderBatchReply>(context_.peers, address, announcement, kSaveTimeout,
+    internal::CallPeer<OrderBatchReply>(context_.peers, address, announcement, kAnnouncementTimeout,
                                         [](const std::optional<OrderBatchReply>&) {});
   }
   RunPass(Clock::Now());
@@ -281,165 +273,6 @@
       });
 }
 
-void SchedulerDriver::Save() {
-  if (saving_ || save_queue_.empty() || Clock::Now() < save_not_before_) return;
-  StoreCall call = StoreCall::Transaction().If(Leadership::LeaderKey(), leader_revision_);
-  call.timeout = kSaveTimeout;
-  auto batch = std::make_shared<std::vector<ProgressSave>>();
-  std::size_t entries = 0;
-  while (!save_queue_.empty()) {
-    const bool alone = save_alone_.count(save_queue_.front().job) != 0;
-    if (alone && !batch->empty()) break;
-    const bool remove = save_queue_.front().remove;
-    entries += remove ? kEntriesPerRemoval : kEntriesPerSave;
-    if (entries > kMaxTransactionEntries) break;
-    ProgressSave save = std::move(save_queue_.front());
-    save_queue_.erase(save_queue_.begin());
-    const std::string key = StoreKeys::Progress(save.job);
-    if (remove) {
-      call.Remove(StoreKeys::Job(save.job)).Remove(StoreKeys::Cancel(save.job)).Remove(key);
-    } else {
-      const auto known = progress_revisions_.find(save.job);
-      call.If(key, known == progress_revisions_.end() ? 0 : known->second).Set(key, save.bytes);
-    }
-    batch->push_back(std::move(save));
-    if (alone) break;
-  }
-  saving_ = true;
-  context_.store.Call(
-      call, [this, alive = alive_, batch, sent = Clock::Now()](const StoreReply& reply) {
-        if (!*alive) return;
-        saving_ = false;
-        context_.metrics
-            .GetHistogram("basilspring_record_write_ms",
-                          fmt::format("status=\"{}\"", StoreStatusName(reply.status)),
-                          "Time to write a batch of job records to the store.")
-            .Observe(Clock::Now() - sent);
-        if (reply.status == StoreStatus::kConflict) {
-          OnSaveRefused(*batch, reply);
-          return;
-        }
-        if (reply.status == StoreStatus::kRejected) {
-          OnSaveRejected(*batch, reply);
-          return;
-        }
-        if (reply.status != StoreStatus::kOk) {
-          Log(EventId::kFleetStore, "records={} not saved: {} {}", batch->size(),
-              StoreStatusName(reply.status), reply.message);
-          // Repeating the write is safe, because only the holder of the lease writes these keys.
-          save_queue_.insert(save_queue_.begin(), batch->begin(), batch->end());
-          save_not_before_ = Clock::Now() + kSaveRetry;
-          return;
-        }
-        for (const ProgressSave& save : *batch) {
-          save_alone_.erase(save.job);
-          if (save.remove) {
-            progress_revisions_.erase(save.job);
-            unreadable_records_.erase(save.job);
-            unreadable_jobs_.erase(save.job);
-            removal_revisions_[save.job] = reply.revision;
-            core_.OnRemoved(save.job);
-          } else {
-            progress_revisions_[save.job] = reply.revision;
-            core_.OnSaved(save.job, save.version);
-          }
-        }
-        AnswerWaitingReports(Clock::Now());
-        RequestPass();
-      });
-}
-
-bool SchedulerDriver::ShowsNewLeader(const StoreReply& reply) const {
-  return std::none_of(reply.items.begin(), reply.items.end(), [this](const StoreItem& item) {
-    return item.key == Leadership::LeaderKey() && item.revision == leader_revision_;
-  });
-}
-
-void SchedulerDriver::OnSaveRefused(const std::vector<ProgressSave>& batch,
-                                    const StoreReply& reply) {
-  if (ShowsNewLeader(reply)) {
-    context_.superseded("another process holds the leader key");
-    return;
-  }
-  // The store has applied an earlier write that it did not answer. Overwrite it on condition of
-  // the revision that the reply shows.
-  for (const ProgressSave& save : batch) {
-    progress_revisions_.erase(save.job);
-    for (const StoreItem& item : reply.items) {
-      if (item.key == StoreKeys::Progress(save.job)) progress_revisions_[save.job] = item.revision;
-    }
-    Log(EventId::kFleetStore, "job={} record was at another revision; retrying with revision {}",
-        save.job.value(), progress_revisions_[save.job]);
-  }
-  save_queue_.insert(save_queue_.begin(), batch.begin(), batch.end());
-  Save();
-}
-
-void SchedulerDriver::OnSaveRejected(const std::vector<ProgressSave>& batch,
-                                     const StoreReply& reply) {
-  CountRejectedWrite("record");
-  for (const ProgressSave& save : batch) {
-    Log(EventId::kFleetStore, "term={} job={} bytes={} records={} the store rejects the record: {}",
-        term_.value(), save.job.value(), save.bytes.size(), batch.size(), reply.message);
-    save_alone_.insert(save.job);
-  }
-  if (batch.size() > 1) {
-    // Each record by itself shows which of them the store rejects.
-    save_queue_.insert(save_queue_.begin(), batch.begin(), batch.end());
-  } else {
-    core_.OnSaveRejected(Clock::Now(), batch.front().job);
-  }
-  Save();
-  AnswerWaitingReports(Clock::Now());
-  RequestPass();
-}
-
-void SchedulerDriver::CountRejectedWrite(const std::string& kind) {
-  context_.metrics
-      .GetCounter("basilspring_rejected_writes_total", fmt::format("kind=\"{}\"", kind),
-                  "Writes of the scheduler whose content the store did not accept.")
-      .Add();
-}
-
-void SchedulerDriver::SaveAgents() {
-  const bool missing = std::any_of(agents_.begin(), agents_.end(), [&](const auto& row) {
-    return stored_agents_.count(row.first) == 0;
-  });
-  if (!missing || saving_agents_ || Clock::Now() < save_agents_not_before_) return;
-  saving_agents_ = true;
-  std::vector<ListedAgent> rows;
-  auto written = std::make_shared<std::set<NodeId>>();
-  for (const auto& [node, address] : agents_) {
-    rows.push_back({node, address});
-    written->insert(node);
-  }
-  StoreCall call = StoreCall::Transaction()
-                       .If(Leadership::LeaderKey(), leader_revision_)
-                       .If(StoreKeys::kAgents, agents_revision_)
-                       .Set(StoreKeys::kAgents, internal::EncodePeerBody(rows));
-  call.timeout = kSaveTimeout;
-  context_.store.Call(call, [this, alive = alive_, written](const StoreReply& reply) {
-    if (!*alive) return;
-    saving_agents_ = false;
-    if (reply.status == StoreStatus::kRejected) {
-      CountRejectedWrite("agents");
-      Log(EventId::kFleetStore, "term={} agents={} the store rejects the list of agents: {}",
-          term_.value(), written->size(), reply.message);
-      save_agents_not_before_ = Clock::Now() + kRejectedAgentsRetry;
-    } else if (reply.status == StoreStatus::kOk) {
-      stored_agents_ = *written;
-      agents_revision_ = reply.revision;
-    } else if (reply.status == StoreStatus::kConflict && ShowsNewLeader(reply)) {
-      context_.superseded("another process holds the leader key");
-    } else if (reply.status == StoreStatus::kConflict) {
-      agents_revision_ = 0;
-      for (const StoreItem& item : reply.items) {
-        if (item.key == StoreKeys::kAgents) agents_revision_ = item.revision;
-      }
-    }
-  });
-}
-
 void SchedulerDriver::OnReport(const AgentReport& report,
                                std::function<void(AgentReportReply)> answer) {
   const TimePoint now = Clock::Now();
