Show how much of an answer has arrived, and how a configuration is read

Time-outs now give the bytes that have arrived, FleetConfiguration has bytes, decode_ms and by, and basilspring_config_age_ms shows a process that does not follow.

--- a/src/connection/http_exchange.cc
+++ b/src/connection/http_exchange.cc
@@ -44,8 +44,9 @@
     if (error || self->done_) return;
     // The idle connections to a server that doesn't answer may be dead as well.
     self->pool_->CloseIdle(self->request_.server);
-    self->Fail(fmt::format("no whole answer from {} within {} ms", self->request_.server.ToString(),
-                           self->request_.timeout.milliseconds()));
+    self->Fail(fmt::format("no whole answer from {} within {} ms; {} bytes have arrived",
+                           self->request_.server.ToString(), self->request_.timeout.milliseconds(),
+                           self->ReceivedBytes()));
   });
   AcquireConnection();
 }
@@ -148,6 +149,12 @@
   }
 }
 
+std::size_t HttpExchange::ReceivedBytes() const {
+  if (!parser_) return 0;
+  return connection_->buffer.size() +
+         (parser_->is_header_done() ? parser_->get().body().size() : 0);
+}
+
 bool HttpExchange::streaming() const { return on_data_ && parser_->get().result_int() / 100 == 2; }
 
 void HttpExchange::ReadBody() {
--- a/src/connection/http_exchange.h
+++ b/src/connection/http_exchange.h
@@ -53,6 +53,8 @@
   void Finish(HttpResult result);
   HttpResult ResultFromHead() const;
   bool streaming() const;
+  /// Size of the part of the answer's body that has arrived.
+  std::size_t ReceivedBytes() const;
 
   std::shared_ptr<HttpPool> pool_;
   HttpClientRequest request_;
--- a/src/fleet/node.cc
+++ b/src/fleet/node.cc
@@ -201,7 +201,10 @@
   auto state = std::make_shared<OperatorState>();
   if (operator_state_) *state = *operator_state_;
   if (snapshot) state->evacuated.clear();
+  const TimePoint began = Clock::Now();
+  std::size_t bytes = 0;
   for (const StoreItem& item : items) {
+    bytes += item.value.size();
     if (const auto fault = adapters_.operators->Apply(item, *state)) {
       Log(EventId::kFleetConfiguration, "ignored: {}", *fault);
     }
@@ -210,9 +213,11 @@
   const std::size_t evacuated_before = operator_state_ ? operator_state_->evacuated.size() : 0;
   if (state->config.version != before || state->evacuated.size() != evacuated_before) {
     Log(EventId::kFleetConfiguration,
-        "version={} former={} revision={} queues={} workspaces={} evacuated={}",
+        "version={} former={} revision={} queues={} workspaces={} evacuated={} bytes={} "
+        "decode_ms={} by={}",
         state->config.version, before, operator_watch_->revision(), state->config.queues.size(),
-        state->config.workspaces.size(), state->evacuated.size());
+        state->config.workspaces.size(), state->evacuated.size(), bytes,
+        (Clock::Now() - began).milliseconds(), snapshot ? "read" : "watch");
   }
   operator_state_ = state;
   if (scheduler_) scheduler_->SetOperatorState(operator_state_);
--- a/src/fleet/node_requests.cc
+++ b/src/fleet/node_requests.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "basilspring/process/log.h"
@@ -163,6 +164,12 @@
   set("basilspring_scheduler_holds_lease", scheduler_ ? 1 : 0);
   set("basilspring_config_version",
       operator_state_ ? static_cast<std::uint64_t>(operator_state_->config.version) : 0);
+  if (operator_watch_->loaded()) {
+    // A host that can't follow the operators' changes shows a growing age.
+    set("basilspring_config_age_ms",
+        static_cast<std::uint64_t>(std::max<std::int64_t>(
+            0, (Clock::Now() - operator_watch_->current_at()).milliseconds())));
+  }
   if (!scheduler_) return;
   const SchedulerCounts& counts = scheduler_->core().counts();
   set("basilspring_runs_started", counts.runs_started);
--- a/src/fleet/prefix_watch.cc
+++ b/src/fleet/prefix_watch.cc
@@ -88,6 +88,8 @@
     if (reply.status == StoreStatus::kUnknown) {
       // The connection may have stopped delivering answers, or changes may be held back. Reading
       // all keys shows the current state.
+      Log(EventId::kFleetStore, "prefix={} revision={} age_ms={} watch: {}; reading all keys",
+          prefix_, revision_, (Clock::Now() - current_at_).milliseconds(), reply.message);
       Load("", 0, {});
       return;
     }
