Give a read of the store as long as its answer keeps arriving

The time limit of a read counted until the last byte: a configuration of 766 KB is 1,021 KB on the wire, which takes 0.8 s at the entries' 10 Mbit/s, and a read had 500 ms. Each attempt was given up with about half of the answer received and begun anew, and the store was taken for unreachable meanwhile. Whether a watch delivered the change depended on how much of its waiting time was left.

Ranges, watches and the read of the list of agents now have a limit on the time until the answer begins and between two parts of it, and 12 s for the transfer as a whole; so do their relayed forms. A scheduler on such a host could not read the job records for the same reason (1,000 ms a page of 1 MB). A silent connection is still noticed after 500 ms.

ReadsItemsWhoseTransferTakesLongerThanTheReadTimeout failed without the transfer limit (no items within 20 s, many connections) and passes with it.

--- a/include/basilspring/connection/http_client.h
+++ b/include/basilspring/connection/http_client.h
@@ -21,8 +21,15 @@
   std::string target = "/";
   std::map<std::string, std::string> headers;
   std::string body;
-  /// Time limit for the exchange, including the time to connect.
+  /// Time limit for the exchange, including the time to connect. If `transfer_timeout` is set, it
+  /// only covers the time until the body of the answer begins.
   Duration timeout = Duration(5000);
+  /// Time limit for receiving the body, for answers whose size the caller does not know; 0 if
+  /// `timeout` covers the whole exchange.
+  Duration transfer_timeout;
+  /// With `transfer_timeout`: longest time between two parts of the body, after which the
+  /// connection is considered dead.
+  Duration stall_timeout = Duration(500);
   std::size_t max_response_bytes = 8 * 1024 * 1024;
   /// Opens a new connection instead of reusing one from the pool; meant for a call that follows a
   /// timeout.
--- a/include/basilspring/fleet/peer_client.h
+++ b/include/basilspring/fleet/peer_client.h
@@ -29,8 +29,9 @@
  public:
   PeerClient(HttpClient& http, Executor executor);
 
+  /// With a `transfer_timeout`, `timeout` only covers the time until the answer begins to arrive.
   void Send(const Address& to, const char* path, std::string body, Duration timeout,
-            std::function<void(PeerResult)> handler);
+            std::function<void(PeerResult)> handler, Duration transfer_timeout = Duration());
 
  private:
   HttpClient& http_;
--- a/include/basilspring/fleet/store.h
+++ b/include/basilspring/fleet/store.h
@@ -99,12 +99,18 @@
   Duration lease_time;
   /// Watch: how long the store may hold back the answer until there is an event.
   Duration wait;
-  /// Time after which the outcome is considered unknown; for a watch, this is added to `wait`.
+  /// Time after which the outcome is considered unknown; for a watch, this is added to `wait`. With
+  /// `transfer_timeout`, it limits the time until the answer begins, and between two parts of it.
   Duration timeout = Duration(1000);
+  /// Time limit for the transfer of an answer that may be large; 0 if `timeout` covers the whole
+  /// answer. Not sent with a relayed call: the peer sets its own.
+  Duration transfer_timeout;
 
   BASILSPRING_SERIALIZE(operation, key, after_key, after_revision, stale_allowed, conditions,
                         writes, removals, lease, lease_time, wait, timeout)
 
+  /// Sets the time limit for an answer of any size that the store returns.
+  void AllowLargeAnswer();
   StoreOperation kind() const { return static_cast<StoreOperation>(operation); }
   static StoreCall Get(std::string key);
   static StoreCall Range(std::string prefix, std::string after_key = "");
--- a/include/basilspring/fleet/store_access.h
+++ b/include/basilspring/fleet/store_access.h
@@ -35,7 +35,7 @@
   void Call(const StoreCall& call, StoreHandler handler);
   /// Makes a call for a peer. The call is never relayed, so that calls don't circulate between
   /// peers, and it fails at once while the store is known to be unreachable from here.
-  void CallForPeer(const StoreCall& call, StoreHandler handler);
+  void CallForPeer(StoreCall call, StoreHandler handler);
   /// Makes a call without relaying it, for calls that only a process with a direct connection may
   /// make, and for probes of that connection.
   void CallDirectly(const StoreCall& call, StoreHandler handler);
--- a/src/connection/http_exchange.cc
+++ b/src/connection/http_exchange.cc
@@ -1,5 +1,6 @@
 #include "connection/http_exchange.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
@@ -39,16 +40,21 @@
     return;
   }
   head_ = std::move(*head);
-  deadline_.expires_after(std::chrono::milliseconds(request_.timeout.milliseconds()));
+  began_at_ = Clock::Now();
+  SetDeadline(request_.timeout);
+  AcquireConnection();
+}
+
+void HttpExchange::SetDeadline(Duration time) {
+  deadline_.expires_after(std::chrono::milliseconds(time.milliseconds()));
   deadline_.async_wait([self = shared_from_this()](const ErrorCode& error) {
     if (error || self->done_) return;
     // The idle connections to a server that doesn't answer may be dead as well.
     self->pool_->CloseIdle(self->request_.server);
     self->Fail(fmt::format("no whole answer from {} within {} ms; {} bytes have arrived",
-                           self->request_.server.ToString(), self->request_.timeout.milliseconds(),
-                           self->ReceivedBytes()));
+                           self->request_.server.ToString(),
+                           (Clock::Now() - self->began_at_).milliseconds(), self->ReceivedBytes()));
   });
-  AcquireConnection();
 }
 
 void HttpExchange::AcquireConnection() {
@@ -145,6 +151,9 @@
     deadline_.cancel();
     ReadStreamData();
   } else {
+    if (request_.transfer_timeout > Duration(0)) {
+      transfer_until_ = Clock::Now() + request_.transfer_timeout;
+    }
     ReadBody();
   }
 }
@@ -158,10 +167,17 @@
 bool HttpExchange::streaming() const { return on_data_ && parser_->get().result_int() / 100 == 2; }
 
 void HttpExchange::ReadBody() {
-  http::async_read(connection_->socket, connection_->buffer, *parser_,
-                   [self = shared_from_this()](const ErrorCode& error, std::size_t) {
-                     if (!self->done_) self->OnBody(error);
-                   });
+  if (parser_->is_done()) {
+    OnBody(ErrorCode());
+    return;
+  }
+  if (transfer_until_) {
+    SetDeadline(std::min(request_.stall_timeout, *transfer_until_ - Clock::Now()));
+  }
+  http::async_read_some(connection_->socket, connection_->buffer, *parser_,
+                        [self = shared_from_this()](const ErrorCode& error, std::size_t) {
+                          if (!self->done_) self->OnBody(error);
+                        });
 }
 
 void HttpExchange::OnBody(const ErrorCode& error) {
@@ -169,6 +185,10 @@
     Fail("the answer was truncated: " + error.message());
     return;
   }
+  if (!parser_->is_done()) {
+    ReadBody();
+    return;
+  }
   HttpResult result = ResultFromHead();
   result.body = std::move(parser_->get().body());
   Finish(std::move(result));
--- a/src/connection/http_exchange.h
+++ b/src/connection/http_exchange.h
@@ -41,6 +41,8 @@
   void ReadHeader();
   void OnHeader(const ErrorCode& error);
   void ReadBody();
+  /// Fails the exchange after this time. Replaces the former deadline.
+  void SetDeadline(Duration time);
   void OnBody(const ErrorCode& error);
   void ReadStreamData();
   void OnStreamData(const ErrorCode& error);
@@ -61,9 +63,12 @@
   std::function<void(std::string)> on_data_;
   std::function<void(HttpResult)> on_end_;
   boost::asio::steady_timer deadline_;
+  TimePoint began_at_;
   std::unique_ptr<HttpConnection> connection_;
   std::optional<Parser> parser_;
   std::string head_;
+  /// When the whole body must have arrived, if the request has a transfer timeout.
+  std::optional<TimePoint> transfer_until_;
   bool pooled_ = false;
   bool retried_ = false;
   /// Whether the host refused the connection.
--- a/src/fleet/peer_client.cc
+++ b/src/fleet/peer_client.cc
@@ -16,13 +16,14 @@
     : http_(http), executor_(std::move(executor)) {}
 
 void PeerClient::Send(const Address& to, const char* path, std::string body, Duration timeout,
-                      std::function<void(PeerResult)> handler) {
+                      std::function<void(PeerResult)> handler, Duration transfer_timeout) {
   HttpClientRequest request;
   request.server = to;
   request.method = "POST";
   request.target = path;
   request.body = std::move(body);
   request.timeout = timeout;
+  request.transfer_timeout = transfer_timeout;
   http_.Send(
       std::move(request), [executor = executor_, handler = std::move(handler)](HttpResult result) {
         PeerResult answer;
--- a/src/fleet/scheduler_driver.cc
+++ b/src/fleet/scheduler_driver.cc
@@ -83,30 +83,31 @@
 }
 
 void SchedulerDriver::LoadAgents() {
-  context_.store.Call(
-      StoreCall::Get(StoreKeys::kAgents), [this, alive = alive_](const StoreReply& reply) {
-        if (!*alive) return;
-        if (reply.status == StoreStatus::kOk && !reply.items.empty()) {
-          agents_revision_ = reply.items.front().revision;
-          try {
-            const auto rows =
-                internal::DecodePeerBody<std::vector<ListedAgent>>(reply.items.front().value);
-            for (const ListedAgent& row : rows) {
-              agents_[row.node] = row.address;
-              stored_agents_.insert(row.node);
-              core_.ExpectAgent(row.node, row.address);
-            }
-          } catch (const Error& error) {
-            core_.SetAgentsIncomplete();
-            ReportUnreadable("agents", StoreKeys::kAgents, error);
-          }
-        } else if (reply.status != StoreStatus::kNotFound) {
-          load_retry_at_ = Clock::Now() + kLoadRetry;
-          return;
+  StoreCall call = StoreCall::Get(StoreKeys::kAgents);
+  call.AllowLargeAnswer();
+  context_.store.Call(call, [this, alive = alive_](const StoreReply& reply) {
+    if (!*alive) return;
+    if (reply.status == StoreStatus::kOk && !reply.items.empty()) {
+      agents_revision_ = reply.items.front().revision;
+      try {
+        const auto rows =
+            internal::DecodePeerBody<std::vector<ListedAgent>>(reply.items.front().value);
+        for (const ListedAgent& row : rows) {
+          agents_[row.node] = row.address;
+          stored_agents_.insert(row.node);
+          core_.ExpectAgent(row.node, row.address);
         }
-        agents_loaded_ = true;
-        BecomeReadyIfLoaded();
-      });
+      } catch (const Error& error) {
+        core_.SetAgentsIncomplete();
+        ReportUnreadable("agents", StoreKeys::kAgents, error);
+      }
+    } else if (reply.status != StoreStatus::kNotFound) {
+      load_retry_at_ = Clock::Now() + kLoadRetry;
+      return;
+    }
+    agents_loaded_ = true;
+    BecomeReadyIfLoaded();
+  });
 }
 
 void SchedulerDriver::BecomeReadyIfLoaded() {
--- a/src/fleet/store.cc
+++ b/src/fleet/store.cc
@@ -9,6 +9,10 @@
 constexpr std::array<std::string_view, 7> kStatusNames = {
     "ok", "not-found", "conflict", "history-lost", "unavailable", "unknown", "rejected"};
 
+// The store's answers have up to about 1.4 MB, which a connection of 1 Mbit/s transfers in this
+// time. A transfer that proceeds is not begun anew, because the next one would take as long.
+constexpr Duration kTransferTimeout(12000);
+
 StoreCall MakeCall(StoreOperation operation) {
   StoreCall call;
   call.operation = static_cast<std::uint8_t>(operation);
@@ -31,6 +35,7 @@
   StoreCall call = MakeCall(StoreOperation::kRange);
   call.key = std::move(prefix);
   call.after_key = std::move(after_key);
+  call.AllowLargeAnswer();
   return call;
 }
 
@@ -39,9 +44,12 @@
   call.key = std::move(prefix);
   call.after_revision = after_revision;
   call.wait = wait;
+  call.AllowLargeAnswer();
   return call;
 }
 
+void StoreCall::AllowLargeAnswer() { transfer_timeout = kTransferTimeout; }
+
 StoreCall StoreCall::Transaction() { return MakeCall(StoreOperation::kTransaction); }
 
 StoreCall StoreCall::GrantLease(Duration time) {
--- a/src/fleet/store_access.cc
+++ b/src/fleet/store_access.cc
@@ -88,7 +88,7 @@
       probe, [](const StoreReply&) {}, false);
 }
 
-void StoreAccess::CallForPeer(const StoreCall& call, StoreHandler handler) {
+void StoreAccess::CallForPeer(StoreCall call, StoreHandler handler) {
   if (Clock::Now() < direct_retry_at_) {
     StoreReply reply;
     reply.status = StoreStatus::kUnavailable;
@@ -96,6 +96,9 @@
     handler(std::move(reply));
     return;
   }
+  if (call.kind() == StoreOperation::kRange || call.kind() == StoreOperation::kWatch) {
+    call.AllowLargeAnswer();
+  }
   CallStore(call, std::move(handler), false);
 }
 
@@ -213,7 +216,8 @@
         } else {
           handler(std::move(reply));
         }
-      });
+      },
+      call.transfer_timeout);
 }
 
 }  // namespace basilspring::fleet
--- a/tests/connection/http_client_test.cc
+++ b/tests/connection/http_client_test.cc
@@ -89,6 +89,33 @@
   EXPECT_EQ(client_.Fetch(request).error, ErrorKind::kTimeout);
 }
 
+// Guards against reads of large values that never succeed on a slow connection.
+TEST_F(HttpClientTest, ABodyThatKeepsArrivingMayTakeLongerThanTheTimeout) {
+  std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n";
+  for (int i = 0; i < 40; ++i) answer += std::string{ScriptedServer::kPause, 'b'};
+  ScriptedServer server(Script{{answer}, {answer}});
+  HttpClientRequest request = To(server.address());
+  request.timeout = Duration(500);
+  EXPECT_EQ(client_.Fetch(request).error, ErrorKind::kTimeout);
+  request.transfer_timeout = Duration(20000);
+  const HttpResult result = client_.Fetch(request);
+  EXPECT_EQ(result.error, ErrorKind::kNone) << result.message;
+  EXPECT_EQ(result.body, std::string(40, 'b'));
+}
+
+// Guards against waiting for the rest of a body on a connection that has stopped delivering.
+TEST_F(HttpClientTest, ABodyThatStopsArrivingGivesATimeout) {
+  ScriptedServer server(
+      Script{{"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab", ScriptedServer::kNoResponse}});
+  HttpClientRequest request = To(server.address());
+  request.timeout = Duration(20000);
+  request.transfer_timeout = Duration(20000);
+  request.stall_timeout = Duration(50);
+  const TimePoint began = Clock::Now();
+  EXPECT_EQ(client_.Fetch(request).error, ErrorKind::kTimeout);
+  EXPECT_LT(Clock::Now() - began, Duration(20000));
+}
+
 // Guards against a truncated response that looks complete (promise 4).
 TEST_F(HttpClientTest, TruncatedResponsesAreErrors) {
   for (const char* answer :
--- a/tests/fleet/store_users_test.cc
+++ b/tests/fleet/store_users_test.cc
@@ -1,6 +1,9 @@
 #include <gtest/gtest.h>
 
+#include <condition_variable>
+#include <deque>
 #include <future>
+#include <mutex>
 #include <thread>
 
 #include "basilspring/connection/http_server.h"
@@ -11,11 +14,45 @@
 #include "basilspring/process/io_thread.h"
 #include "platform/store_adapter.h"
 #include "scripted_store.h"
+#include "tests/connection/scripted_server.h"
 
 // Tests of Leadership, PrefixWatch and StoreAccess with a store whose answers each test sets.
 namespace basilspring::fleet {
 namespace {
 
+/// Work that other threads hand over, run on the thread of the test.
+class WorkQueue {
+ public:
+  Executor executor() {
+    // Calls that are open at the end of a test are answered after the queue is destroyed.
+    return [state = state_](std::function<void()> work) {
+      const std::lock_guard lock(state->mutex);
+      state->work.push_back(std::move(work));
+      state->added.notify_one();
+    };
+  }
+  void RunUntil(const std::function<bool()>& done, std::chrono::seconds limit) {
+    const auto until = std::chrono::steady_clock::now() + limit;
+    while (!done()) {
+      std::unique_lock lock(state_->mutex);
+      const auto filled = [this] { return !state_->work.empty(); };
+      if (!state_->added.wait_until(lock, until, filled)) return;
+      const std::function<void()> work = std::move(state_->work.front());
+      state_->work.pop_front();
+      lock.unlock();
+      work();
+    }
+  }
+
+ private:
+  struct State {
+    std::mutex mutex;
+    std::condition_variable added;
+    std::deque<std::function<void()>> work;
+  };
+  std::shared_ptr<State> state_ = std::make_shared<State>();
+};
+
 class StoreUsersTest : public ::testing::Test {
  protected:
   StoreUsersTest() {
@@ -171,6 +208,28 @@
   EXPECT_EQ(access_.counts().relayed_calls, 0U);
 }
 
+// Guards against a configuration that is never read whole on a slow connection, because each read
+// is given up after a fixed time and begun anew.
+TEST_F(StoreUsersTest, ReadsItemsWhoseTransferTakesLongerThanTheReadTimeout) {
+  const std::string body =
+      R"({"items":[{"key":"p/a","revision":3,"value":"dg=="}],"has_more":false,"current_rev":5})";
+  std::string answer =
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+  for (const char byte : body) answer += std::string{ScriptedServer::kPause, byte};
+  ScriptedServer server(Script{{answer, ScriptedServer::kNoResponse}});
+  platform::PlatformStore store(http_, server.address());
+  WorkQueue queue;
+  StoreAccess access(store, peers_, queue.executor());
+  std::vector<StoreItem> read;
+  PrefixWatch watch(access, queue.executor(), "p/",
+                    [&](std::vector<StoreItem> items, bool) { read = std::move(items); });
+  watch.Start();
+  queue.RunUntil([&] { return !read.empty(); }, std::chrono::seconds(20));
+  ASSERT_EQ(read.size(), 1U);
+  EXPECT_EQ(read.front().value, "v");
+  EXPECT_EQ(server.connections(), 1);
+}
+
 // Guards against a watch that is started again and then passes on what an earlier read shows.
 TEST_F(StoreUsersTest, AWatchThatIsStartedAgainIgnoresItsFormerCalls) {
   std::vector<bool> snapshots;
