Answer a peer's read of the operators' items from memory

A host without a way to the store followed the operators' changes through peers, each of which made the same read at the store again. With a large configuration the peer had to receive all of it before it could send the first byte, later than the caller waits, and the transfers shared the peer's connection with its own.

Entries, and the process that holds the scheduler, keep the items that their watch has read and answer such reads from them, while the store answers this process and its own watch is not older than 3 s; otherwise they say so at once. Two hosts without a way to the store can't confirm each other. A caller names the revision that it knows, so that no answer takes anything back.

AnEntryAnswersAPeersReadOfTheOperatorsItemsFromMemory failed before (no answer within 20 s).

--- a/include/basilspring/fleet/store.h
+++ b/include/basilspring/fleet/store.h
@@ -88,7 +88,8 @@
   std::string key;
   /// Range: the last key of the previous page; empty for the first page.
   std::string after_key;
-  /// Watch: events after this revision are returned.
+  /// Watch: events after this revision are returned. Range: a peer that answers from memory must
+  /// know all changes up to this revision.
   std::int64_t after_revision = 0;
   /// Range and get: the answer may be some seconds old.
   bool stale_allowed = false;
--- a/include/basilspring/fleet/store_access.h
+++ b/include/basilspring/fleet/store_access.h
@@ -42,6 +42,8 @@
   /// Sets the processes through which calls can be relayed.
   void SetPeers(std::vector<Address> peers);
 
+  /// Whether the last direct call was answered.
+  bool ReachesStore() const { return direct_reachable_; }
   /// Whether calls, direct and relayed, have failed for so long that the next one is expected to
   /// fail too.
   bool IsUnavailable(TimePoint now) const;
--- a/src/fleet/node.cc
+++ b/src/fleet/node.cc
@@ -95,6 +95,7 @@
           // Posted, because the scheduler itself may be the caller.
           [this] { Post([this] { StopScheduler(); }); },
           [this](const LeaderRecord& record) { OnScheduler(record.term, record.address); }});
+  operator_mirror_ = std::make_unique<PrefixMirror>(adapters_.operators->Prefix());
   operator_watch_ =
       std::make_unique<PrefixWatch>(*store_, executor, adapters_.operators->Prefix(),
                                     [this](const std::vector<StoreItem>& items, bool snapshot) {
@@ -198,6 +199,7 @@
 }
 
 void Node::OnOperatorItems(const std::vector<StoreItem>& items, bool snapshot) {
+  operator_mirror_->Update(items, snapshot, operator_watch_->revision());
   auto state = std::make_shared<OperatorState>();
   if (operator_state_) *state = *operator_state_;
   if (snapshot) state->evacuated.clear();
@@ -240,6 +242,7 @@
 void Node::StopScheduler() {
   if (leadership_->leading()) return;
   scheduler_.reset();
+  // An agent that leads again reads all keys before it answers peers from memory.
   if (!entry_role_) operator_watch_->Stop();
 }
 
--- a/src/fleet/node_process.h
+++ b/src/fleet/node_process.h
@@ -15,6 +15,7 @@
 #include "basilspring/fleet/leadership.h"
 #include "basilspring/fleet/node.h"
 #include "basilspring/fleet/peer_client.h"
+#include "basilspring/fleet/prefix_mirror.h"
 #include "basilspring/fleet/prefix_watch.h"
 #include "basilspring/fleet/scheduler_driver.h"
 #include "basilspring/fleet/store_access.h"
@@ -52,6 +53,9 @@
   template <typename Reply>
   static void RespondOk(const Responder& responder, const Reply& reply);
   void RelayStoreCall(const RelayedStoreCall& request, const Responder& responder);
+  /// Answers a peer's read of the operators' items from memory. A watch without a newer change is
+  /// answered after `wait`, or earlier if one arrives meanwhile.
+  void AnswerFromMirror(const StoreCall& call, Duration wait, const Responder& responder);
   void OnAnnouncement(const HttpRequest& request, const Responder& responder);
   void OnOperatorItems(const std::vector<StoreItem>& items, bool snapshot);
   void StartScheduler(Term term, std::int64_t revision);
@@ -88,6 +92,8 @@
   std::unique_ptr<StoreAccess> store_;
   std::unique_ptr<Leadership> leadership_;
   std::unique_ptr<PrefixWatch> operator_watch_;
+  /// What `operator_watch_` has read, for peers without a way to the store.
+  std::unique_ptr<PrefixMirror> operator_mirror_;
   std::shared_ptr<const OperatorState> operator_state_;
   std::unique_ptr<SchedulerDriver> scheduler_;
   std::unique_ptr<EntryServer> entry_;
--- a/src/fleet/node_requests.cc
+++ b/src/fleet/node_requests.cc
@@ -9,6 +9,24 @@
 namespace basilspring::fleet {
 namespace {
 
+// Interval in which a peer's waiting watch looks for a newer change.
+constexpr Duration kMirrorPoll(50);
+// A process whose watch was last answered longer ago than this may have missed changes. It covers
+// the waiting time of a watch and the transfer of a large change.
+constexpr Duration kMaxMirrorAge(3000);
+
+RelayedStoreReply ToRelayedReply(const StoreReply& reply) {
+  RelayedStoreReply relayed;
+  relayed.status = static_cast<std::uint8_t>(reply.status);
+  relayed.items = reply.items;
+  relayed.revision = reply.revision;
+  relayed.more = reply.more;
+  relayed.lease = reply.lease;
+  relayed.lease_time = reply.lease_time;
+  relayed.message = reply.message;
+  return relayed;
+}
+
 HttpResponse PlainResponse(int status, std::string text) {
   HttpResponse response;
   response.status = status;
@@ -124,19 +142,37 @@
     responder->Respond(PlainResponse(400, "no such operation\n"));
     return;
   }
+  const bool follows_operators = (entry_role_ || scheduler_) && operator_watch_->loaded();
+  if (follows_operators && operator_mirror_->Covers(request.call)) {
+    AnswerFromMirror(request.call, request.call.wait, responder);
+    return;
+  }
   store_->CallForPeer(request.call, [responder](const StoreReply& reply) {
-    RelayedStoreReply relayed;
-    relayed.status = static_cast<std::uint8_t>(reply.status);
-    relayed.items = reply.items;
-    relayed.revision = reply.revision;
-    relayed.more = reply.more;
-    relayed.lease = reply.lease;
-    relayed.lease_time = reply.lease_time;
-    relayed.message = reply.message;
-    RespondOk(responder, relayed);
+    RespondOk(responder, ToRelayedReply(reply));
   });
 }
 
+void Node::AnswerFromMirror(const StoreCall& call, Duration wait, const Responder& responder) {
+  StoreReply reply;
+  // Two processes without a way to the store must not confirm to each other that they are current.
+  const Duration age = Clock::Now() - operator_watch_->current_at();
+  if (!store_->ReachesStore() || age > kMaxMirrorAge) {
+    reply.status = StoreStatus::kUnavailable;
+    reply.message = "this process does not follow the operators' changes at present";
+  } else if (auto answer = operator_mirror_->Answer(call, operator_watch_->revision())) {
+    reply = std::move(*answer);
+  } else if (wait > Duration(0)) {
+    PostAfter(kMirrorPoll, [this, call, wait, responder] {
+      AnswerFromMirror(call, wait - kMirrorPoll, responder);
+    });
+    return;
+  } else {
+    reply.status = StoreStatus::kOk;
+    reply.revision = std::max(call.after_revision, operator_watch_->revision());
+  }
+  RespondOk(responder, ToRelayedReply(reply));
+}
+
 void Node::OnAnnouncement(const HttpRequest& request, const Responder& responder) {
   const DecodedAnnouncement call = adapters_.announcements->Decode(request);
   if (const auto* fault = std::get_if<InvalidAnnouncement>(&call)) {
--- a/src/fleet/prefix_watch.cc
+++ b/src/fleet/prefix_watch.cc
@@ -47,6 +47,7 @@
 void PrefixWatch::Load(std::string after_key, std::int64_t revision, std::vector<StoreItem> items) {
   idle_ = false;
   StoreCall call = StoreCall::Range(prefix_, std::move(after_key));
+  call.after_revision = revision_;
   call.timeout = kReadTimeout;
   store_.Call(call,
               [this, alive = alive_, revision, items = std::move(items)](StoreReply reply) mutable {
