Give up a task under which three workers have crashed

Only ends that a worker lists as failed were counted, and a worker that has crashed lists nothing.

The crash of a worker that is not draining now counts against the runs that may have caused it: those that no poll has listed yet, or all of them if there are none. The third crash ends the job as failed. Crashes are kept in the job's record, so the next scheduler goes on counting; it can miss the crash during its change, which leaves a margin of two starts. A long-running task that has worked for 30 s is not suspected. Records without crashes keep their form.

--- a/include/basilspring/fleet/job_model.h
+++ b/include/basilspring/fleet/job_model.h
@@ -143,6 +143,15 @@
   BASILSPRING_SERIALIZE(index, run)
 };
 
+/// A run during which its worker crashed, and that may have been the cause. Such a run has no end.
+struct CrashedRun {
+  /// The step's index as in JobProgress::steps, and the task's index in the step.
+  std::int32_t step = 0;
+  std::int32_t index = 0;
+  RunNumber run;
+  BASILSPRING_SERIALIZE(step, index, run)
+};
+
 /// The scheduler's record of one step of one occurrence.
 struct StepProgress {
   /// For each task 1 if it has succeeded, otherwise 0; empty while no task has succeeded.
@@ -164,6 +173,9 @@
   std::int64_t finished_unix_ms = 0;
   /// The steps of occurrence 0, followed by those of occurrence 1, and so on.
   std::vector<StepProgress> steps;
+  /// Appended to the other members, so that records without crashes, and those of earlier versions,
+  /// have the same form.
+  std::vector<CrashedRun> crashed_runs;
 
   BASILSPRING_SERIALIZE(phase, finished_unix_ms, steps)
 };
--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -56,6 +56,8 @@
   std::uint64_t runs_done = 0;
   std::uint64_t runs_failed = 0;
   std::uint64_t runs_lost = 0;
+  /// Crashes of workers, each counted once for every task that may have caused it.
+  std::uint64_t crashes_counted = 0;
   std::uint64_t runs_preempted = 0;
   std::uint64_t runs_stalled = 0;
   std::uint64_t jobs_completed = 0;
@@ -211,6 +213,8 @@
   struct Task {
     TaskPhase phase = TaskPhase::kWaiting;
     std::set<RunNumber> failed_runs;
+    /// Runs during which the worker crashed, as far as they may have caused it.
+    std::set<RunNumber> crashed_runs;
     /// The number of starts in this term.
     std::uint64_t runs = 0;
     /// The current run and its worker while the task is active.
@@ -375,6 +379,13 @@
   /// Does the same for all tasks of the job.
   void FailIfAttemptsUsedUp(Job& job);
   void CountWorkerFailure(TimePoint now, Worker& worker, const JobId& job);
+  /// Counts the crash of a worker against the tasks that may have caused it, and gives up their
+  /// jobs when their limit is reached.
+  void CountCrash(TimePoint now, Worker& worker);
+  /// Whether an order of the run has not been sent yet.
+  bool AwaitsOrder(const NodeId& node, const RunKey& key) const;
+  /// Ends the job if too many workers have crashed under the task.
+  void FailIfWorkersCrashed(Job& job, std::size_t step, std::size_t index);
   void MarkWorkerLost(TimePoint now, Worker& worker, const std::string& reason);
   void ReleaseRun(TimePoint now, Worker& worker, const RunKey& key, bool lost);
   void RequestStop(TimePoint now, Worker& worker, const RunKey& key, Allocation& run);
--- a/src/fleet/job_model.cc
+++ b/src/fleet/job_model.cc
@@ -89,11 +89,16 @@
 std::string EncodeJobProgress(const JobProgress& progress) {
   std::string bytes;
   internal::EncodeBody(progress, bytes);
+  if (!progress.crashed_runs.empty()) internal::EncodeBody(progress.crashed_runs, bytes);
   return bytes;
 }
 
 JobProgress DecodeJobProgress(const std::string& bytes) {
-  auto progress = internal::DecodeBody<JobProgress>(bytes);
+  JobProgress progress;
+  internal::FrameReader reader(bytes);
+  reader(progress);
+  if (reader.remaining() != 0) reader(progress.crashed_runs);
+  if (reader.remaining() != 0) internal::FrameReader::Fail("bytes are left over");
   if (progress.phase > static_cast<std::uint8_t>(JobPhase::kCancelled)) {
     throw Error(ErrorKind::kBadFrame, "bad job progress: the phase is out of its range");
   }
--- a/src/fleet/node_requests.cc
+++ b/src/fleet/node_requests.cc
@@ -213,6 +213,7 @@
   set("basilspring_runs_done", counts.runs_done);
   set("basilspring_runs_failed", counts.runs_failed);
   set("basilspring_runs_lost", counts.runs_lost);
+  set("basilspring_crashes_counted", counts.crashes_counted);
   set("basilspring_runs_preempted", counts.runs_preempted);
   set("basilspring_runs_stalled", counts.runs_stalled);
   set("basilspring_jobs_completed", counts.jobs_completed);
--- a/src/fleet/scheduler_core.cc
+++ b/src/fleet/scheduler_core.cc
@@ -112,6 +112,15 @@
       }
     }
   }
+  if (progress) {
+    for (const CrashedRun& crashed : progress->crashed_runs) {
+      const auto step = static_cast<std::size_t>(crashed.step);
+      const auto index = static_cast<std::size_t>(crashed.index);
+      if (step >= job.steps.size() || index >= job.steps[step].tasks.size()) continue;
+      job.steps[step].tasks[index].crashed_runs.insert(crashed.run);
+      job.started = true;
+    }
+  }
   RefreshQueue(job);
   job.cancelled = cancelled_before_added_.erase(job.spec.id) > 0;
   LogDecision(fmt::format(
@@ -204,6 +213,7 @@
   progress.finished_unix_ms = job.finished_unix_ms;
   if (IsFinal(job.phase)) return progress;
   for (Step& step : job.steps) {
+    const auto step_index = static_cast<std::int32_t>(progress.steps.size());
     StepProgress& recorded = progress.steps.emplace_back();
     if (step.done > 0) recorded.done.resize(step.tasks.size(), 0);
     for (std::size_t i = 0; i < step.tasks.size(); ++i) {
@@ -211,6 +221,9 @@
       for (const RunNumber run : step.tasks[i].failed_runs) {
         recorded.failed_runs.push_back({static_cast<std::int32_t>(i), run});
       }
+      for (const RunNumber run : step.tasks[i].crashed_runs) {
+        progress.crashed_runs.push_back({step_index, static_cast<std::int32_t>(i), run});
+      }
     }
     recorded.agents.assign(step.agents.begin(), step.agents.end());
   }
--- a/src/fleet/scheduler_room.cc
+++ b/src/fleet/scheduler_room.cc
@@ -159,7 +159,9 @@
   const std::string_view required_rack =
       relaxation.any_rack ? std::string_view() : RequiredRack(pass, job, ready.step);
   std::set<NodeId> failed_on;
+  bool crashed = false;
   for (const Task& task : step.tasks) {
+    crashed = crashed || !task.crashed_runs.empty();
     failed_on.insert(task.failed_on.begin(), task.failed_on.end());
   }
   for (std::size_t i = 0; i < pass.workers.size(); ++i) {
@@ -190,9 +192,10 @@
     candidate.free = {std::min(pass_worker.free.milli_cores, later.milli_cores),
                       std::min(pass_worker.free.memory_mb, later.memory_mb),
                       std::min(pass_worker.free.accelerators, later.accelerators)};
-    // A worker with a recent failure is used only as a last resort.
-    candidate.suspect =
-        !worker.failed_jobs.empty() || worker.failed_starts > 0 || failed_on.count(worker.node) > 0;
+    // A worker with a recent failure is used only as a last resort, and so is one with other runs
+    // for a step that may crash it.
+    candidate.suspect = !worker.failed_jobs.empty() || worker.failed_starts > 0 ||
+                        failed_on.count(worker.node) > 0 || (crashed && !worker.runs.empty());
     view.candidates.push_back(std::move(candidate));
     view.worker_indices.push_back(i);
     view.free_after_stops.push_back(later);
--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -19,6 +19,11 @@
 // put on probation.
 constexpr std::size_t kFailuresForProbation = 2;
 constexpr Duration kMaxProbation = Duration::Seconds(60);
+// A task is given up when this many workers have crashed under it. A scheduler that is replaced may
+// miss one crash, and a task must not be started three times more after three workers have crashed.
+constexpr std::size_t kMaxCrashedRuns = 3;
+// A long-running task that has run for this long is not the cause of its worker's crash.
+constexpr Duration kSoundRunTime = Duration::Seconds(30);
 // A backend server that has not answered polls for this long may have exited, so a report does not
 // count as an extension of its lease.
 constexpr Duration kPollSilenceLimit(2000);
@@ -65,7 +70,10 @@
       // A report of an earlier term may be older than the backend server's next incarnation and its
       // runs.
       if (report.term == term_) worker.has_listed_runs = true;
-      if (worker.backend) MarkWorkerLost(now, worker, "its backend server has exited");
+      if (worker.backend) {
+        CountCrash(now, worker);
+        MarkWorkerLost(now, worker, "its backend server has exited");
+      }
     } else if (!report.backend.empty()) {
       UpdateBackend(now, worker, report);
     }
@@ -86,7 +94,10 @@
   if (!same) {
     // The lease may have been extended until now, regardless of what polls have shown so far.
     worker.last_lease_extension = now;
-    if (worker.backend) MarkWorkerLost(now, worker, "its backend server was restarted");
+    if (worker.backend) {
+      CountCrash(now, worker);
+      MarkWorkerLost(now, worker, "its backend server was restarted");
+    }
     worker.last_end = 0;
     worker.unsaved_ends.clear();
     worker.failed_jobs.clear();
@@ -292,6 +303,7 @@
   for (std::size_t step = 0; step < job.steps.size(); ++step) {
     for (std::size_t index = 0; index < job.steps[step].tasks.size(); ++index) {
       FailIfAttemptsUsedUp(job, step, index);
+      FailIfWorkersCrashed(job, step, index);
     }
   }
 }
@@ -339,6 +351,58 @@
   }
 }
 
+bool SchedulerCore::AwaitsOrder(const NodeId& node, const RunKey& key) const {
+  return std::any_of(pending_orders_.begin(), pending_orders_.end(),
+                     [&](const PendingOrder& pending) {
+                       return pending.worker == node && pending.order.start &&
+                              pending.order.task == key.task && pending.order.run == key.run;
+                     });
+}
+
+void SchedulerCore::CountCrash(TimePoint now, Worker& worker) {
+  // A worker that drains ends on purpose.
+  if (worker.backend->draining) return;
+  // Runs that a poll has listed have worked beside each other without a crash, so the cause is
+  // sought among the later ones first.
+  const auto is_new = [&](const auto& row) {
+    return !row.second.first_percent && !AwaitsOrder(worker.node, row.first);
+  };
+  const bool any_new = std::any_of(worker.runs.begin(), worker.runs.end(), is_new);
+  for (const auto& row : worker.runs) {
+    const auto& [key, run] = row;
+    Job* job = FindJob(key.task);
+    if (job == nullptr || IsFinal(job->phase) || any_new != is_new(row)) continue;
+    if (AwaitsOrder(worker.node, key)) continue;
+    const std::size_t step = StepIndex(*job, key.task);
+    Task& task = TaskOf(*job, key.task);
+    if (task.phase == TaskPhase::kDone) continue;
+    const Duration ran = now - run.working_since;
+    if (SpecOf(*job, step).long_running && ran >= kSoundRunTime) {
+      task.crashed_runs.clear();
+    } else {
+      task.crashed_runs.insert(key.run);
+      ++counts_.crashes_counted;
+    }
+    ++job->version;
+    task.failed_on.insert(worker.node);
+    task.not_before = now + kRetryDelay;
+    LogDecision(
+        fmt::format("task={} run={} worker={} ran_ms={} listed={} crashes={} the worker "
+                    "crashed during the run",
+                    key.task.ToString(), key.run.value(), worker.node.value(), ran.milliseconds(),
+                    run.first_percent.has_value(), task.crashed_runs.size()));
+    FailIfWorkersCrashed(*job, step, static_cast<std::size_t>(key.task.index));
+  }
+}
+
+void SchedulerCore::FailIfWorkersCrashed(Job& job, std::size_t step, std::size_t index) {
+  const Task& task = job.steps[step].tasks[index];
+  if (IsFinal(job.phase) || task.crashed_runs.size() < kMaxCrashedRuns) return;
+  FinishJob(job, JobPhase::kFailed,
+            fmt::format("{} workers have crashed under task {}", task.crashed_runs.size(),
+                        IdOf(job, step, index).ToString()));
+}
+
 void SchedulerCore::MarkWorkerLost(TimePoint now, Worker& worker, const std::string& reason) {
   LogDecision(fmt::format("worker={} runs={} treating the worker as lost: {}", worker.node.value(),
                           worker.runs.size(), reason));
--- /dev/null
+++ b/tests/fleet/scheduler_crash_test.cc
@@ -0,0 +1,141 @@
+#include <gtest/gtest.h>
+
+#include "basilspring/error.h"
+#include "fleet_harness.h"
+
+// Tasks during whose runs backend servers crash.
+namespace basilspring::fleet {
+namespace {
+
+constexpr std::int64_t kSecond = 1000;
+
+class SchedulerCrashTest : public ::testing::Test {
+ protected:
+  SchedulerCrashTest() {
+    fleet_.AddQueue("batch", 2, 3.0, 3000);
+    fleet_.AddWorkspace("shop", 0);
+    for (int i = 0; i < 6; ++i) fleet_.AddAgent("a" + std::to_string(i), "rack");
+    fleet_.Advance(kSecond);
+  }
+
+  /// Ends the backend server without a trace of its runs.
+  void Exit(const std::string& agent) {
+    fleet_.agent(agent).runs.clear();
+    fleet_.agent(agent).report.backend_gone = true;
+  }
+  /// Starts another incarnation of a backend server that has ended.
+  void Restart(const std::string& agent) {
+    AgentReport& report = fleet_.agent(agent).report;
+    report.backend_gone = false;
+    report.ended.clear();
+    report.backend.front().started_unix_ms = fleet_.now_ms();
+    report.backend.front().draining = false;
+    fleet_.agent(agent).next_end = 1;
+  }
+  /// Waits for the next start of a task of the job and crashes its worker. Returns false if nothing
+  /// is started.
+  bool CrashNextStart(const JobId& job) {
+    const std::size_t before = crashes_;
+    for (std::int64_t waited = 0; fleet_.StartsOf(job) == before; waited += 20) {
+      if (waited > 10 * kSecond) return false;
+      fleet_.Advance(20);
+    }
+    ++crashes_;
+    const std::string agent = fleet_.starts().back().first;
+    Exit(agent);
+    fleet_.Advance(kSecond);
+    Restart(agent);
+    return true;
+  }
+
+  FleetHarness fleet_;
+  std::size_t crashes_ = 0;
+};
+
+TEST_F(SchedulerCrashTest, GivesUpATaskThatCrashesEachWorkerThatStartsIt) {
+  const JobId job = fleet_.Submit("batch", "shop", MakeStep(1, 1, 5 * kSecond));
+  while (crashes_ < 10 && CrashNextStart(job)) continue;
+  EXPECT_EQ(fleet_.StartsOf(job), 3U);
+  EXPECT_EQ(fleet_.PhaseOf(job), JobPhase::kFailed);
+}
+
+// Guards against a count that begins anew with each scheduler.
+TEST_F(SchedulerCrashTest, CountsTheCrashesUnderATaskAcrossSchedulers) {
+  const JobId job = fleet_.Submit("batch", "shop", MakeStep(1, 1, 5 * kSecond));
+  for (std::uint64_t term = 2; crashes_ < 10 && CrashNextStart(job); ++term) {
+    fleet_.ChangeScheduler(term);
+    // The next scheduler learns of the runs from the first reports.
+    fleet_.Advance(kSecond);
+  }
+  EXPECT_EQ(fleet_.StartsOf(job), 3U);
+  EXPECT_EQ(fleet_.PhaseOf(job), JobPhase::kFailed);
+}
+
+// Guards against giving up a job because another one crashes the workers that it runs on.
+TEST_F(SchedulerCrashTest, DoesNotCountCrashesAgainstTasksThatRanBefore) {
+  for (int i = 1; i < 6; ++i) Exit("a" + std::to_string(i));
+  fleet_.Advance(kSecond);
+  StepSpec step = MakeStep(1, 1, 20 * kSecond);
+  step.checkpoints = true;
+  const JobId bystander = fleet_.Submit("batch", "shop", step);
+  JobId job;
+  for (int i = 0; i < 10 && fleet_.PhaseOf(job) != JobPhase::kFailed; ++i) {
+    fleet_.Advance(2 * kSecond);
+    if (i == 0) job = fleet_.Submit("batch", "shop", MakeStep(1, 1, 5 * kSecond));
+    CrashNextStart(job);
+  }
+  EXPECT_EQ(fleet_.PhaseOf(job), JobPhase::kFailed);
+  EXPECT_TRUE(fleet_.RunUntil(bystander, JobPhase::kCompleted, 60 * kSecond));
+}
+
+// Guards against giving up a job because the workers under it end on purpose.
+TEST_F(SchedulerCrashTest, DoesNotCountTheEndOfADrainingWorker) {
+  const JobId job = fleet_.Submit("batch", "shop", MakeStep(1, 1, 5 * kSecond));
+  for (int i = 0; i < 4; ++i) {
+    while (fleet_.RunningTasks(job) == 0) fleet_.Advance(20);
+    const std::string agent = fleet_.starts().back().first;
+    BackendAnnouncement& backend = fleet_.agent(agent).report.backend.front();
+    backend.draining = true;
+    backend.drain_remaining = Duration::Seconds(60);
+    ++backend.sequence;
+    fleet_.Advance(kSecond);
+    Exit(agent);
+    fleet_.Advance(kSecond);
+    Restart(agent);
+  }
+  EXPECT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, 20 * kSecond));
+}
+
+// Guards against ending a service because its hosts fail now and then in the course of weeks.
+TEST_F(SchedulerCrashTest, ALongRunningTaskThatHasWorkedForLongIsNotGivenUp) {
+  StepSpec step = MakeStep(1, 1, kSecond);
+  step.long_running = true;
+  const JobId job = fleet_.Submit("batch", "shop", step);
+  fleet_.run_time_of = [](const TaskId&) { return 1000 * kSecond; };
+  for (int i = 0; i < 4; ++i) {
+    fleet_.Advance(60 * kSecond);
+    ASSERT_EQ(fleet_.RunningTasks(job), 1U);
+    const std::string agent = fleet_.starts().back().first;
+    Exit(agent);
+    fleet_.Advance(kSecond);
+    Restart(agent);
+  }
+  EXPECT_EQ(fleet_.PhaseOf(job), JobPhase::kRunning);
+}
+
+// Guards against records of an earlier version that can't be read after an update.
+TEST(JobProgressTest, ARecordWithoutCrashesHasItsFormerForm) {
+  JobProgress progress;
+  progress.steps.resize(1);
+  const std::string former = EncodeJobProgress(progress);
+  progress.crashed_runs.push_back({0, 0, RunNumber(7)});
+  const std::string bytes = EncodeJobProgress(progress);
+  EXPECT_EQ(bytes.substr(0, former.size()), former);
+  EXPECT_TRUE(DecodeJobProgress(former).crashed_runs.empty());
+  ASSERT_EQ(DecodeJobProgress(bytes).crashed_runs.size(), 1U);
+  EXPECT_EQ(DecodeJobProgress(bytes).crashed_runs.front().run, RunNumber(7));
+  EXPECT_THROW(DecodeJobProgress(bytes + "x"), Error);
+}
+
+}  // namespace
+}  // namespace basilspring::fleet
