Know the capacity of a worker that changes while it runs

The scheduler placed runs by the last announcement already, but recorded the shapes of workers, by which entries refuse jobs that no worker can hold, only when a worker joined: a job that fits only a worker that has grown was refused for good. Each changed capacity is now recorded and logged. Shapes that no worker has any more stay, as before, so that a job is not refused because a worker has shrunk for a while.

KnowsTheCapacityOfAWorkerThatHasGrown failed before (no worker can hold 16 accelerators).

--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -111,8 +111,19 @@
   }
   const bool was_draining = same && worker.backend->draining;
   const bool new_announcement = !same || worker.backend->sequence != backend.sequence;
+  // The capacity may change while the backend server runs.
+  const bool new_shape = !same || worker.backend->capacity != backend.capacity;
   worker.backend = backend;
-  if (!same) RecordShape(backend);
+  if (new_shape) {
+    RecordShape(backend);
+    if (same) {
+      LogDecision(fmt::format(
+          "worker={} backend={} cores={} memory_mb={} accelerators={} runs={} capacity changed",
+          worker.node.value(), backend.id.value(),
+          static_cast<double>(backend.capacity.milli_cores) / 1000.0, backend.capacity.memory_mb,
+          backend.capacity.accelerators, worker.runs.size()));
+    }
+  }
   if (backend.draining) {
     // The remaining time counts from the announcement, not from each report that repeats it.
     if (new_announcement) worker.drain_deadline = now + backend.drain_remaining;
--- a/tests/fleet/scheduler_core_test.cc
+++ b/tests/fleet/scheduler_core_test.cc
@@ -541,6 +541,39 @@
   EXPECT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, 3 * kSecond));
 }
 
+// Guards against starting more on a backend server than the capacity that it has left.
+TEST_F(SchedulerCoreTest, StartsNothingBeyondACapacityThatHasShrunk) {
+  AddAgents(1);
+  BackendAnnouncement& backend = fleet_.agent("a0").report.backend.front();
+  const JobId running = fleet_.Submit("batch", "shop", MakeStep(1, 2, 3 * kSecond));
+  fleet_.Advance(kSecond);
+  backend.capacity.accelerators = 3;
+  ++backend.sequence;
+  fleet_.Advance(kSecond);
+  const JobId waiting = fleet_.Submit("batch", "shop", MakeStep(1, 2, kSecond));
+  fleet_.Advance(kSecond);
+  EXPECT_EQ(fleet_.RunningTasks(running), 1U);
+  EXPECT_EQ(fleet_.StartsOf(waiting), 0U);
+  backend.capacity.accelerators = 8;
+  ++backend.sequence;
+  fleet_.Advance(500);
+  EXPECT_EQ(fleet_.StartsOf(waiting), 1U);
+}
+
+// Guards against refusing a job as too large for all workers after a worker has grown.
+TEST_F(SchedulerCoreTest, KnowsTheCapacityOfAWorkerThatHasGrown) {
+  AddAgents(1);
+  BackendAnnouncement& backend = fleet_.agent("a0").report.backend.front();
+  backend.capacity.accelerators = 16;
+  ++backend.sequence;
+  fleet_.Advance(20 * kSecond);
+  JobSpec job;
+  job.steps = {MakeStep(1, 16, kSecond)};
+  const auto shapes = fleet_.core().Shapes(TimePoint(fleet_.now_ms()));
+  ASSERT_FALSE(shapes.empty());
+  EXPECT_EQ(DescribeInfeasibleStep(job, ServiceId("service"), shapes), std::nullopt);
+}
+
 // Guards against giving the same capacity to two steps in one pass.
 TEST_F(SchedulerCoreTest, GivesCapacityOnceInAPass) {
   AddAgents(1);
