--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -1,3 +1,4 @@
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include "basilspring/error.h"
@@ -171,6 +172,43 @@
   }
 }
 
+// Guards against an odd announcement of another writer that takes the place of the backend server:
+// with a start time far in the future, later announcements of the real one counted as outdated.
+TEST(PlatformAnnouncementTest, RejectsAnnouncementsWithValuesOutOfRange) {
+  const std::string nested = std::string(5000, '[') + std::string(5000, ']');
+  for (const std::string& member :
+       {std::string(R"("born":9000000000000000000)"),
+        std::string(R"("born":4102444800000000)"),
+        fmt::format(R"("born":{})", Clock::WallMilliseconds() + 48 * 3600 * 1000),
+        std::string(R"("born":1e300)"),
+        std::string(R"("born":1e999)"),
+        std::string(R"("born":-1)"),
+        std::string(R"("seq":9223372036854775807)"),
+        std::string(R"("seq":18446744073709551616)"),
+        std::string(R"("seq":-1)"),
+        std::string(R"("remaining_ms":9223372036854775807)"),
+        std::string(R"("remaining_ms":-5)"),
+        std::string(R"("capacity":{"cpu":9223372036854775807})"),
+        std::string(R"("capacity":{"mem_mb":9223372036854775807})"),
+        std::string(R"("capacity":{"gpu":-1})"),
+        std::string(R"("address":"10.0.0.9:65536")"),
+        std::string(R"("address":"10.0.0.9:0")"),
+        std::string(R"("address":"10.0.0.9:-80")"),
+        std::string(R"("address":"10.0.0.9:99999999999999999999")"),
+        "\"labels\":" + nested,
+        "\"extra\":" + nested}) {
+    std::string body = kAnnouncementBody;
+    // Of several members with one name, the last one counts.
+    body.insert(body.rfind('}'), "," + member);
+    const auto decoded =
+        PlatformAnnouncementFormat().Decode(MakeRequest("PUT", "/instances/i-1", body));
+    const auto* refusal = std::get_if<fleet::InvalidAnnouncement>(&decoded);
+    EXPECT_NE(refusal, nullptr) << member.substr(0, 80);
+    if (refusal == nullptr) continue;
+    EXPECT_EQ(refusal->status, 400);
+  }
+}
+
 TEST(PlatformCallerTest, DecodesJob) {
   const fleet::JobSpec job = PlatformCallerFormat().DecodeJob(
       R"({"spec":"text","steps":[{"count":4,"cpu":500,"mem_mb":256,"estimate_ms":900,
