--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -222,6 +222,22 @@
   EXPECT_EQ(job.steps[1].max_per_worker, 3);
 }
 
+// Guards against times and sums that overflow in the scheduler, and numbers that are cut when they
+// are narrowed.
+TEST(PlatformCallerTest, RejectsJobsWithValuesOutOfRange) {
+  for (const char* name : {"cpu", "mem_mb", "gpu", "estimate_ms", "anti_affinity"}) {
+    for (const char* number : {"9223372036854775807", "-1", "1e300"}) {
+      const std::string body = fmt::format(R"({{"steps":[{{"count":1,"{}":{}}}]}})", name, number);
+      EXPECT_THROW(PlatformCallerFormat().DecodeJob(body), Error) << body;
+    }
+  }
+  for (const char* name : {"initial_delay_ms", "interval_ms"}) {
+    const std::string body =
+        fmt::format(R"({{"steps":[{{"count":1}}],"times":2,"{}":9223372036854775807}})", name);
+    EXPECT_THROW(PlatformCallerFormat().DecodeJob(body), Error) << body;
+  }
+}
+
 TEST(PlatformCallerTest, RejectsInvalidJobs) {
   for (const char* body :
        {"", "7", "{}", R"({"steps":{}})", R"({"steps":[]})", R"({"steps":[{"count":0}]})",
