--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -238,6 +238,20 @@
   }
 }
 
+// Guards against a run number that wraps round to the largest one, above which no run can start.
+TEST(PlatformBackendTest, SkipsRowsWithValuesOutOfRange) {
+  HttpResult result;
+  result.status = 200;
+  result.body =
+      R"({"clock_ms":1,"born":1,"running":[["a.0.0.0",-1,"",0],["a.0.0.1",2,"",1e300],
+          ["a.0.0.2",3,"",50]],"finished":[[1,"a.0.0.0",-1,"done",""]]})";
+  const fleet::BackendReply reply = DecodeBackendReply(result);
+  ASSERT_EQ(reply.running.size(), 2U);
+  EXPECT_EQ(reply.running[0].percent, 100);
+  EXPECT_EQ(reply.running[1].percent, 50);
+  EXPECT_TRUE(reply.ended.empty());
+}
+
 TEST(PlatformCallerTest, RejectsInvalidJobs) {
   for (const char* body :
        {"", "7", "{}", R"({"steps":{}})", R"({"steps":[]})", R"({"steps":[{"count":0}]})",
