Continue a read of several pages where it failed

A read of all keys began with the first page again when a call for a later one failed, so with a large fleet and a store that fails now and then it might never end, and each attempt transferred all pages again. A failed read of the list of agents also began another read of the records beside the one in flight.

The watch of a prefix and the scheduler's read of the records now read the failed page again. Changes since the first page are watched for, as before.

AFailedPageIsReadAgainWithoutThePagesBefore and ContinuesTheReadOfRecordsAfterAFailedPage failed before (pages read again from the first one).

--- a/include/basilspring/fleet/prefix_watch.h
+++ b/include/basilspring/fleet/prefix_watch.h
@@ -41,9 +41,19 @@
   std::int64_t revision() const { return revision_; }
 
  private:
-  /// Reads the page of keys that follows `after_key`. `items` are those of the pages before, and
-  /// `revision` is that of the first page. To read the first page, all arguments are empty or 0.
-  void Load(std::string after_key, std::int64_t revision, std::vector<StoreItem> items);
+  /// The pages of an unfinished read of all keys.
+  struct Pages {
+    /// Last key of the pages read; empty before the first one.
+    std::string after_key;
+    /// Revision of the first page; 0 before it is read.
+    std::int64_t revision = 0;
+    std::vector<StoreItem> items;
+  };
+
+  /// Reads all keys, page by page.
+  void Load();
+  /// Reads the page that follows `pages_`. After a failure, the same page is read again.
+  void LoadPage();
   void Watch();
   /// Logs a failure and sets the time of the next attempt.
   void ScheduleRetry(const StoreReply& reply);
@@ -59,6 +69,7 @@
   TimePoint retry_at_;
   Duration retry_delay_;
   std::int64_t revision_ = 0;
+  Pages pages_;
   TimePoint current_at_;
   /// Each call holds a copy, and its answer is ignored once the value is false. Start() replaces
   /// it.
--- a/include/basilspring/fleet/scheduler_driver.h
+++ b/include/basilspring/fleet/scheduler_driver.h
@@ -102,8 +102,8 @@
     std::function<void(AgentReportReply)> answer;
   };
 
-  /// Reads the jobs' records that follow `after_key`, page by page.
-  void LoadProgress(const std::string& after_key);
+  /// Reads the jobs' records that follow `progress_after_key_`, page by page.
+  void LoadProgress();
   void LoadAgents();
   /// Announces the scheduler to the agents and starts scheduling, once everything is loaded.
   void BecomeReadyIfLoaded();
@@ -168,6 +168,10 @@
   PassPacing pass_pacing_;
   TimePoint slow_pass_logged_at_;
   TimePoint load_retry_at_;
+  /// Last key of the jobs' records read; after a failure, reading continues behind it.
+  std::string progress_after_key_;
+  /// Whether a read of the jobs' records is in flight.
+  bool loading_progress_ = false;
   /// Agents that may have runs, and those of them that the stored list contains.
   std::map<NodeId, Address> agents_;
   std::set<NodeId> stored_agents_;
--- a/src/fleet/prefix_watch.cc
+++ b/src/fleet/prefix_watch.cc
@@ -30,7 +30,7 @@
   Stop();
   started_ = true;
   alive_ = std::make_shared<bool>(true);
-  Load("", 0, {});
+  Load();
 }
 
 void PrefixWatch::Stop() {
@@ -41,37 +41,43 @@
 }
 
 void PrefixWatch::Tick(TimePoint now) {
-  if (started_ && idle_ && now >= retry_at_) Load("", 0, {});
+  if (started_ && idle_ && now >= retry_at_) LoadPage();
 }
 
-void PrefixWatch::Load(std::string after_key, std::int64_t revision, std::vector<StoreItem> items) {
+void PrefixWatch::Load() {
+  pages_ = Pages();
+  LoadPage();
+}
+
+void PrefixWatch::LoadPage() {
   idle_ = false;
-  StoreCall call = StoreCall::Range(prefix_, std::move(after_key));
-  call.after_revision = revision_;
+  StoreCall call = StoreCall::Range(prefix_, pages_.after_key);
+  call.after_revision = std::max(revision_, pages_.revision);
   call.timeout = kReadTimeout;
-  store_.Call(call,
-              [this, alive = alive_, revision, items = std::move(items)](StoreReply reply) mutable {
-                if (!*alive) return;
-                if (reply.status != StoreStatus::kOk) {
-                  ScheduleRetry(reply);
-                  return;
-                }
-                // Pages are read at different revisions. Watching from that of the first page
-                // repeats some changes and misses none.
-                const std::int64_t first = revision == 0 ? reply.revision : revision;
-                std::move(reply.items.begin(), reply.items.end(), std::back_inserter(items));
-                if (reply.more && !items.empty()) {
-                  std::string last = items.back().key;
-                  Load(std::move(last), first, std::move(items));
-                  return;
-                }
-                loaded_ = true;
-                revision_ = first;
-                current_at_ = Clock::Now();
-                retry_delay_ = kInitialRetryDelay;
-                handler_(std::move(items), true);
-                if (*alive) Watch();
-              });
+  store_.Call(call, [this, alive = alive_](StoreReply reply) {
+    if (!*alive) return;
+    if (reply.status != StoreStatus::kOk) {
+      ScheduleRetry(reply);
+      return;
+    }
+    // Pages are read at different revisions. Watching from that of the first page repeats some
+    // changes and misses none.
+    if (pages_.revision == 0) pages_.revision = reply.revision;
+    const bool more = reply.more && !reply.items.empty();
+    std::move(reply.items.begin(), reply.items.end(), std::back_inserter(pages_.items));
+    if (more) {
+      pages_.after_key = pages_.items.back().key;
+      LoadPage();
+      return;
+    }
+    Pages read = std::exchange(pages_, Pages());
+    loaded_ = true;
+    revision_ = read.revision;
+    current_at_ = Clock::Now();
+    retry_delay_ = kInitialRetryDelay;
+    handler_(std::move(read.items), true);
+    if (*alive) Watch();
+  });
 }
 
 void PrefixWatch::Watch() {
@@ -83,7 +89,7 @@
     if (reply.status == StoreStatus::kHistoryLost) {
       Log(EventId::kFleetStore, "prefix={} revision={} history lost; reading all keys again",
           prefix_, revision_);
-      Load("", 0, {});
+      Load();
       return;
     }
     if (reply.status == StoreStatus::kUnknown) {
@@ -91,7 +97,7 @@
       // all keys shows the current state.
       Log(EventId::kFleetStore, "prefix={} revision={} age_ms={} watch: {}; reading all keys",
           prefix_, revision_, (Clock::Now() - current_at_).milliseconds(), reply.message);
-      Load("", 0, {});
+      Load();
       return;
     }
     if (reply.status != StoreStatus::kOk) {
--- a/src/fleet/scheduler_driver.cc
+++ b/src/fleet/scheduler_driver.cc
@@ -31,7 +31,7 @@
       term_(term),
       leader_revision_(leader_revision),
       core_(context_.options, term, Clock::Now()) {
-  LoadProgress("");
+  LoadProgress();
   LoadAgents();
   inbox_ = std::make_unique<PrefixWatch>(
       context_.store, context_.executor, StoreKeys::kInbox,
@@ -52,15 +52,18 @@
   BecomeReadyIfLoaded();
 }
 
-void SchedulerDriver::LoadProgress(const std::string& after_key) {
+void SchedulerDriver::LoadProgress() {
+  loading_progress_ = true;
   const std::string prefix = StoreKeys::kProgress;
-  const StoreCall call = StoreCall::Range(prefix, after_key);
+  const StoreCall call = StoreCall::Range(prefix, progress_after_key_);
   context_.store.Call(call, [this, alive = alive_, prefix](const StoreReply& reply) {
     if (!*alive) return;
+    loading_progress_ = false;
     if (reply.status != StoreStatus::kOk) {
       load_retry_at_ = Clock::Now() + kLoadRetry;
       return;
     }
+    if (!reply.items.empty()) progress_after_key_ = reply.items.back().key;
     for (const StoreItem& item : reply.items) {
       const JobId id(item.key.substr(prefix.size()));
       progress_revisions_[id] = item.revision;
@@ -73,7 +76,7 @@
       }
     }
     if (reply.more && !reply.items.empty()) {
-      LoadProgress(reply.items.back().key);
+      LoadProgress();
       return;
     }
     progress_loaded_ = true;
@@ -203,7 +206,7 @@
   if (!ready_) {
     if (load_retry_at_ != TimePoint() && now >= load_retry_at_) {
       load_retry_at_ = TimePoint();
-      if (!progress_loaded_) LoadProgress("");
+      if (!progress_loaded_ && !loading_progress_) LoadProgress();
       if (!agents_loaded_) LoadAgents();
     }
     return;
--- a/tests/fleet/scheduler_driver_test.cc
+++ b/tests/fleet/scheduler_driver_test.cc
@@ -384,5 +384,34 @@
             1U);
 }
 
+// Guards against a scheduler that never has all records of a large fleet while calls fail now and
+// then, and against several reads of the same records at a time.
+TEST_F(SchedulerDriverTest, ContinuesTheReadOfRecordsAfterAFailedPage) {
+  std::vector<std::string> pages;
+  bool fail = true;
+  store_.answer = [&](const StoreCall& call) {
+    if (call.kind() == StoreOperation::kGet) return MakeReply(StoreStatus::kNotFound);
+    if (call.kind() != StoreOperation::kRange || call.key != StoreKeys::kProgress) {
+      return MakeReply(StoreStatus::kOk);
+    }
+    pages.push_back(call.after_key);
+    if (!call.after_key.empty() && std::exchange(fail, false)) {
+      return MakeReply(StoreStatus::kUnavailable);
+    }
+    StoreReply reply = MakeReply(StoreStatus::kOk);
+    const std::string key =
+        std::string(StoreKeys::kProgress) + (call.after_key.empty() ? "1" : "2");
+    reply.items.push_back({key, EncodeJobProgress(JobProgress()), 3, false});
+    reply.more = call.after_key.empty();
+    return reply;
+  };
+  const auto driver = MakeDriver();
+  RunPosted();
+  driver->Tick(Clock::Now() + Duration::Seconds(10));
+  RunPosted();
+  const std::string first = std::string(StoreKeys::kProgress) + "1";
+  EXPECT_EQ(pages, (std::vector<std::string>{"", first, first}));
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
--- a/tests/fleet/store_users_test.cc
+++ b/tests/fleet/store_users_test.cc
@@ -208,6 +208,36 @@
   EXPECT_EQ(access_.counts().relayed_calls, 0U);
 }
 
+// Guards against a read of many keys that never ends while every few calls of the store fail.
+TEST_F(StoreUsersTest, AFailedPageIsReadAgainWithoutThePagesBefore) {
+  std::vector<std::string> pages;
+  bool fail = true;
+  store_.answer = [&](const StoreCall& call) {
+    if (call.kind() != StoreOperation::kRange) return MakeReply(StoreStatus::kOk);
+    pages.push_back(call.after_key);
+    if (call.after_key == "p/b" && std::exchange(fail, false)) {
+      return MakeReply(StoreStatus::kUnavailable);
+    }
+    StoreReply reply = MakeReply(StoreStatus::kOk, static_cast<std::int64_t>(5 + pages.size()));
+    const std::string next = call.after_key.empty()    ? "p/a"
+                             : call.after_key == "p/a" ? "p/b"
+                                                       : "p/c";
+    reply.items.push_back({next, "", 3, false});
+    reply.more = next != "p/c";
+    return reply;
+  };
+  std::vector<StoreItem> read;
+  PrefixWatch watch(access_, inline_executor_, "p/",
+                    [&](std::vector<StoreItem> items, bool) { read = std::move(items); });
+  watch.Start();
+  EXPECT_TRUE(read.empty());
+  watch.Tick(Clock::Now() + Duration::Seconds(10));
+  EXPECT_EQ(pages, (std::vector<std::string>{"", "p/a", "p/b", "p/b"}));
+  EXPECT_EQ(read.size(), 3U);
+  // Changes made since the first page are watched for.
+  EXPECT_EQ(watch.revision(), 6);
+}
+
 // Guards against a configuration that is never read whole on a slow connection, because each read
 // is given up after a fixed time and begun anew.
 TEST_F(StoreUsersTest, ReadsItemsWhoseTransferTakesLongerThanTheReadTimeout) {
