Report every failure to decode a job's record as a bad frame

The record's decoder, since it reads the crashed runs behind the record, let exceptions of the serialization library pass, which its callers do not expect. No record is known to raise one. DecodePrefix() holds the one translation to Error, and DecodeBody() uses it. The tests of records pass as before.

--- a/src/connection/frame_archive.h
+++ b/src/connection/frame_archive.h
@@ -156,9 +156,10 @@
   writer(value);
 }
 
-/// Decodes a message body. Throws Error(kBadFrame) if the bytes are invalid or some are left over.
+/// Decodes a value from the beginning of `bytes` and removes its bytes. Throws Error(kBadFrame) if
+/// they are invalid.
 template <typename Value>
-Value DecodeBody(std::string_view bytes) {
+Value DecodePrefix(std::string_view& bytes) {
   Value value;
   FrameReader reader(bytes);
   try {
@@ -166,7 +167,15 @@
   } catch (const cereal::Exception& error) {
     throw Error(ErrorKind::kBadFrame, error.what());
   }
-  if (reader.remaining() != 0) FrameReader::Fail("bytes are left over");
+  bytes.remove_prefix(bytes.size() - reader.remaining());
+  return value;
+}
+
+/// Decodes a message body. Throws Error(kBadFrame) if the bytes are invalid or some are left over.
+template <typename Value>
+Value DecodeBody(std::string_view bytes) {
+  auto value = DecodePrefix<Value>(bytes);
+  if (!bytes.empty()) FrameReader::Fail("bytes are left over");
   return value;
 }
 
--- a/src/fleet/job_model.cc
+++ b/src/fleet/job_model.cc
@@ -94,11 +94,11 @@
 }
 
 JobProgress DecodeJobProgress(const std::string& bytes) {
-  JobProgress progress;
-  internal::FrameReader reader(bytes);
-  reader(progress);
-  if (reader.remaining() != 0) reader(progress.crashed_runs);
-  if (reader.remaining() != 0) internal::FrameReader::Fail("bytes are left over");
+  std::string_view rest = bytes;
+  auto progress = internal::DecodePrefix<JobProgress>(rest);
+  if (!rest.empty()) {
+    progress.crashed_runs = internal::DecodeBody<std::vector<CrashedRun>>(rest);
+  }
   if (progress.phase > static_cast<std::uint8_t>(JobPhase::kCancelled)) {
     throw Error(ErrorKind::kBadFrame, "bad job progress: the phase is out of its range");
   }
