--- a/src/fleet/node.cc
+++ b/src/fleet/node.cc
@@ -242,7 +242,6 @@
 void Node::StopScheduler() {
   if (leadership_->leading()) return;
   scheduler_.reset();
-  // An agent that leads again reads all keys before it answers peers from memory.
   if (!entry_role_) operator_watch_->Stop();
 }
 
