Count the crash of a worker only if its host lives, and late crashes less

If the agent on the host has ended too, the host has failed, and nothing is counted now. Three crashes end a job only if no poll had listed the runs, that is if each came soon after the start; otherwise it takes four, which still leaves one for a change of the scheduler before a task is started three times more after three crashes. The record says which runs had been listed.

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -187,6 +187,8 @@
     /// The latest time at which the backend server may have extended the lease of its runs.
     TimePoint last_lease_extension;
     std::optional<BackendAnnouncement> backend;
+    /// Incarnation of the agent that last reported `backend`.
+    std::uint64_t backend_reported_by = 0;
     Duration poll_age;
     /// When the draining backend server shuts down.
     TimePoint drain_deadline;
@@ -213,8 +215,9 @@
   struct Task {
     TaskPhase phase = TaskPhase::kWaiting;
     std::set<RunNumber> failed_runs;
-    /// Runs during which the worker crashed, as far as they may have caused it.
-    std::set<RunNumber> crashed_runs;
+    /// Runs during which the worker crashed, as far as they may have caused it, and whether a poll
+    /// had listed them before.
+    std::map<RunNumber, bool> crashed_runs;
     /// The number of starts in this term.
     std::uint64_t runs = 0;
     /// The current run and its worker while the task is active.
@@ -379,9 +382,9 @@
   /// Does the same for all tasks of the job.
   void FailIfAttemptsUsedUp(Job& job);
   void CountWorkerFailure(TimePoint now, Worker& worker, const JobId& job);
-  /// Counts the crash of a worker against the tasks that may have caused it, and gives up their
-  /// jobs when their limit is reached.
-  void CountCrash(TimePoint now, Worker& worker);
+  /// Counts the crash of a worker, which the report of its agent shows, against the tasks that may
+  /// have caused it, and gives up their jobs when their limit is reached.
+  void CountCrash(TimePoint now, Worker& worker, const AgentReport& report);
   /// Whether an order of the run has not been sent yet.
   bool AwaitsOrder(const NodeId& node, const RunKey& key) const;
   /// Ends the job if too many workers have crashed under the task.
--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -19,9 +19,11 @@
 // put on probation.
 constexpr std::size_t kFailuresForProbation = 2;
 constexpr Duration kMaxProbation = Duration::Seconds(60);
-// A task is given up when this many workers have crashed under it. A scheduler that is replaced may
-// miss one crash, and a task must not be started three times more after three workers have crashed.
-constexpr std::size_t kMaxCrashedRuns = 3;
+// A task is given up when this many workers have crashed under it soon after its start, or this
+// many at any time. It must not be started three times more after three workers have crashed, and a
+// scheduler that is replaced may miss one crash.
+constexpr std::size_t kMaxEarlyCrashes = 3;
+constexpr std::size_t kMaxCrashes = 4;
 // A long-running task that has run for this long is not the cause of its worker's crash.
 constexpr Duration kSoundRunTime = Duration::Seconds(30);
 // A backend server that has not answered polls for this long may have exited, so a report does not
@@ -71,7 +73,7 @@
       // runs.
       if (report.term == term_) worker.has_listed_runs = true;
       if (worker.backend) {
-        CountCrash(now, worker);
+        CountCrash(now, worker, report);
         MarkWorkerLost(now, worker, "its backend server has exited");
       }
     } else if (!report.backend.empty()) {
@@ -95,7 +97,7 @@
     // The lease may have been extended until now, regardless of what polls have shown so far.
     worker.last_lease_extension = now;
     if (worker.backend) {
-      CountCrash(now, worker);
+      CountCrash(now, worker, report);
       MarkWorkerLost(now, worker, "its backend server was restarted");
     }
     worker.last_end = 0;
@@ -114,6 +116,7 @@
   // The capacity may change while the backend server runs.
   const bool new_shape = !same || worker.backend->capacity != backend.capacity;
   worker.backend = backend;
+  worker.backend_reported_by = report.incarnation;
   if (new_shape) {
     RecordShape(backend);
     if (same) {
@@ -370,9 +373,9 @@
                      });
 }
 
-void SchedulerCore::CountCrash(TimePoint now, Worker& worker) {
-  // A worker that drains ends on purpose.
-  if (worker.backend->draining) return;
+void SchedulerCore::CountCrash(TimePoint now, Worker& worker, const AgentReport& report) {
+  // A worker that drains ends on purpose, and if its agent ended as well, the whole host failed.
+  if (worker.backend->draining || worker.backend_reported_by != report.incarnation) return;
   // Runs that a poll has listed have worked beside each other without a crash, so the cause is
   // sought among the later ones first.
   const auto is_new = [&](const auto& row) {
@@ -391,7 +394,7 @@
     if (SpecOf(*job, step).long_running && ran >= kSoundRunTime) {
       task.crashed_runs.clear();
     } else {
-      task.crashed_runs.insert(key.run);
+      task.crashed_runs[key.run] = run.first_percent.has_value();
       ++counts_.crashes_counted;
     }
     ++job->version;
@@ -408,7 +411,11 @@
 
 void SchedulerCore::FailIfWorkersCrashed(Job& job, std::size_t step, std::size_t index) {
   const Task& task = job.steps[step].tasks[index];
-  if (IsFinal(job.phase) || task.crashed_runs.size() < kMaxCrashedRuns) return;
+  const auto early =
+      static_cast<std::size_t>(std::count_if(task.crashed_runs.begin(), task.crashed_runs.end(),
+                                             [](const auto& row) { return !row.second; }));
+  const bool used_up = early >= kMaxEarlyCrashes || task.crashed_runs.size() >= kMaxCrashes;
+  if (IsFinal(job.phase) || !used_up) return;
   FinishJob(job, JobPhase::kFailed,
             fmt::format("{} workers have crashed under task {}", task.crashed_runs.size(),
                         IdOf(job, step, index).ToString()));
