Accept jobs at a stopping entry, and tell callers early what a silent store means

Cause: an entry refused every job from SIGTERM on, although storing a job needs only the store, and the load balancer sends callers for two more seconds. While the store was silent, a job whose write was not answered was written again until its caller's timeout, and the failures of peers that had not tried kept new jobs refused after the store was back. Change: a stopping entry only stops being ready. After an unanswered write the entry looks for the job directly and through a peer at the same time: found means accepted, missing means another write, no answer means the honest 504 at once. While the store is unavailable the entry probes it every 200 ms, refuses new jobs at once and accepts them from the first answer on. A pending count whose summary is too old is asked for anew instead of refused. An earlier 503 said "this entry is stopping"; the test of queries during a stop is unchanged, those of jobs and cancellations are new.

--- a/include/basilspring/fleet/entry_server.h
+++ b/include/basilspring/fleet/entry_server.h
@@ -53,8 +53,9 @@
   void Tick(TimePoint now);
   /// Handles a caller's request; answers through `responder`.
   void OnCaller(HttpRequest request, std::shared_ptr<HttpResponder> responder);
-  /// Refuses new jobs from now on, reports the entry as not ready, and answers each request by
-  /// `answer_by`, even if its caller would wait longer.
+  /// Reports the entry as not ready from now on, and answers each request by `answer_by`, even if
+  /// its caller would wait longer. Until then the entry serves callers as before, because the load
+  /// balancer needs some seconds to notice, and open connections stay.
   void BeginStop(TimePoint answer_by);
 
   /// Whether the load balancer should send callers here.
@@ -87,13 +88,22 @@
   void Refuse(const ExchangePtr& exchange, ErrorKind kind, const std::string& reason,
               Duration retry_after = Duration(0));
   void Submit(const ExchangePtr& exchange, const Queue& queue);
+  /// Continues with a submission if the store answers, and refuses it as not stored otherwise: at
+  /// once if that is known, after a probe if not.
+  void ContinueIfStoreAnswers(const ExchangePtr& exchange, std::function<void()> proceed);
+  /// Finds out by a read whether the store answers. All that ask at the same time share one read.
+  void ProbeStore(std::function<void(bool answers)> handler);
+  /// Probes the store if it is unavailable and a probe is due, so that submissions are refused at
+  /// once while it is away, and accepted as soon as it is back.
+  void ProbeUnavailableStore(TimePoint now);
   /// Handles a failed attempt to store a job: tries again or refuses the request.
   void OnJobNotStored(const ExchangePtr& exchange, const std::string& bytes,
                       const StoreReply& reply);
   /// Refuses a job that fits on no worker, unless an earlier attempt of the request stored it.
   void RefuseUnlessStored(const ExchangePtr& exchange, const std::string& reason);
-  /// Stores the job if a read shows that the store is available again, refuses it otherwise.
-  void ProbeThenStore(const ExchangePtr& exchange, const std::string& bytes);
+  /// Looks for a job whose write was not answered. Answers the request if the store has the job or
+  /// does not answer either, and writes the job again if it is missing.
+  void ResolveDoubt(const ExchangePtr& exchange, const std::string& bytes);
   void StoreJob(const ExchangePtr& exchange, const std::string& bytes);
   /// Answers with the phase of the job, from the scheduler if possible.
   void QueryJob(const ExchangePtr& exchange);
@@ -104,8 +114,10 @@
   void StoreCancel(const ExchangePtr& exchange);
   /// Refuses all open requests, because the process is about to end.
   void RefuseOpenRequests();
-  /// Answers with the number of pending jobs of the queue.
+  /// Answers with the number of pending jobs of the queue. Asks the scheduler if its last summary
+  /// is too old.
   void AnswerPendingCount(const ExchangePtr& exchange);
+  void AnswerFromSummary(const ExchangePtr& exchange);
   void OnSummary(TimePoint now, const SummaryReply& reply);
   /// Time until the answer has to be sent for the caller to get it within its timeout and before
   /// the process ends.
@@ -123,6 +135,12 @@
   TimePoint last_contact_;
   TimePoint next_summary_;
   bool summary_in_flight_ = false;
+  /// Submissions that wait for the probe of the store that is in flight, if there is one.
+  std::vector<std::function<void(bool answers)>> probe_handlers_;
+  bool probing_ = false;
+  /// When the next probe is due while the store is unavailable, and when the last one failed.
+  TimePoint next_probe_;
+  std::optional<TimePoint> last_failed_probe_;
   /// The last summary that the scheduler sent, and when it came.
   SummaryReply summary_;
   TimePoint summary_at_;
--- a/include/basilspring/fleet/store_access.h
+++ b/include/basilspring/fleet/store_access.h
@@ -39,6 +39,10 @@
   /// Makes a call without relaying it, for calls that only a process with a direct connection may
   /// make, and for probes of that connection.
   void CallDirectly(const StoreCall& call, StoreHandler handler);
+  /// Makes a read directly and through one peer at the same time. The handler gets the first
+  /// answer, or the last failure if neither way gives one. For reads that have to show quickly
+  /// whether the store answers at all.
+  void ReadBothWays(const StoreCall& call, StoreHandler handler);
   /// Sets the processes through which calls can be relayed.
   void SetPeers(std::vector<Address> peers);
 
@@ -47,8 +51,6 @@
   /// Whether calls, direct and relayed, have failed for so long that the next one is expected to
   /// fail too.
   bool IsUnavailable(TimePoint now) const;
-  /// When a direct or relayed call last failed.
-  TimePoint last_failure() const { return last_failure_; }
   const StoreAccessCounts& counts() const { return counts_; }
 
  private:
--- a/src/fleet/entry_server.cc
+++ b/src/fleet/entry_server.cc
@@ -91,6 +91,7 @@
 
 void EntryServer::Tick(TimePoint now) {
   if (answer_by_ && now >= *answer_by_ - kAnswerMargin) RefuseOpenRequests();
+  ProbeUnavailableStore(now);
   if (now < next_summary_ || summary_in_flight_) return;
   const SummaryQuery query{context_.node, context_.own_address, term_};
   next_summary_ = now + kSummaryInterval;
@@ -317,10 +318,29 @@
     summary_.queues = local->core().Summaries();
     summary_at_ = now;
   }
-  if (now - summary_at_ > kMaxSummaryAge) {
-    Refuse(exchange, ErrorKind::kNoScheduler, "the scheduler has not answered lately", kRetryAfter);
+  if (now - summary_at_ <= kMaxSummaryAge) {
+    AnswerFromSummary(exchange);
     return;
   }
+  if (scheduler_.empty()) {
+    Refuse(exchange, ErrorKind::kNoScheduler, "no scheduler is known", kRetryAfter);
+    return;
+  }
+  internal::CallPeer<SummaryReply>(
+      context_.peers, scheduler_, SummaryQuery{context_.node, context_.own_address, term_},
+      kSchedulerTimeout,
+      [this, alive = alive_, exchange](const std::optional<SummaryReply>& reply) {
+        if (!*alive) return;
+        if (reply) OnSummary(Clock::Now(), *reply);
+        if (reply && reply->accepted) {
+          AnswerFromSummary(exchange);
+        } else {
+          Refuse(exchange, ErrorKind::kNoScheduler, "the scheduler does not answer", kRetryAfter);
+        }
+      });
+}
+
+void EntryServer::AnswerFromSummary(const ExchangePtr& exchange) {
   std::int64_t pending = 0;
   for (const QueueSummary& row : summary_.queues) {
     if (row.queue == exchange->queue) pending = row.pending;
--- a/src/fleet/entry_submit.cc
+++ b/src/fleet/entry_submit.cc
@@ -10,7 +10,6 @@
 
 using internal::kMaxStoreTimeout;
 using internal::kMaxSummaryAge;
-using internal::kRetryAfter;
 using internal::kStoreRetryDelay;
 using internal::StoreTimeout;
 
@@ -19,17 +18,15 @@
 // Sent to callers that were refused because of the store, whose outages last several seconds.
 constexpr Duration kStoreRetryAfter(2000);
 constexpr Duration kProbeTimeout(350);
-// If the store failed this recently, a job is refused without another attempt. The watch of the
-// configuration keeps calling the store, so the last failure stays recent while the store is down.
-constexpr Duration kRecentFailure(400);
+// Time between two probes while the store is unavailable.
+constexpr Duration kProbePause(200);
+// If a probe failed this recently, a job is refused without waiting for another one. Longer than a
+// probe that is not answered and the pause after it, so that the last result stays recent.
+constexpr Duration kRecentProbe(800);
 
 }  // namespace
 
 void EntryServer::Submit(const ExchangePtr& exchange, const Queue& queue) {
-  if (stopping_) {
-    Refuse(exchange, ErrorKind::kShuttingDown, "this entry is stopping", kRetryAfter);
-    return;
-  }
   JobSpec job;
   try {
     job = context_.format.DecodeJob(exchange->request.body);
@@ -41,23 +38,63 @@
   job.queue = queue.id;
   job.workspace = exchange->workspace;
   job.accepted_unix_ms = Clock::WallMilliseconds();
-  const std::string bytes = EncodeJobSpec(job);
   const TimePoint now = Clock::Now();
-  const bool unavailable = context_.store.IsUnavailable(now);
   // Workers of another kind may have joined since an older summary was sent.
   const bool shapes_known = now - last_contact_ <= kMaxSummaryAge;
   const auto never_fits = shapes_known ? DescribeInfeasibleStep(job, queue.service, summary_.shapes)
                                        : std::optional<std::string>();
-  if (never_fits) {
-    RefuseUnlessStored(exchange, *never_fits);
-  } else if (unavailable && now - context_.store.last_failure() < kRecentFailure) {
+  const auto proceed = [this, exchange, never_fits, bytes = EncodeJobSpec(job)] {
+    if (never_fits) {
+      RefuseUnlessStored(exchange, *never_fits);
+    } else {
+      StoreJob(exchange, bytes);
+    }
+  };
+  if (context_.store.IsUnavailable(now)) {
+    ContinueIfStoreAnswers(exchange, proceed);
+  } else {
+    proceed();
+  }
+}
+
+void EntryServer::ContinueIfStoreAnswers(const ExchangePtr& exchange,
+                                         std::function<void()> proceed) {
+  // Found out by reads: a write that is not answered could still be carried out, and then the
+  // caller could not be told that the job will never run.
+  if (last_failed_probe_ && Clock::Now() - *last_failed_probe_ < kRecentProbe) {
     Refuse(exchange, ErrorKind::kStoreUnavailable, "the store has been away until just now",
            kStoreRetryAfter);
-  } else if (unavailable) {
-    ProbeThenStore(exchange, bytes);
-  } else {
-    StoreJob(exchange, bytes);
+    return;
   }
+  ProbeStore([this, exchange, proceed = std::move(proceed)](bool answers) {
+    if (answers) {
+      proceed();
+    } else {
+      Refuse(exchange, ErrorKind::kStoreUnavailable, "the store is away", kStoreRetryAfter);
+    }
+  });
+}
+
+void EntryServer::ProbeStore(std::function<void(bool answers)> handler) {
+  probe_handlers_.push_back(std::move(handler));
+  if (probing_) return;
+  probing_ = true;
+  StoreCall probe = StoreCall::Get(Leadership::LeaderKey());
+  probe.timeout = kProbeTimeout;
+  context_.store.ReadBothWays(probe, [this, alive = alive_](const StoreReply& reply) {
+    if (!*alive) return;
+    const bool answers = reply.status == StoreStatus::kOk || reply.status == StoreStatus::kNotFound;
+    probing_ = false;
+    next_probe_ = Clock::Now() + kProbePause;
+    last_failed_probe_.reset();
+    if (!answers) last_failed_probe_ = Clock::Now();
+    for (const auto& waiting : std::exchange(probe_handlers_, {})) waiting(answers);
+  });
+}
+
+void EntryServer::ProbeUnavailableStore(TimePoint now) {
+  if (probing_ || now < next_probe_ || !context_.store.IsUnavailable(now)) return;
+  ProbeStore([](bool) {});
 }
 
 void EntryServer::RefuseUnlessStored(const ExchangePtr& exchange, const std::string& reason) {
@@ -77,25 +114,6 @@
   });
 }
 
-void EntryServer::ProbeThenStore(const ExchangePtr& exchange, const std::string& bytes) {
-  // A read shows whether the store is available again. A write that fails could still be applied,
-  // and then the caller could not be told that the job will never run.
-  StoreCall probe = StoreCall::Get(Leadership::LeaderKey());
-  probe.timeout = kProbeTimeout;
-  context_.store.CallDirectly(
-      probe, [this, alive = alive_, exchange, bytes](const StoreReply& reply) {
-        if (!*alive) return;
-        const bool available =
-            reply.status == StoreStatus::kOk || reply.status == StoreStatus::kNotFound;
-        if (available) {
-          StoreJob(exchange, bytes);
-        } else {
-          Refuse(exchange, ErrorKind::kStoreUnavailable, "the store is away: " + reply.message,
-                 kStoreRetryAfter);
-        }
-      });
-}
-
 void EntryServer::StoreJob(const ExchangePtr& exchange, const std::string& bytes) {
   const std::string key = StoreKeys::Job(exchange->job);
   StoreCall call = StoreCall::Transaction().If(key, 0).Set(key, bytes);
@@ -115,14 +133,11 @@
 void EntryServer::OnJobNotStored(const ExchangePtr& exchange, const std::string& bytes,
                                  const StoreReply& reply) {
   exchange->in_doubt = exchange->in_doubt || reply.status == StoreStatus::kUnknown;
-  const bool unavailable = context_.store.IsUnavailable(Clock::Now());
-  // A job that is certainly not stored is refused at once when the store is unavailable. If an
-  // attempt was not answered, the job is written again as long as its caller waits, because only an
-  // answered write shows whether the job is stored.
   const bool rejected = reply.status == StoreStatus::kRejected;
-  const bool retry = !rejected && TimeLeft(*exchange) > kMaxStoreTimeout / 2 &&
-                     (exchange->in_doubt || !unavailable);
-  if (retry) {
+  const bool time_left = TimeLeft(*exchange) > kMaxStoreTimeout / 2;
+  if (!rejected && time_left && exchange->in_doubt) {
+    ResolveDoubt(exchange, bytes);
+  } else if (!rejected && time_left && !context_.store.IsUnavailable(Clock::Now())) {
     context_.run_later(kStoreRetryDelay, [this, alive = alive_, exchange, bytes] {
       if (*alive) StoreJob(exchange, bytes);
     });
@@ -130,9 +145,32 @@
     Refuse(exchange, ErrorKind::kStoreOutcomeUnknown,
            "the store did not say whether the job was stored: " + reply.message);
   } else {
+    // A job that is certainly not stored is refused at once when the store is unavailable.
     const std::string cause = rejected ? "the store rejects the job: " : "the store is away: ";
     Refuse(exchange, ErrorKind::kStoreUnavailable, cause + reply.message, kStoreRetryAfter);
   }
 }
 
+void EntryServer::ResolveDoubt(const ExchangePtr& exchange, const std::string& bytes) {
+  StoreCall call = StoreCall::Get(StoreKeys::Job(exchange->job));
+  call.timeout = kProbeTimeout;
+  context_.store.ReadBothWays(
+      call, [this, alive = alive_, exchange, bytes](const StoreReply& reply) {
+        if (!*alive) return;
+        if (reply.status == StoreStatus::kOk) {
+          Answer(exchange, JobAcceptedAnswer{});
+        } else if (reply.status == StoreStatus::kNotFound) {
+          // The unanswered write may still be carried out. Only an answered one tells.
+          context_.run_later(kStoreRetryDelay, [this, alive, exchange, bytes] {
+            if (*alive) StoreJob(exchange, bytes);
+          });
+        } else {
+          // Waiting longer would not tell more: outages of the store last several seconds, and the
+          // same request, sent again later, finds the job if it was stored.
+          Refuse(exchange, ErrorKind::kStoreOutcomeUnknown,
+                 "the store does not say whether the job was stored: " + reply.message);
+        }
+      });
+}
+
 }  // namespace basilspring::fleet
--- a/src/fleet/entry_timing.h
+++ b/src/fleet/entry_timing.h
@@ -14,7 +14,7 @@
 inline constexpr Duration kMinStoreTimeout(100);
 /// Delay before a failed call to the store is repeated for a caller.
 inline constexpr Duration kStoreRetryDelay(60);
-/// Retry-After time of a caller that was refused because there is no scheduler or this entry stops.
+/// Retry-After time of a caller that was refused because there is no scheduler or no configuration.
 /// A new scheduler takes over within about three seconds.
 inline constexpr Duration kRetryAfter(1000);
 /// Age up to which the scheduler's last summary is used.
--- a/src/fleet/store_access.cc
+++ b/src/fleet/store_access.cc
@@ -106,6 +106,21 @@
   CallStore(call, std::move(handler), false);
 }
 
+void StoreAccess::ReadBothWays(const StoreCall& call, StoreHandler handler) {
+  struct Race {
+    StoreHandler handler;
+    int open = 0;
+  };
+  const auto race = std::make_shared<Race>(Race{std::move(handler), peers_.empty() ? 1 : 2});
+  const StoreHandler on_reply = [race](StoreReply reply) {
+    --race->open;
+    if (!race->handler || (!IsAnswer(reply.status) && race->open > 0)) return;
+    std::exchange(race->handler, nullptr)(std::move(reply));
+  };
+  CallStore(call, on_reply, false);
+  if (!peers_.empty()) Relay(call, on_reply, kRelayAttempts - 1, false);
+}
+
 void StoreAccess::RecordDirectResult(const StoreReply& reply) {
   const bool reachable = IsAnswer(reply.status);
   if (reachable) {
--- a/standin/platform_store.cc
+++ b/standin/platform_store.cc
@@ -16,6 +16,8 @@
 constexpr std::size_t kPageItems = 500;
 // Delay of the transactions in the mode "late"; longer than the timeout of the store's clients.
 constexpr std::int64_t kLateWriteDelayMs = 2500;
+// Delay of the responses in the mode "slow"; shorter than the timeout of the store's clients.
+constexpr std::int64_t kSlowResponseDelayMs = 400;
 
 HttpResponse Reply(int status, const json::value& body) {
   HttpResponse response;
@@ -110,7 +112,7 @@
   const bool write = request.path == "/kv-txn";
   if (mode_ == "busy") {
     responder->Respond(Reply(503, json::object()));
-  } else if (mode_ == "silent") {
+  } else if (mode_ == "silent" || (mode_ == "one_way" && request.path == "/kv-watch")) {
     unanswered_.push_back(responder);
   } else if (mode_ == "late" && write) {
     late_writes_.emplace_back(now_ms + kLateWriteDelayMs, request);
@@ -119,8 +121,10 @@
     StartWatch(request, responder, now_ms);
   } else {
     const HttpResponse response = Execute(request, now_ms);
-    if (mode_ == "lost" && write) {
+    if ((mode_ == "lost" && write) || mode_ == "one_way") {
       unanswered_.push_back(responder);
+    } else if (mode_ == "slow") {
+      delayed_responses_.push_back({now_ms + kSlowResponseDelayMs, responder, response});
     } else {
       responder->Respond(response);
     }
@@ -254,6 +258,11 @@
     }
   }
   late_writes_ = std::move(waiting);
+  std::erase_if(delayed_responses_, [now_ms](const DelayedResponse& delayed) {
+    if (now_ms < delayed.due_ms) return false;
+    delayed.responder->Respond(delayed.response);
+    return true;
+  });
   for (auto it = leases_.begin(); it != leases_.end();) {
     if (now_ms < it->second.expires_ms) {
       ++it;
--- a/standin/platform_store.h
+++ b/standin/platform_store.h
@@ -15,15 +15,16 @@
 /// revisions, conditional transactions, leases, and watches with a bounded history.
 /// POST /fault with {"mode": MODE} sets a fault: "none"; "busy" rejects all calls with 503;
 /// "silent" neither executes nor answers calls; "lost" executes transactions but doesn't answer
-/// them; "late" executes transactions 2.5 s later and doesn't answer them. POST /forget drops the
+/// them; "late" executes transactions 2.5 s later and doesn't answer them; "one_way" executes all
+/// calls and answers none; "slow" answers all calls but watches 0.4 s late. POST /forget drops the
 /// history, so that watches from an older revision are answered with 410. POST /put?key=KEY writes
 /// an item.
 class PlatformStoreStandin {
  public:
   void Handle(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder,
               std::int64_t now_ms);
-  /// Executes late writes that are due, and ends expired leases and watches whose wait time has
-  /// passed. Must be called periodically.
+  /// Executes late writes and sends delayed responses that are due, and ends expired leases and
+  /// watches whose wait time has passed. Must be called periodically.
   void Tick(std::int64_t now_ms);
   /// Writes an item without a lease, as an operator does.
   void Put(const std::string& key, const std::string& value);
@@ -79,6 +80,13 @@
   std::vector<std::shared_ptr<HttpResponder>> unanswered_;
   /// Transactions of the mode "late", each with the time in milliseconds at which it executes.
   std::vector<std::pair<std::int64_t, HttpRequest>> late_writes_;
+  /// A response of the mode "slow".
+  struct DelayedResponse {
+    std::int64_t due_ms = 0;
+    std::shared_ptr<HttpResponder> responder;
+    HttpResponse response;
+  };
+  std::vector<DelayedResponse> delayed_responses_;
   std::int64_t revision_ = 1;
   std::int64_t next_lease_ = 1;
   std::string mode_ = "none";
--- a/tests/fleet/node_stop_test.cc
+++ b/tests/fleet/node_stop_test.cc
@@ -20,10 +20,11 @@
   "routes":[{"name":"q","host":"h","prefix":"/q/","service":"s","public":true}]})";
 
 /// A store that holds the operators' configuration and no jobs, and names no scheduler. Reads of
-/// jobs are answered after `delay`; after the same time, writes end without a known outcome.
+/// jobs are answered after `delay`; after the same time, writes end with `write_status`.
 class LateStore : public Store {
  public:
-  LateStore(IoThread& io, Duration delay) : io_(io), delay_(delay) {}
+  LateStore(IoThread& io, Duration delay, StoreStatus write_status)
+      : io_(io), delay_(delay), write_status_(write_status) {}
 
   void Call(const StoreCall& call, StoreHandler handler) override {
     StoreReply reply;
@@ -38,7 +39,7 @@
       reply.status = StoreStatus::kNotFound;
       delay = delay_;
     } else if (call.kind() == StoreOperation::kTransaction) {
-      reply.status = StoreStatus::kUnknown;
+      reply.status = write_status_;
       delay = delay_;
     }
     io_.PostAfter(delay, [handler = std::move(handler), reply] { handler(reply); });
@@ -47,6 +48,7 @@
  private:
   IoThread& io_;
   Duration delay_;
+  StoreStatus write_status_;
 };
 
 /// What happened to the requests of all callers.
@@ -80,7 +82,7 @@
     node_ = std::thread([this, store_delay] {
       RunNode(settings_, "no-settings-file", [&](HttpClient&, const NodeSettings&) {
         Adapters adapters;
-        adapters.store = std::make_unique<LateStore>(store_thread_, store_delay);
+        adapters.store = std::make_unique<LateStore>(store_thread_, store_delay, write_status_);
         adapters.callers = std::make_unique<platform::PlatformCallerFormat>();
         adapters.operators = std::make_unique<platform::PlatformOperatorFormat>();
         if (during_start_) during_start_();
@@ -102,9 +104,8 @@
 
   /// Sends requests on one connection, each as soon as the former one is answered, until an answer
   /// announces the end of the connection or the connection ends.
-  void SendWithoutPause(const std::string& path) {
+  void SendWithoutPause(const std::string& request) {
     const RawSocket socket(settings_.callers);
-    const std::string request = "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n";
     while (!socket.PeerClosed()) {
       const TimePoint sent = Clock::Now();
       socket.Write(request);
@@ -122,10 +123,10 @@
   }
 
   /// Stops the node while `callers` connections send requests.
-  Outcome StopUnderLoad(int callers, const std::string& path) {
+  Outcome StopUnderLoad(int callers, const std::string& request) {
     std::vector<std::thread> threads;
     for (int i = 0; i < callers; ++i) {
-      threads.emplace_back([this, &path] { SendWithoutPause(path); });
+      threads.emplace_back([this, &request] { SendWithoutPause(request); });
       // Spreads the requests, so that slow ones overlap all the time.
       std::this_thread::sleep_for(std::chrono::milliseconds(40));
     }
@@ -135,6 +136,8 @@
   }
 
   NodeSettings settings_;
+  /// How the store answers writes.
+  StoreStatus write_status_ = StoreStatus::kUnknown;
   /// Called while the node is being constructed.
   std::function<void()> during_start_;
   IoThread store_thread_;
@@ -143,6 +146,17 @@
   Outcome outcome_;
 };
 
+std::string QueryOf(const std::string& path) {
+  return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n";
+}
+
+std::string SubmissionOf(const std::string& job, int timeout_ms) {
+  const std::string body = R"({"spec":"1","steps":[{"count":1,"cpu":1}]})";
+  return fmt::format(
+      "POST /q/{} HTTP/1.1\r\nHost: h\r\nTimeout-Ms: {}\r\nContent-Length: {}\r\n\r\n{}", job,
+      timeout_ms, body.size(), body);
+}
+
 std::string Describe(const Outcome& outcome) {
   std::string text = "answered " + std::to_string(outcome.answered) + ", failed " +
                      std::to_string(outcome.failed) + ", cut " +
@@ -155,14 +169,31 @@
 // Guards against requests that are cut off because there is always one open until the drain limit.
 TEST_F(NodeStopTest, AnswersSlowRequestsOfCallersThatSendWithoutPause) {
   StartNode(Duration(150));
-  const Outcome outcome = StopUnderLoad(8, "/q/00000000000000aa");
+  const Outcome outcome = StopUnderLoad(8, QueryOf("/q/00000000000000aa"));
   EXPECT_TRUE(outcome.cut.empty() && outcome.failed == 0) << Describe(outcome);
 }
 
 // Guards against a request that is read after the last check for open requests.
 TEST_F(NodeStopTest, AnswersFastRequestsOfCallersThatSendWithoutPause) {
   StartNode(Duration());
-  const Outcome outcome = StopUnderLoad(16, "/none");
+  const Outcome outcome = StopUnderLoad(16, QueryOf("/none"));
+  EXPECT_TRUE(outcome.cut.empty() && outcome.failed == 0) << Describe(outcome);
+}
+
+// Guards against refusing jobs for seconds during a planned stop: the load balancer still sends
+// callers here until it has noticed the stop, and storing a job needs only the store.
+TEST_F(NodeStopTest, AcceptsJobsUntilItsConnectionsAreClosed) {
+  write_status_ = StoreStatus::kOk;
+  StartNode(Duration(5));
+  const Outcome outcome = StopUnderLoad(8, SubmissionOf("00000000000000aa", 3000));
+  EXPECT_TRUE(outcome.cut.empty() && outcome.failed == 0) << Describe(outcome);
+}
+
+// Guards against refusing cancellations during a planned stop.
+TEST_F(NodeStopTest, AnswersCancellationsUntilItsConnectionsAreClosed) {
+  StartNode(Duration(5));
+  const Outcome outcome =
+      StopUnderLoad(8, "DELETE /q/00000000000000aa HTTP/1.1\r\nHost: h\r\n\r\n");
   EXPECT_TRUE(outcome.cut.empty() && outcome.failed == 0) << Describe(outcome);
 }
 
@@ -171,10 +202,7 @@
   settings_.drain_limit = Duration(3500);
   StartNode(Duration(300));
   const RawSocket caller(settings_.callers);
-  const std::string body = R"({"spec":"1","steps":[{"count":1,"cpu":1}]})";
-  caller.Write(
-      "POST /q/00000000000000aa HTTP/1.1\r\nHost: h\r\nTimeout-Ms: 10000\r\nContent-Length: " +
-      std::to_string(body.size()) + "\r\n\r\n" + body);
+  caller.Write(SubmissionOf("00000000000000aa", 10000));
   // Answered after the submission was read, because both requests are queued to one thread.
   const RawSocket later(settings_.callers);
   later.Write("GET /none HTTP/1.1\r\nHost: h\r\n\r\n");
