Survive unexpected errors, and keep a drain that a restarted agent has forgotten

Cause: an exception that left the handling of one event ended the whole process, on the state thread as on the I/O thread. An agent that was restarted during the drain of its backend server took a delayed announcement for the current state, and the scheduler believed it, although it knew a newer announcement. Change: both threads log and count the error and go on; a scheduler in that process gives up its lease, because its state may be incomplete. The scheduler keeps the drain unless the reported announcement is newer than the one that it knows.

--- a/include/basilspring/fleet/leadership.h
+++ b/include/basilspring/fleet/leadership.h
@@ -70,6 +70,9 @@
   /// Ends the lease if it is held, so that a successor need not wait until it expires. After that
   /// this process does not contend again.
   void Resign();
+  /// Stops leading, ends the lease, so that another process can take over at once, and does not
+  /// contend for it again for some seconds. Does nothing if this process does not lead.
+  void GiveUp(const std::string& reason);
   /// Reads the leader key now instead of at the next periodic check.
   void CheckHolderNow();
 
--- a/src/fleet/leadership.cc
+++ b/src/fleet/leadership.cc
@@ -189,12 +189,17 @@
   handlers_.lost();
 }
 
-void Leadership::Resign() {
-  resigned_ = true;
+void Leadership::GiveUp(const std::string& reason) {
   if (!leading()) return;
   const std::int64_t lease = lease_;
-  StopLeading("the process is stopping");
+  contend_after_ = Clock::Now() + kStepDownPause;
+  StopLeading(reason);
   store_.Call(StoreCall::EndLease(lease), [](const StoreReply&) {});
 }
 
+void Leadership::Resign() {
+  resigned_ = true;
+  GiveUp("the process is stopping");
+}
+
 }  // namespace basilspring::fleet
--- a/src/fleet/node.cc
+++ b/src/fleet/node.cc
@@ -73,8 +73,9 @@
   http_ = std::make_unique<HttpClient>(io_);
   adapters_ = make_adapters(*http_, settings_);
   const Executor executor = [this](std::function<void()> work) { Post(std::move(work)); };
-  state_thread_ =
-      std::make_unique<Duty>("fleet", entry_role_ ? kEntryTick : kAgentTick, [this] { Tick(); });
+  state_thread_ = std::make_unique<Duty>("fleet", entry_role_ ? kEntryTick : kAgentTick, [this] {
+    if (running_) RunGuarded([this] { Tick(); });
+  });
   peers_ = std::make_unique<PeerClient>(*http_, executor);
   store_ = std::make_unique<StoreAccess>(*adapters_.store, *peers_, executor);
   SetPeers();
@@ -147,13 +148,27 @@
 void Node::Post(std::function<void()> work) {
   auto shared = std::make_shared<std::function<void()>>(std::move(work));
   const bool posted = state_thread_->TryPost([this, shared] {
-    if (running_) (*shared)();
+    if (running_) RunGuarded(*shared);
   });
   if (posted || !running_) return;
   Log(EventId::kQueueFull, "queue=fleet");
   io_.PostAfter(kPostRetry, [this, shared] { Post([shared] { (*shared)(); }); });
 }
 
+void Node::RunGuarded(const std::function<void()>& work) {
+  try {
+    work();
+  } catch (const std::exception& error) {
+    Log(EventId::kInternalError, "scheduler={} an unexpected error was caught: {}",
+        scheduler_ != nullptr, error.what());
+    metrics_
+        .GetCounter("basilspring_internal_errors_total", "",
+                    "Unexpected errors that ended the handling of one event.")
+        .Add();
+    leadership_->GiveUp("an unexpected error occurred");
+  }
+}
+
 void Node::PostAfter(Duration delay, std::function<void()> work) {
   io_.PostAfter(delay, [this, work = std::move(work)]() mutable { Post(std::move(work)); });
 }
@@ -257,7 +272,6 @@
 }
 
 void Node::Tick() {
-  if (!running_) return;
   const TimePoint now = Clock::Now();
   leadership_->Tick(now, LastContact());
   if (entry_role_ || scheduler_) operator_watch_->Tick(now);
--- a/src/fleet/node_process.h
+++ b/src/fleet/node_process.h
@@ -42,6 +42,9 @@
 
   /// Runs `work` on the thread that owns the state; retries later if its queue is full.
   void Post(std::function<void()> work);
+  /// Runs `work` on the current thread. If it throws, logs and counts that, and gives up the
+  /// scheduler's lease, because the scheduler's state may be incomplete; the process goes on.
+  void RunGuarded(const std::function<void()>& work);
   void PostAfter(Duration delay, std::function<void()> work);
   void Tick();
   void Listen();
--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -90,9 +90,19 @@
 }
 
 void SchedulerCore::UpdateBackend(TimePoint now, Worker& worker, const AgentReport& report) {
-  const BackendAnnouncement& backend = report.backend.front();
+  BackendAnnouncement backend = report.backend.front();
   const bool same = worker.backend && worker.backend->id == backend.id &&
                     worker.backend->started_unix_ms == backend.started_unix_ms;
+  // A restarted agent does not know the earlier announcements of its backend server, so a late one
+  // could make a server that drains or has left look available.
+  if (same && worker.backend->draining && !backend.draining &&
+      backend.sequence <= worker.backend->sequence) {
+    LogDecision(fmt::format(
+        "worker={} backend={} sequence={} last_sequence={} kept as draining: "
+        "the reported announcement is not newer",
+        worker.node.value(), backend.id.value(), backend.sequence, worker.backend->sequence));
+    backend = *worker.backend;
+  }
   if (!same) {
     // The lease may have been extended until now, regardless of what polls have shown so far.
     worker.last_lease_extension = now;
--- a/src/process/io_thread.cc
+++ b/src/process/io_thread.cc
@@ -6,12 +6,13 @@
 #include <csignal>
 #include <utility>
 
+#include "basilspring/process/log.h"
 #include "process/io_thread_internal.h"
 
 namespace basilspring {
 
 IoThread::IoThread() : impl_(std::make_unique<Impl>()) {
-  impl_->thread = std::thread([this] { impl_->context.run(); });
+  impl_->thread = std::thread([this] { impl_->Run(); });
 }
 
 IoThread::~IoThread() {
@@ -49,6 +50,18 @@
   Post([this, handler = std::move(handler)] { impl_->WaitForReloadSignal(handler); });
 }
 
+void IoThread::Impl::Run() {
+  // An exception that leaves a handler must not end the process: the handler of one connection
+  // failed, and all others can go on.
+  while (!context.stopped()) {
+    try {
+      context.run();
+    } catch (const std::exception& error) {
+      Log(EventId::kInternalError, "a handler of the I/O thread threw: {}", error.what());
+    }
+  }
+}
+
 void IoThread::Impl::WaitForReloadSignal(const std::function<void()>& handler) {
   reload_signals->async_wait([this, handler](const boost::system::error_code& error, int) {
     if (error) return;
--- a/src/process/io_thread_internal.h
+++ b/src/process/io_thread_internal.h
@@ -20,6 +20,8 @@
   std::unique_ptr<boost::asio::signal_set> stop_signals;
   /// SIGHUP.
   std::unique_ptr<boost::asio::signal_set> reload_signals;
+  /// Runs the handlers until the context is stopped.
+  void Run();
   void WaitForReloadSignal(const std::function<void()>& handler);
   std::thread thread;
 };
--- a/tests/fleet/scheduler_core_test.cc
+++ b/tests/fleet/scheduler_core_test.cc
@@ -453,6 +453,30 @@
 
 // Guards against a superseded scheduler that was paused and then shows a job as running that its
 // successor has shown as completed (soak seed 14).
+// Guards against new work on a backend server that is about to leave: its agent was restarted, does
+// not know the notice any more, and reports an announcement that was delayed on the way.
+TEST_F(SchedulerCoreTest, ALateAnnouncementAtARestartedAgentDoesNotEndADrain) {
+  fleet_.AddAgent("a0", "rack");
+  fleet_.Advance(kSecond);
+  AgentReport& report = fleet_.agent("a0").report;
+  BackendAnnouncement& backend = report.backend.front();
+  backend.sequence = 7;
+  backend.draining = true;
+  backend.drain_remaining = Duration(30 * kSecond);
+  fleet_.Advance(kSecond);
+  ++report.incarnation;
+  report.number = 0;
+  report.poll = 0;
+  backend.sequence = 6;
+  backend.draining = false;
+  const JobId job = fleet_.Submit("batch", "shop", MakeStep(1, 1, kSecond));
+  fleet_.Advance(kSecond);
+  EXPECT_EQ(fleet_.StartsOf(job), 0U);
+  // A newer announcement is not late.
+  backend.sequence = 8;
+  EXPECT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, 5 * kSecond));
+}
+
 TEST_F(SchedulerCoreTest, ReportsOnlyFinalPhasesWithoutAValidLease) {
   AddAgents(1);
   const JobId ended = fleet_.Submit("batch", "shop", MakeStep(1, 1, 100));
