Decide by a current configuration after a pause of the process

Cause: an entry that was suspended for some seconds decided about requests by the configuration of before the pause until its watch had failed or brought the changes; an answer that had arrived during the pause counted as current. Change: a gap of a second between two events of a process counts as a pause. The process asks for changes at once, ignores answers to earlier calls, and holds back callers' requests until the answer is there, for 600 ms at most. Tests: WaitsForACurrentConfigurationAfterAPause, ServesByTheLastKnownConfigurationIfTheStoreStaysAwayAfterAPause, ARefreshIgnoresAnswersOfBeforeThePause; they use functions that did not exist before.

--- a/include/basilspring/fleet/entry_server.h
+++ b/include/basilspring/fleet/entry_server.h
@@ -46,6 +46,11 @@
   EntryServer& operator=(const EntryServer&) = delete;
 
   void SetOperatorState(std::shared_ptr<const OperatorState> state);
+  /// Holds back callers' requests after the process was paused, until ConfirmConfiguration() or for
+  /// a short time: the configuration may have changed meanwhile, and a key may have been withdrawn.
+  void OnPaused(TimePoint now);
+  /// Records that the store has shown the current configuration since the pause.
+  void ConfirmConfiguration();
   /// Handles news of the scheduler; ignored if `term` is older than the known one.
   void OnScheduler(Term term, const Address& scheduler);
   /// Asks the scheduler for a summary, and refuses the open requests of a stopping entry, if that
@@ -123,8 +128,14 @@
   /// the process ends.
   Duration TimeLeft(const Exchange& exchange) const;
 
+  /// Decides about a request by the current configuration.
+  void Handle(const ExchangePtr& exchange);
+
   Context context_;
   std::shared_ptr<const OperatorState> state_;
+  /// Set while requests are held back after a pause; when they are handled at the latest.
+  std::optional<TimePoint> hold_until_;
+  std::vector<ExchangePtr> held_;
   bool stopping_ = false;
   /// Set once the entry is stopping.
   std::optional<TimePoint> answer_by_;
--- a/include/basilspring/fleet/prefix_watch.h
+++ b/include/basilspring/fleet/prefix_watch.h
@@ -29,6 +29,9 @@
   /// Reads all keys and then watches them. If the watch has been started before, answers to its
   /// former calls are ignored.
   void Start();
+  /// Asks for changes at once, after the process was paused. An answer that arrived meanwhile is
+  /// ignored, because it may be as old as the pause. Does nothing before all keys have been read.
+  void Refresh();
   /// Ignores answers to calls in flight and makes no further calls.
   void Stop();
   /// Tries again after a failure once the retry delay is over; call it periodically.
@@ -54,7 +57,8 @@
   void Load();
   /// Reads the page that follows `pages_`. After a failure, the same page is read again.
   void LoadPage();
-  void Watch();
+  /// Asks for changes; the store holds back its answer for up to `wait` until there is one.
+  void Watch(Duration wait);
   /// Logs a failure and sets the time of the next attempt.
   void ScheduleRetry(const StoreReply& reply);
 
--- a/src/fleet/entry_server.cc
+++ b/src/fleet/entry_server.cc
@@ -27,6 +27,9 @@
 constexpr Duration kAnswerMargin(200);
 // Short, because the scheduler answers from memory.
 constexpr Duration kSchedulerTimeout(450);
+// Longest time for which requests wait for a current configuration after a pause of the process.
+// One read of the store takes less, and callers of urgent work wait.
+constexpr Duration kMaxHoldAfterPause(600);
 constexpr Duration kSummaryInterval(700);
 constexpr Duration kSummaryRetry(200);
 constexpr Duration kSummaryTimeout(600);
@@ -92,6 +95,8 @@
 void EntryServer::Tick(TimePoint now) {
   if (answer_by_ && now >= *answer_by_ - kAnswerMargin) RefuseOpenRequests();
   ProbeUnavailableStore(now);
+  // Without an answer of the store, the last known configuration stays in force.
+  if (hold_until_ && now >= *hold_until_) ConfirmConfiguration();
   if (now < next_summary_ || summary_in_flight_) return;
   const SummaryQuery query{context_.node, context_.own_address, term_};
   next_summary_ = now + kSummaryInterval;
@@ -161,6 +166,22 @@
   exchange->responder = std::move(responder);
   exchange->received_at = Clock::Now();
   open_.insert(exchange);
+  if (hold_until_ && exchange->received_at < *hold_until_) {
+    held_.push_back(exchange);
+  } else {
+    Handle(exchange);
+  }
+}
+
+void EntryServer::OnPaused(TimePoint now) { hold_until_ = now + kMaxHoldAfterPause; }
+
+void EntryServer::ConfirmConfiguration() {
+  hold_until_.reset();
+  for (const ExchangePtr& exchange : std::exchange(held_, {})) Handle(exchange);
+}
+
+void EntryServer::Handle(const ExchangePtr& exchange) {
+  if (exchange->responder == nullptr) return;
   const CallerRequest& request = exchange->request;
   if (state_ == nullptr) {
     Refuse(exchange, ErrorKind::kNoConfiguration, "no configuration has been read yet",
--- a/src/fleet/node.cc
+++ b/src/fleet/node.cc
@@ -21,6 +21,8 @@
 constexpr Duration kEntryTick(50);
 constexpr Duration kAgentTick(50);
 constexpr Duration kPostRetry(5);
+// A gap of this length between two events of a process that ticks every 50 ms is a pause.
+constexpr Duration kMinPause(1000);
 // After this long without contact to a scheduler, a process checks whether there is one. A process
 // with less than a sufficient processor share waits longer, up to the second constant more, so that
 // the scheduler runs on a host with enough processor time.
@@ -155,7 +157,18 @@
   io_.PostAfter(kPostRetry, [this, shared] { Post([shared] { (*shared)(); }); });
 }
 
+void Node::CheckForPause() {
+  const TimePoint now = Clock::Now();
+  if (!last_event_at_ || now - *last_event_at_ < kMinPause) return;
+  Log(EventId::kFleetConfiguration, "the process was paused for {} ms; asking for changes",
+      (now - *last_event_at_).milliseconds());
+  resumed_at_ = now;
+  operator_watch_->Refresh();
+  if (entry_) entry_->OnPaused(now);
+}
+
 void Node::RunGuarded(const std::function<void()>& work) {
+  CheckForPause();
   try {
     work();
   } catch (const std::exception& error) {
@@ -167,6 +180,7 @@
         .Add();
     leadership_->GiveUp("an unexpected error occurred");
   }
+  last_event_at_ = Clock::Now();
 }
 
 void Node::PostAfter(Duration delay, std::function<void()> work) {
@@ -273,6 +287,10 @@
 
 void Node::Tick() {
   const TimePoint now = Clock::Now();
+  if (resumed_at_ && operator_watch_->current_at() > *resumed_at_) {
+    resumed_at_.reset();
+    if (entry_) entry_->ConfirmConfiguration();
+  }
   leadership_->Tick(now, LastContact());
   if (entry_role_ || scheduler_) operator_watch_->Tick(now);
   if (scheduler_) scheduler_->Tick(now);
--- a/src/fleet/node_process.h
+++ b/src/fleet/node_process.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <future>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -45,6 +46,9 @@
   /// Runs `work` on the current thread. If it throws, logs and counts that, and gives up the
   /// scheduler's lease, because the scheduler's state may be incomplete; the process goes on.
   void RunGuarded(const std::function<void()>& work);
+  /// Detects that the process was suspended or got no processor time, by the time since the last
+  /// event, and makes sure that it does not act on a configuration of before the pause.
+  void CheckForPause();
   void PostAfter(Duration delay, std::function<void()> work);
   void Tick();
   void Listen();
@@ -83,6 +87,10 @@
   /// because it may have changed while the process was starting.
   std::filesystem::file_time_type settings_modified_at_ = std::filesystem::file_time_type::min();
   TimePoint next_settings_check_;
+  /// When the state thread last finished an event; unset before the first one.
+  std::optional<TimePoint> last_event_at_;
+  /// When the last pause ended, until the configuration has been confirmed since.
+  std::optional<TimePoint> resumed_at_;
   const bool entry_role_;
   std::atomic<bool> running_{false};
   std::promise<void> stop_signal_;
--- a/src/fleet/prefix_watch.cc
+++ b/src/fleet/prefix_watch.cc
@@ -33,6 +33,13 @@
   Load();
 }
 
+void PrefixWatch::Refresh() {
+  if (!started_ || !loaded_) return;
+  *alive_ = false;
+  alive_ = std::make_shared<bool>(true);
+  Watch(Duration(0));
+}
+
 void PrefixWatch::Stop() {
   *alive_ = false;
   started_ = false;
@@ -76,13 +83,13 @@
     current_at_ = Clock::Now();
     retry_delay_ = kInitialRetryDelay;
     handler_(std::move(read.items), true);
-    if (*alive) Watch();
+    if (*alive) Watch(kWatchWait);
   });
 }
 
-void PrefixWatch::Watch() {
+void PrefixWatch::Watch(Duration wait) {
   idle_ = false;
-  StoreCall call = StoreCall::Watch(prefix_, revision_, kWatchWait);
+  StoreCall call = StoreCall::Watch(prefix_, revision_, wait);
   call.timeout = kWatchTimeout;
   store_.Call(call, [this, alive = alive_](StoreReply reply) {
     if (!*alive) return;
@@ -108,7 +115,7 @@
     current_at_ = Clock::Now();
     retry_delay_ = kInitialRetryDelay;
     if (!reply.items.empty()) handler_(std::move(reply.items), false);
-    if (*alive) Watch();
+    if (*alive) Watch(kWatchWait);
   });
 }
 
--- a/tests/fleet/entry_server_test.cc
+++ b/tests/fleet/entry_server_test.cc
@@ -12,7 +12,9 @@
 
 class IgnoringResponder : public HttpResponder {
  public:
-  void Respond(HttpResponse) override {}
+  void Respond(HttpResponse response) override { status = response.status; }
+  /// Status of the last response; 0 if there was none.
+  int status = 0;
   void StartStream(HttpResponse) override {}
   void WriteChunk(std::string) override {}
   void FinishStream() override {}
@@ -40,6 +42,16 @@
     entry_.OnCaller(std::move(request), std::make_shared<IgnoringResponder>());
   }
 
+  std::shared_ptr<IgnoringResponder> Query(const std::string& path) {
+    HttpRequest request;
+    request.method = "GET";
+    request.path = path;
+    request.headers["host"] = "h";
+    auto responder = std::make_shared<IgnoringResponder>();
+    entry_.OnCaller(std::move(request), responder);
+    return responder;
+  }
+
   IoThread io_;
   HttpClient http_{io_};
   Executor inline_executor_ = [](const std::function<void()>& work) { work(); };
@@ -75,5 +87,28 @@
   EXPECT_EQ(delayed_.size(), 1U);
 }
 
+// Guards against a process that resumes after a pause and decides by a configuration of before it,
+// for example accepts a key that was withdrawn meanwhile.
+TEST_F(EntryServerTest, WaitsForACurrentConfigurationAfterAPause) {
+  entry_.OnPaused(Clock::Now());
+  const auto held = Query("/q/00000000000000aa");
+  EXPECT_EQ(held->status, 0);
+  // The queue was removed during the pause.
+  entry_.SetOperatorState(std::make_shared<OperatorState>());
+  entry_.ConfirmConfiguration();
+  EXPECT_EQ(held->status, 404);
+  EXPECT_EQ(Query("/q/00000000000000aa")->status, 404);
+}
+
+// Guards against requests that are held back for as long as the store is away.
+TEST_F(EntryServerTest, ServesByTheLastKnownConfigurationIfTheStoreStaysAwayAfterAPause) {
+  const TimePoint resumed = Clock::Now();
+  entry_.OnPaused(resumed);
+  const auto held = Query("/none");
+  EXPECT_EQ(held->status, 0);
+  entry_.Tick(resumed + Duration::Seconds(1));
+  EXPECT_EQ(held->status, 404);
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
--- a/tests/fleet/store_users_test.cc
+++ b/tests/fleet/store_users_test.cc
@@ -278,6 +278,28 @@
   EXPECT_EQ(store_.held.size(), 1U);
 }
 
+// Guards against a paused process that takes an answer that arrived during the pause for the
+// current state.
+TEST_F(StoreUsersTest, ARefreshIgnoresAnswersOfBeforeThePause) {
+  int changes = 0;
+  PrefixWatch watch(access_, inline_executor_, "p/",
+                    [&](const std::vector<StoreItem>&, bool) { ++changes; });
+  watch.Start();
+  ASSERT_EQ(store_.held.size(), 1U);
+  const TimePoint before = watch.current_at();
+  while (Clock::Now() == before) std::this_thread::yield();
+  watch.Refresh();
+  ASSERT_EQ(store_.held.size(), 2U);
+  EXPECT_EQ(store_.calls.back().wait, Duration(0));
+  store_.held.front()(MakeReply(StoreStatus::kOk, 9));
+  EXPECT_EQ(watch.current_at(), before);
+  StoreReply change = MakeReply(StoreStatus::kOk, 9);
+  change.items.push_back({"p/a", "x", 9, false});
+  store_.held[1](change);
+  EXPECT_GT(watch.current_at(), before);
+  EXPECT_EQ(changes, 2);
+}
+
 TEST_F(StoreUsersTest, MakesNoCallForAPeerWhileTheStoreIsUnreachable) {
   store_.answer = [](const StoreCall&) { return MakeReply(StoreStatus::kUnavailable); };
   access_.CallDirectly(StoreCall::Get("k"), [](const StoreReply&) {});
