Preempt nothing before the fleet is known, and start reserved tasks one by one

Change: until all known agents have listed their runs, or for one second, a scheduler preempts nothing and keeps to racks. Tasks that are no gang start as soon as their reserved worker is free, and a worker gives up only its own reservation.

--- a/include/basilspring/fleet/placement.h
+++ b/include/basilspring/fleet/placement.h
@@ -66,6 +66,11 @@
                                           const std::vector<Candidate>& candidates,
                                           bool any_rack = false);
 
+/// Returns whether the placement keeps to the rack of the step's data and, if the step prefers a
+/// single rack, to one rack.
+bool IsInPreferredRack(const StepSpec& step, const std::vector<Candidate>& candidates,
+                       const Placement& placement);
+
 }  // namespace basilspring::fleet
 
 #endif  // BASILSPRING_FLEET_PLACEMENT_H_
--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -447,14 +447,21 @@
   /// Sets the tier, the latest start and the predicted work.
   void Rank(TimePoint now, const Pass& pass, ReadyStep& ready) const;
   /// Starts as many tasks as fit or, if permitted, preempts other runs and reserves their capacity.
-  void TryStart(TimePoint now, Pass& pass, const ReadyStep& ready);
+  void TryStart(TimePoint now, Pass& pass, ReadyStep ready);
+  /// Returns whether the step may stop other runs in this pass.
+  bool MayPreempt(TimePoint now, const Pass& pass, const ReadyStep& ready) const;
   /// Starts `count` tasks of the step, or as many as fit unless it is a gang, without stopping
   /// other runs. Returns false if none fits.
   bool StartOnFreeCapacity(TimePoint now, Pass& pass, const ReadyStep& ready, std::int32_t count,
                            const PlacementView& view);
-  /// Starts the step on its reserved workers if they are free. Returns false if the reservation was
-  /// given up.
-  bool TryStartReserved(TimePoint now, Pass& pass, const ReadyStep& ready);
+  /// Starts tasks of the step on its reserved workers as their capacity becomes free; a gang starts
+  /// when all of it is. Returns false if tasks are left that have no reserved worker; `ready` then
+  /// contains only these.
+  bool TryStartReserved(TimePoint now, Pass& pass, ReadyStep& ready);
+  /// The same for a gang. Returns false if the reservation was given up.
+  bool TryStartReservedGang(TimePoint now, Pass& pass, const ReadyStep& ready);
+  /// Gives the capacity that is held back for the step to others.
+  void ReleaseHeldBack(Pass& pass, const Job& job, std::size_t step);
   void StartTasks(TimePoint now, Pass& pass, Job& job, std::size_t step,
                   const std::vector<std::int32_t>& tasks,
                   const std::vector<std::size_t>& worker_indices);
@@ -515,6 +522,8 @@
   SchedulerOptions options_;
   Term term_;
   TimePoint term_started_at_;
+  /// When the first pass of this term ran.
+  std::optional<TimePoint> first_pass_at_;
   std::int64_t wall_ms_ = 0;
   std::shared_ptr<const OperatorState> operator_state_;
   std::map<JobId, Job> jobs_;
--- a/src/fleet/placement.cc
+++ b/src/fleet/placement.cc
@@ -163,6 +163,16 @@
   return best;
 }
 
+bool IsInPreferredRack(const StepSpec& step, const std::vector<Candidate>& candidates,
+                       const Placement& placement) {
+  std::string_view rack = step.data_rack;
+  for (const std::size_t i : placement.workers) {
+    if (rack.empty() && step.same_rack) rack = candidates[i].rack;
+    if (!rack.empty() && candidates[i].rack != rack) return false;
+  }
+  return true;
+}
+
 std::optional<Placement> PlaceWithVictims(const StepSpec& step, std::int32_t count,
                                           const std::vector<Candidate>& candidates, bool any_rack) {
   std::optional<Placement> best;
--- a/src/fleet/scheduler_pass.h
+++ b/src/fleet/scheduler_pass.h
@@ -38,6 +38,8 @@
     Resources held_back;
   };
   std::vector<WorkerCapacity> workers;
+  /// Whether all known agents have listed their runs, or have had the time to.
+  bool fleet_listed = false;
   /// For each usable worker its index in `workers`.
   std::map<NodeId, std::size_t> index;
   /// Jobs of priority 0 within the guarantee of their workspace.
--- a/src/fleet/scheduler_queue.cc
+++ b/src/fleet/scheduler_queue.cc
@@ -160,7 +160,52 @@
   return ready;
 }
 
-bool SchedulerCore::TryStartReserved(TimePoint now, Pass& pass, const ReadyStep& ready) {
+bool SchedulerCore::TryStartReserved(TimePoint now, Pass& pass, ReadyStep& ready) {
+  Step& step = ready.job->steps[ready.step];
+  if (SpecOf(*ready.job, ready.step).gang) return TryStartReservedGang(now, pass, ready);
+  const StepSpec& spec = SpecOf(*ready.job, ready.step);
+  const bool expired = now - step.reserved_at > options_.stop_time + options_.stop_grace;
+  std::vector<NodeId> kept;
+  std::size_t started = 0;
+  std::size_t given_up = 0;
+  for (const NodeId& node : std::exchange(step.reserved_workers, {})) {
+    const auto found = pass.index.find(node);
+    if (found == pass.index.end()) {
+      ++given_up;
+      continue;
+    }
+    Pass::WorkerCapacity& worker = pass.workers[found->second];
+    const bool usable = !worker.on_probation || ready.tier == kTierGuaranteed;
+    const bool needed = started + kept.size() < ready.waiting.size();
+    const bool fits = spec.needs.FitsIn(worker.free);
+    if (usable && needed && !fits && !expired) {
+      kept.push_back(node);
+      continue;
+    }
+    worker.reserved -= spec.needs;
+    if (!usable || !needed || !fits) {
+      ++given_up;
+      continue;
+    }
+    StartTasks(now, pass, *ready.job, ready.step, {ready.waiting[started++]}, {found->second});
+  }
+  step.reserved_workers = std::move(kept);
+  if (given_up > 0) {
+    LogDecision(fmt::format("job={} step={} cancelled the reservation on {} workers after {} ms",
+                            ready.job->spec.id.value(), ready.step, given_up,
+                            (now - step.reserved_at).milliseconds()));
+  }
+  // The tasks at the end wait for the reserved workers, and those before them go on to placement.
+  const std::size_t placed = started + step.reserved_workers.size();
+  if (placed >= ready.waiting.size()) return true;
+  ready.own_work *= static_cast<double>(ready.waiting.size() - placed) /
+                    static_cast<double>(ready.waiting.size());
+  ready.waiting = {ready.waiting.begin() + static_cast<std::ptrdiff_t>(started),
+                   ready.waiting.end() - static_cast<std::ptrdiff_t>(step.reserved_workers.size())};
+  return false;
+}
+
+bool SchedulerCore::TryStartReservedGang(TimePoint now, Pass& pass, const ReadyStep& ready) {
   Job& job = *ready.job;
   Step& step = job.steps[ready.step];
   const StepSpec& spec = SpecOf(job, ready.step);
@@ -196,22 +241,25 @@
 
 bool SchedulerCore::StartOnFreeCapacity(TimePoint now, Pass& pass, const ReadyStep& ready,
                                         std::int32_t count, const PlacementView& view) {
-  Step& step = ready.job->steps[ready.step];
   const StepSpec& spec = SpecOf(*ready.job, ready.step);
   const auto placement = PlaceNow(spec, count, view.candidates, view.any_rack);
   if (!placement) return false;
+  if (!pass.fleet_listed && !IsInPreferredRack(spec, view.candidates, *placement)) return false;
   std::vector<std::int32_t> tasks = ready.waiting;
   tasks.resize(placement->workers.size());
-  for (const NodeId& node : step.held_back_workers) {
-    const auto found = pass.index.find(node);
-    if (found != pass.index.end()) pass.workers[found->second].held_back -= spec.needs;
-  }
-  step.held_back_workers.clear();
+  ReleaseHeldBack(pass, *ready.job, ready.step);
   StartTasks(now, pass, *ready.job, ready.step, tasks, view.IndicesOf(*placement));
   return true;
 }
 
-void SchedulerCore::TryStart(TimePoint now, Pass& pass, const ReadyStep& ready) {
+bool SchedulerCore::MayPreempt(TimePoint now, const Pass& pass, const ReadyStep& ready) const {
+  if (!pass.fleet_listed) return false;
+  if (ready.tier == kTierGuaranteed) return true;
+  const Duration waited = now - *ready.job->steps[ready.step].ready_at;
+  return ready.tier == kTierUrgent && waited >= options_.borrowed_preemption_delay;
+}
+
+void SchedulerCore::TryStart(TimePoint now, Pass& pass, ReadyStep ready) {
   Job& job = *ready.job;
   Step& step = job.steps[ready.step];
   const StepSpec& spec = SpecOf(job, ready.step);
@@ -234,15 +282,13 @@
                     job.spec.id.value(), ready.step, (now - *step.ready_at).milliseconds()));
     return;
   }
-  const bool may_preempt =
-      ready.tier == kTierGuaranteed ||
-      (ready.tier == kTierUrgent && now - *step.ready_at >= options_.borrowed_preemption_delay);
+  const bool may_preempt = MayPreempt(now, pass, ready);
   std::optional<Placement> placement;
   if (may_preempt) {
     AddVictims(now, pass, ready, view);
     placement = PlaceWithVictims(spec, count, view.candidates, view.any_rack);
   }
-  if (!placement && ready.tier == kTierGuaranteed && relaxation.with_probation) {
+  if (may_preempt && !placement && ready.tier == kTierGuaranteed && relaxation.with_probation) {
     view = BuildView(pass, ready, relaxation);
     AddVictims(now, pass, ready, view);
     placement = PlaceWithVictims(spec, count, view.candidates, view.any_rack);
@@ -254,6 +300,7 @@
     LogWaitReason(now, pass, ready, view);
     return;
   }
+  ReleaseHeldBack(pass, job, ready.step);
   for (const std::size_t index : view.IndicesOf(*placement)) {
     step.reserved_workers.push_back(pass.workers[index].worker->node);
     pass.workers[index].reserved += spec.needs;
@@ -342,9 +389,9 @@
   BeginPass(now, pass);
   UpdateHeadroom(now, pass);
   counts_.steps_blocked = 0;
-  const std::vector<ReadyStep> steps = ReadySteps(now, pass);
+  std::vector<ReadyStep> steps = ReadySteps(now, pass);
   counts_.steps_ready = steps.size();
-  for (const ReadyStep& ready : steps) TryStart(now, pass, ready);
+  for (ReadyStep& ready : steps) TryStart(now, pass, std::move(ready));
 }
 
 }  // namespace basilspring::fleet
--- a/src/fleet/scheduler_room.cc
+++ b/src/fleet/scheduler_room.cc
@@ -45,6 +45,10 @@
 
 void SchedulerCore::BeginPass(TimePoint now, Pass& pass) {
   pass.guaranteed = GuaranteedJobs();
+  if (!first_pass_at_) first_pass_at_ = now;
+  pass.fleet_listed = now - *first_pass_at_ >= options_.fleet_listing_time ||
+                      std::all_of(workers_.begin(), workers_.end(),
+                                  [](const auto& row) { return row.second.has_listed_runs; });
   counts_.workers_on_probation = 0;
   for (auto& [node, worker] : workers_) {
     if (!worker.backend || !IsUsable(now, worker, worker.backend->service)) continue;
@@ -239,6 +243,17 @@
   return wait;
 }
 
+void SchedulerCore::ReleaseHeldBack(Pass& pass, const Job& job, std::size_t step) {
+  auto& held_back = jobs_.at(job.spec.id).steps[step].held_back_workers;
+  for (const NodeId& node : held_back) {
+    const auto found = pass.index.find(node);
+    if (found != pass.index.end()) {
+      pass.workers[found->second].held_back -= SpecOf(job, step).needs;
+    }
+  }
+  held_back.clear();
+}
+
 void SchedulerCore::HoldBackCapacity(TimePoint now, Pass& pass, const ReadyStep& ready,
                                      const PlacementView& view) {
   Step& step = ready.job->steps[ready.step];
@@ -253,11 +268,7 @@
     if (pass.gangs_holding_capacity >= options_.max_gangs_holding_capacity) return;
     ++pass.gangs_holding_capacity;
   }
-  for (const NodeId& node : step.held_back_workers) {
-    const auto found = pass.index.find(node);
-    if (found != pass.index.end()) pass.workers[found->second].held_back -= spec.needs;
-  }
-  step.held_back_workers.clear();
+  ReleaseHeldBack(pass, *ready.job, ready.step);
   // Places the gang as if all runs had ended, on the workers on which its tasks are predicted to
   // fit first.
   std::vector<Candidate> empty = view.candidates;
--- a/tests/fleet/scheduler_load_test.cc
+++ b/tests/fleet/scheduler_load_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <set>
 #include <stdexcept>
 
 #include "fleet_harness.h"
@@ -529,6 +530,63 @@
   EXPECT_LE(fleet_.StartsOf(batch), 5U);
 }
 
+// Guards against a scheduler that has just taken over and stops runs although workers are idle,
+// because the agents of these have not listed their runs yet.
+TEST_F(SchedulerLoadTest, ANewSchedulerDoesNotPreemptBeforeItKnowsTheFleet) {
+  const JobId borrowed = fleet_.Submit("batch", "other", MakeStep(24, 1, 60 * kSecond));
+  fleet_.Advance(kSecond);
+  ASSERT_EQ(fleet_.RunningTasks(borrowed), 24U);
+  std::set<std::string> busy;
+  for (const auto& [agent, run] : fleet_.starts()) busy.insert(agent);
+  ASSERT_EQ(busy.size(), 3U);
+  for (int i = 0; i < 6; ++i) {
+    const std::string name = "a" + std::to_string(i);
+    fleet_.agent(name).reachable = busy.count(name) > 0;
+  }
+  fleet_.ChangeScheduler(2);
+  StepSpec gang = MakeStep(3, 8, 2500);
+  gang.gang = true;
+  const JobId urgent = fleet_.Submit("urgent", "other", gang);
+  fleet_.Advance(600);
+  for (int i = 0; i < 6; ++i) fleet_.agent("a" + std::to_string(i)).reachable = true;
+  EXPECT_GE(TimeToStart(urgent, 3, kSecond), 0);
+  EXPECT_EQ(fleet_.core().counts().runs_preempted, 0U);
+}
+
+// Guards against a step that a new scheduler places away from its data, where it takes three times
+// as long, because the agents of the rack have not listed their runs yet.
+TEST_F(SchedulerLoadTest, ANewSchedulerWaitsForTheRackOfTheData) {
+  for (int i = 3; i < 6; ++i) fleet_.agent("a" + std::to_string(i)).reachable = false;
+  fleet_.ChangeScheduler(2);
+  StepSpec step = MakeStep(2, 8, 2 * kSecond);
+  step.data_rack = "rack1";
+  const JobId job = fleet_.Submit("forecast", "other", step);
+  fleet_.Advance(600);
+  EXPECT_EQ(fleet_.StartsOf(job), 0U);
+  for (int i = 3; i < 6; ++i) fleet_.agent("a" + std::to_string(i)).reachable = true;
+  EXPECT_GE(TimeToStart(job, 2, kSecond), 0);
+  EXPECT_EQ(AgentOf(job).report.backend.front().rack, "rack1");
+}
+
+// Guards against an urgent task that waits on a free worker until the capacity of all tasks of its
+// step is free, although they are not a gang. The whole step must start within the 1.65 s in which
+// it is on time.
+TEST_F(SchedulerLoadTest, ReservedTasksThatAreNoGangStartOneByOne) {
+  fleet_.Submit("batch", "other", MakeStep(48, 1, 60 * kSecond));
+  fleet_.Advance(kSecond);
+  const JobId urgent = fleet_.Submit("urgent", "other", MakeStep(2, 8, 2500));
+  while (fleet_.core().counts().runs_preempted == 0) fleet_.Advance(20);
+  // The stops on one of the two workers are not answered.
+  for (int i = 0; i < 6; ++i) {
+    FleetHarness::Agent& agent = fleet_.agent("a" + std::to_string(i));
+    if (agent.runs.front().stop_at_ms < 0) continue;
+    for (FleetHarness::Run& run : agent.runs) run.stop_at_ms += 60 * kSecond;
+    break;
+  }
+  EXPECT_GE(TimeToStart(urgent, 1, 600), 0);
+  EXPECT_GE(TimeToStart(urgent, 2, 3 * kSecond), 0);
+}
+
 // Guards against work that waits because another service has had a peak of urgent jobs.
 TEST_F(SchedulerLoadTest, TheHeadroomOfAServiceDoesNotDelayAnother) {
   for (int i = 0; i < 3; ++i) {
