Learn run times with their spread, and how good callers' estimates are

Cause: a prediction was the mean of the queue's run times, which ignores good estimates of callers, and the length of a job was that of a mean task, although its longest task decides when it is late. Change: each queue and step learns in logarithms how much run times vary and how much the error of the estimates varies, and weighs both by that. The length of a step is the expected longest of its tasks, by the variance within jobs. Tests: RunTimeModelTest plays callers whose estimates are good, and callers whose estimates say nothing.

--- a/src/fleet/scheduler_queue.cc
+++ b/src/fleet/scheduler_queue.cc
@@ -93,8 +93,8 @@
     for (const std::int32_t before : specs[i].after) {
       begin = std::max(begin, end[static_cast<std::size_t>(before)]);
     }
-    end[i] =
-        begin + run_times_.Predict(job.spec.queue, static_cast<std::int32_t>(i), specs[i].estimate);
+    end[i] = begin + run_times_.PredictLongest(job.spec.queue, static_cast<std::int32_t>(i),
+                                               specs[i].estimate, specs[i].task_count);
     longest = std::max(longest, end[i]);
   }
   return longest;
--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -263,7 +263,10 @@
     worker.failed_jobs.clear();
     worker.next_probation = options_.first_probation;
     if (on_probation) worker.probation_until = TimePoint();
-    if (is_run_time_sample) run_times_.Observe(job->spec.queue, key.task.step, ran);
+    if (is_run_time_sample) {
+      run_times_.Observe(job->spec.queue, key.task.step, job->spec.id,
+                         SpecOf(*job, StepIndex(*job, key.task)).estimate, ran);
+    }
     MarkDone(*job, key.task);
   } else if (end == RunEnd::kFailed) {
     ++counts_.runs_failed;
