Ask the backend server once more after a pause of the agent

Change: a poll that fails long after its timeout shows a pause of the agent; the backend server is asked again first. Test: AsksTheBackendOnceMoreAfterAPauseOfItsOwn fails without the change.

--- a/src/process/agent_task_run.cc
+++ b/src/process/agent_task_run.cc
@@ -20,6 +20,10 @@
 // Delay before a call is retried; 250 ms with the default timings.
 Duration RetryDelay(const Timings& timings) { return timings.backend_poll_wait / 8; }
 
+// A poll that is answered or given up after this multiple of its waiting time was delayed by a
+// pause of this process.
+constexpr std::int64_t kPausedPollFactor = 3;
+
 }  // namespace
 
 void AgentTasks::OnResult(const EventContext& context, const BackendResult& result) {
@@ -163,6 +167,12 @@
     }
     return;
   }
+  // A poll that failed long after its timeout shows that this process was paused, not that the
+  // backend server has been silent: it may have finished the task meanwhile, so it is asked again.
+  if (context.now - record.poll_sent > timings.backend_poll_wait * kPausedPollFactor) {
+    SendPoll(context, task->first, record);
+    return;
+  }
   // An unanswered poll may have renewed the lease, so a stop call is made as well.
   BackendCall call;
   call.kind = BackendCallKind::kStop;
--- a/tests/process/agent_core_test.cc
+++ b/tests/process/agent_core_test.cc
@@ -226,6 +226,30 @@
   EXPECT_TRUE(OnlySent<TaskDone>().started);
 }
 
+// Guards against an agent that was paused and gives up its task as lost, because no answer came
+// while it stood still, although the backend server has finished the task (seen in faults_ci).
+TEST_F(AgentCoreTest, AsksTheBackendOnceMoreAfterAPauseOfItsOwn) {
+  SetUpBackendAndScheduler();
+  StartSingle("j1#5.1");
+  now = now + Duration(20000);
+  AnswerBackendCall("j1#5.1", BackendCallKind::kPoll, BackendStatus::kNoAnswer);
+  EXPECT_TRUE(Sent<TaskDone>().empty());
+  ASSERT_EQ(CountCalls(BackendCallKind::kPoll), 1U);
+  AnswerBackendCall("j1#5.1", BackendCallKind::kPoll, BackendStatus::kDone, "output");
+  EXPECT_EQ(OnlySent<TaskDone>().error, ErrorKind::kNone);
+}
+
+// Guards against an agent that asks a silent backend server for ever after a pause.
+TEST_F(AgentCoreTest, GivesUpATaskWhoseBackendStaysSilentAfterAPause) {
+  SetUpBackendAndScheduler();
+  StartSingle("j1#5.1");
+  now = now + Duration(20000);
+  AnswerBackendCall("j1#5.1", BackendCallKind::kPoll, BackendStatus::kNoAnswer);
+  now = now + Duration(2500);
+  AnswerBackendCall("j1#5.1", BackendCallKind::kPoll, BackendStatus::kNoAnswer);
+  EXPECT_EQ(OnlySent<TaskDone>().error, ErrorKind::kBackendUnavailable);
+}
+
 /// Starts a gang of two ranks: rank 0 runs on the worker under test.
 struct AgentGangTest : public AgentFixture {
   /// Starts one rank. `second_worker` is the worker of rank 1.
