List the runs for a new scheduler at once

Cause: an agent's first poll in a new term waited for an end of a run, up to a second. Change: the first poll of a term does not wait. Test: FleetAgentTest.TheFirstPollOfATermIsAnsweredAtOnce fails without the change.

--- a/src/fleet/agent_core.cc
+++ b/src/fleet/agent_core.cc
@@ -346,9 +346,11 @@
     poll.term = term_;
     if (clock_known_ && lease_until_ > now) poll.lease_until_ms = ToBackendClock(lease_until_);
     poll.acknowledged = acknowledged_;
-    // The first poll only reads the clock. While ends are unacknowledged, the backend server would
-    // list them and answer at once anyway.
-    const bool wait = clock_known_ && ended_.empty();
+    // The first poll reads the clock, and the first one of a term lists the runs: until then a new
+    // scheduler starts nothing here. While ends are unacknowledged, the backend server would list
+    // them and answer at once anyway.
+    const bool listed = poll_answered_ >= first_poll_of_term_;
+    const bool wait = clock_known_ && listed && ended_.empty();
     poll.wait = wait ? options_.poll_wait : Duration(0);
     poll_in_flight_ = true;
     effects_.poll = poll;
--- a/tests/fleet/agent_core_test.cc
+++ b/tests/fleet/agent_core_test.cc
@@ -220,6 +220,19 @@
   EXPECT_EQ(effects.reports.back().running.size(), 1U);
 }
 
+// Guards against idle workers that a new scheduler can't use for a second, because their agents wait
+// for an end before they list the runs.
+TEST_F(FleetAgentTest, TheFirstPollOfATermIsAnsweredAtOnce) {
+  core_.OnScheduler(now_, Term(2), kScheduler);
+  AgentEffects effects = Tick();
+  ASSERT_TRUE(effects.poll);
+  EXPECT_EQ(effects.poll->wait, Duration(0));
+  Poll({}, {});
+  effects = Tick();
+  ASSERT_TRUE(effects.poll);
+  EXPECT_GT(effects.poll->wait, Duration(0));
+}
+
 TEST_F(FleetAgentTest, AcknowledgesAnEndOnlyOnceItIsRecorded) {
   Tick();
   Poll({}, {{5, kTask, RunNumber(1), 0, ""}});
