--- a/scripts/regression.sh
+++ b/scripts/regression.sh
@@ -13,9 +13,15 @@
 }
 while [ "$#" -gt 0 ]; do
   case $1 in
-    --days) days=${2:-} && shift 2 || usage ;;
-    --jobs) jobs=${2:-} && shift 2 || usage ;;
-    --keep) keep=1 && shift ;;
+    --days | --jobs)
+      [ "$#" -ge 2 ] || usage
+      if [ "$1" = --days ]; then days=$2; else jobs=$2; fi
+      shift 2
+      ;;
+    --keep)
+      keep=1
+      shift
+      ;;
     --*) usage ;;
     *) break ;;
   esac
