--- a/tests/fleet/agent_core_test.cc
+++ b/tests/fleet/agent_core_test.cc
@@ -220,8 +220,8 @@
   EXPECT_EQ(effects.reports.back().running.size(), 1U);
 }
 
-// Guards against idle workers that a new scheduler can't use for a second, because their agents wait
-// for an end before they list the runs.
+// Guards against idle workers that a new scheduler can't use for a second, because their agents
+// wait for an end before they list the runs.
 TEST_F(FleetAgentTest, TheFirstPollOfATermIsAnsweredAtOnce) {
   core_.OnScheduler(now_, Term(2), kScheduler);
   AgentEffects effects = Tick();
