--- a/tests/fleet/scheduler_load_test.cc
+++ b/tests/fleet/scheduler_load_test.cc
@@ -569,8 +569,8 @@
 }
 
 // Guards against an urgent task that waits on a free worker until the capacity of all tasks of its
-// step is free, although they are not a gang. The whole step must start within the 1.65 s in which
-// it is on time.
+// step is free, although they are not a gang. The first task starts once the runs on its worker
+// have stopped; the second one is placed elsewhere when its reservation has expired.
 TEST_F(SchedulerLoadTest, ReservedTasksThatAreNoGangStartOneByOne) {
   fleet_.Submit("batch", "other", MakeStep(48, 1, 60 * kSecond));
   fleet_.Advance(kSecond);
