Review case 2: a report of another writer makes a task run twice

One liveness report with a service that no config names replaces the worker that the agent knows. Its tasks are started elsewhere while they run on (TWICE), and the worker is not used again. The case of the 500 ends becomes case 5.

--- a/review/standin/fleet.cc
+++ b/review/standin/fleet.cc
@@ -90,6 +90,7 @@
 
 std::string Platform::EntryName(int i) const { return fmt::format("entry-{:02}", i); }
 std::string Platform::WorkerId(int i) const { return fmt::format("i-{:04x}", 0x7f00 + i); }
+std::string Platform::WorkerIp(int i) const { return NumberedIp(net_, 50, i); }
 std::string Platform::AgentName(int i) const { return fmt::format("agent-{:02}", i); }
 
 Address Platform::ControlOf(const std::string& ip) const { return Address{ip, kControlPort}; }
--- a/review/standin/fleet.h
+++ b/review/standin/fleet.h
@@ -196,6 +196,7 @@
   std::string EntryName(int i) const;
   std::string AgentName(int i) const;
   std::string WorkerId(int i) const;
+  std::string WorkerIp(int i) const;
   Worker& worker(int i) { return *workers_.at(static_cast<std::size_t>(i)); }
   standin::PlatformStoreStandin& store() { return store_; }
   /// Name of the process that holds the scheduler, by the store.
@@ -254,6 +255,7 @@
 int RunCase2(const CaseOptions& options);
 int RunCase3(const CaseOptions& options);
 int RunCase4(const CaseOptions& options);
+int RunCase5(const CaseOptions& options);
 
 }  // namespace basilspring::review
 
--- a/review/standin/main.cc
+++ b/review/standin/main.cc
@@ -29,6 +29,8 @@
         return RunCase3(options);
       case 4:
         return RunCase4(options);
+      case 5:
+        return RunCase5(options);
       default:
         break;
     }
