--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -1,17 +1,15 @@
 #include <fmt/format.h>
+#include <signal.h>
 
 #include "review/standin/fleet.h"
 
-// One of ten backend servers goes down and up four times, 5.5 s apart.
+// An entry stands still for five seconds with a submission in its socket. The consumer gets no
+// answer in its time budget and cancels the job at another entry.
 namespace basilspring::review {
 namespace {
 
-constexpr int kAgents = 10;
-constexpr std::int64_t kDownMs = 700;
-constexpr std::int64_t kUpMs = 5500;
-constexpr int kTurns = 4;
-constexpr const char* kFiller = "00000000000000f4";
-constexpr const char* kJob = "00000000000000c4";
+constexpr std::int64_t kFreezeMs = 5000;
+constexpr const char* kPath = "/q/00000000000000c4";
 
 }  // namespace
 
@@ -20,53 +18,50 @@
   Platform::Options fleet;
   fleet.folder = options.folder;
   fleet.program = options.program;
-  fleet.agents = kAgents;
+  fleet.agents = 7;
   Platform platform(fleet, record);
   if (!platform.Begin()) return kCouldNotRun;
-  // The job's task and those of another job need a whole backend server each.
-  const auto submit = [&](const char* job, int tasks, std::int64_t work) {
-    const std::string body = fmt::format(
-        R"({{"spec":"work={} cpu=26000 mem=100000 gpu=8","steps":[{{"count":{},"cpu":26000,)"
-        R"("mem_mb":100000,"gpu":8,"estimate_ms":{}}}]}})",
-        work, tasks, work);
-    return platform.Consumer(0, "POST", std::string("/q/") + job, body).status == 200;
-  };
-  const auto wait_for_runs = [&](std::size_t count) {
-    while (platform.Seen().size() < count && record.Now() < 60000) Sleep(20);
-    return platform.Seen().size() >= count;
-  };
-  if (!submit(kFiller, kAgents - 1, 60000) || !wait_for_runs(kAgents - 1)) return kCouldNotRun;
-  if (!submit(kJob, 1, 12000) || !wait_for_runs(kAgents)) return kCouldNotRun;
-  const std::string flapping = platform.Seen().back().worker;
-  int index = 0;
-  while (platform.WorkerId(index) != flapping) ++index;
-  Sleep(2000);
-  for (int turn = 0; options.trouble && turn < kTurns; ++turn) {
-    if (turn > 0) Sleep(kUpMs);
-    platform.RunOnIo([&] { platform.worker(index).Crash(); });
-    Sleep(kDownMs);
-    platform.RunOnIo([&] { platform.worker(index).Begin(); });
+  const std::string holder = platform.Holder();
+  int frozen = 0;
+  while (platform.EntryName(frozen) == holder) ++frozen;
+  const int other = (frozen + 1) % 3;
+  const std::string body =
+      R"({"spec":"work=5000 cpu=5600 mem=11000 gpu=1","steps":[)"
+      R"({"count":2,"cpu":5600,"mem_mb":11000,"gpu":1,"estimate_ms":5000},)"
+      R"({"count":2,"cpu":5600,"mem_mb":11000,"gpu":1,"estimate_ms":5000,"after":[0]}]})";
+  const std::int64_t begin = record.Now();
+  if (options.trouble) platform.Signal(platform.EntryName(frozen), SIGSTOP);
+  platform.Consumer(frozen, "POST", kPath, body);
+  Sleep(std::max<std::int64_t>(0, begin + 3000 - record.Now()));
+  std::int64_t acknowledged = -1;
+  while (acknowledged < 0) {
+    const Call cancel = platform.Consumer(other, "DELETE", kPath);
+    if (cancel.status / 100 == 2 || cancel.status == 410) acknowledged = record.Now();
+    if (record.Now() > begin + kFreezeMs) return kCouldNotRun;
   }
-  std::string state;
-  for (int i = 0; i < 120; ++i) {
-    state = platform.State(i % 3, kJob);
-    if (state == "completed" || state == "failed" || state == "cancelled") break;
-    Sleep(500);
-  }
-  int failed_ends = 0;
+  Sleep(std::max<std::int64_t>(0, begin + kFreezeMs - record.Now()));
+  if (options.trouble) platform.Signal(platform.EntryName(frozen), SIGCONT);
+  const std::int64_t calm = record.Now();
+  Sleep(17000);
+  platform.State(other, std::string(kPath).substr(3));
+  int late = 0;
+  int lasting = 0;
   for (const RunSeen& run : platform.Seen()) {
-    if (run.how == "failed") ++failed_ends;
-    if (run.task.rfind(kJob, 0) != 0) continue;
     record.Line(fmt::format("{} run {} on {}: started {}, ended {} {}", run.task, run.run,
                             run.worker, run.started, run.ended, run.how));
+    // All machines are in touch: nothing has been disturbed for contact_ms.
+    if (run.started > acknowledged + kCancelMs && run.started > calm + kContactMs) ++late;
+    const std::int64_t ended = run.ended < 0 ? record.Now() : run.ended;
+    if (ended > std::max(acknowledged, calm + kContactMs) + kCancelMs + kStopMs) ++lasting;
   }
-  record.Line(
-      fmt::format("the job is shown as {}; {} ends `failed` were listed", state, failed_ends));
-  if (state == "failed" || state == "cancelled") {
-    record.Line("LOST: shown so without cause");
-    return kBroken;
-  }
-  return state == "completed" ? kHeld : kCouldNotRun;
+  record.Line(fmt::format(
+      "the cancel was acknowledged at {}; {} tasks were started later than cancel_ms after that by "
+      "machines in touch, {} were at work cancel_ms + stop_timeout_ms after that, with no "
+      "disturbance "
+      "near",
+      acknowledged, late, lasting));
+  if (late + lasting > 0) record.Line("UNASKED");
+  return late + lasting > 0 ? kBroken : kHeld;
 }
 
 }  // namespace basilspring::review
