Register a backend server only once it answers under its announced id

Callers saw a task run twice: one announcement of another writer, with an id and a later start time of its own, replaced the backend server at work, and the scheduler started its tasks elsewhere 0.15 s later while they ran on until their lease ended. The host was not used again.

Cause: the agent took any announcement with a later start time for the proof that the former backend server had ended.

Change: an announcement of an unregistered incarnation is a claim until its sender has answered a poll under the claimed id and with the claimed start time. Only the server that listens at the host's address can do that, whatever the announcement says.

The rows of RejectsAnnouncementsWithValuesOutOfRange with a capacity now name all its members, so that each still fails for the value that it is about.

--- a/include/basilspring/fleet/agent_core.h
+++ b/include/basilspring/fleet/agent_core.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "basilspring/clock.h"
@@ -45,11 +46,21 @@
 };
 
 /// What the caller of FleetAgentCore::Tick has to do.
+/// A poll that finds out whether an announced backend server listens at the host's address.
+struct BackendProbe {
+  /// The caller passes this number to OnProbed with the answer.
+  std::uint64_t number = 0;
+  /// The announced backend server; a different one refuses the poll.
+  BackendAnnouncement backend;
+  PollRuns poll;
+};
+
 struct AgentEffects {
   /// Poll to send to the backend server; std::nullopt if none is due.
   std::optional<PollRuns> poll;
   /// The caller passes this number to OnPolled with the poll's answer.
   std::uint64_t poll_number = 0;
+  std::optional<BackendProbe> probe;
   std::vector<BackendOrder> orders;
   /// Reports to send to `report_to`.
   std::vector<AgentReport> reports;
@@ -70,8 +81,10 @@
  public:
   explicit FleetAgentCore(FleetAgentOptions options);
 
-  /// Applies an announcement of the backend server. Returns false, and ignores the announcement, if
-  /// it is not newer than the last one applied.
+  /// Handles an announcement. One of the registered backend server updates its registration. Any
+  /// other is only a claim, which may come from a foreign writer or from an incarnation that has
+  /// ended: its sender is registered once it has answered a probe. Returns false if the
+  /// announcement is ignored.
   bool OnAnnouncement(TimePoint now, const BackendAnnouncement& announcement);
   /// Handles the backend server's notice that it leaves permanently.
   void OnLeave(TimePoint now, const BackendId& id);
@@ -85,12 +98,16 @@
   void OnOrders(TimePoint now, std::uint64_t token, const OrderBatch& batch);
   /// Handles the answer to poll `number`; ignored unless it is the last poll sent.
   void OnPolled(TimePoint now, std::uint64_t number, const BackendReply& reply);
+  /// Handles the answer to probe `number`.
+  void OnProbed(TimePoint now, std::uint64_t number, const BackendReply& reply);
   /// Handles the answer to the BackendOrder with this token.
   void OnOrderDone(TimePoint now, std::uint64_t token, const BackendReply& reply);
 
   /// Returns what is to be done now and clears it. Call it after each event and periodically.
   AgentEffects Tick(TimePoint now);
 
+  /// Last announcement of the registered backend server; std::nullopt if none is registered.
+  const std::optional<BackendAnnouncement>& backend() const { return backend_; }
   /// Highest term that the agent has heard of.
   Term term() const { return term_; }
   const Address& scheduler() const { return scheduler_; }
@@ -129,8 +146,25 @@
     std::int64_t started_unix_ms = 0;
   };
 
-  /// Whether `other` comes from the incarnation of the backend server that is known.
+  /// An announcement whose sender has not answered a probe yet.
+  struct Claim {
+    BackendAnnouncement announcement;
+    /// When it was last announced.
+    TimePoint announced_at;
+  };
+
+  /// Whether `other` comes from the incarnation of the backend server that is registered.
   bool SameBackendIncarnation(const BackendAnnouncement& other) const;
+  /// Returns false if the scheduler has said which services there are, and this is none of them.
+  bool IsServiceKnown(const ServiceId& service) const;
+  /// Applies a newer announcement of the registered backend server. Returns false if it is ignored.
+  bool UpdateBackend(const BackendAnnouncement& announcement);
+  void AddClaim(TimePoint now, const BackendAnnouncement& announcement);
+  /// Probes the next claim if no probe is in flight, and drops claims that are not repeated.
+  void ProbeClaims(TimePoint now);
+  /// Replaces the registered backend server.
+  void Register(const BackendAnnouncement& announcement);
+  void LogIgnored(const BackendAnnouncement& announcement, std::string_view reason);
   /// Returns kOk if an order of the batch may be sent to the backend server, otherwise the reason
   /// for refusing it.
   BackendStatus CheckOrder(TimePoint now, const OrderBatch& batch, bool start) const;
@@ -150,6 +184,15 @@
 
   FleetAgentOptions options_;
   std::optional<BackendAnnouncement> backend_;
+  /// Claims in the order in which they are probed.
+  std::deque<Claim> claims_;
+  std::uint64_t probes_sent_ = 0;
+  bool probe_in_flight_ = false;
+  /// The announcement that the last probe was sent for.
+  BackendAnnouncement probed_;
+  TimePoint probe_not_before_;
+  /// The services of the operators' configuration, as last told by the scheduler; empty if unknown.
+  std::vector<ServiceId> services_;
   Term term_;
   Address scheduler_;
   TimePoint last_contact_;
--- a/include/basilspring/fleet/peer_messages.h
+++ b/include/basilspring/fleet/peer_messages.h
@@ -57,7 +57,9 @@
   std::int64_t acknowledged = 0;
   /// Start time of the backend server's incarnation that `acknowledged` refers to.
   std::int64_t started_unix_ms = 0;
-  BASILSPRING_SERIALIZE(accepted, term, scheduler, lease, acknowledged, started_unix_ms)
+  /// The services of the operators' configuration; empty if the scheduler has none.
+  std::vector<ServiceId> services;
+  BASILSPRING_SERIALIZE(accepted, term, scheduler, lease, acknowledged, started_unix_ms, services)
 };
 
 /// An order to start or stop a run.
--- a/src/fleet/agent_core.cc
+++ b/src/fleet/agent_core.cc
@@ -26,6 +26,10 @@
 // A backend server is considered to have ended once connections to it have been refused for this
 // long.
 constexpr Duration kGoneAfter(400);
+// Number of unconfirmed announcements that are kept, and how long each is kept unless it is
+// repeated. A backend server announces itself every 1.5 s.
+constexpr std::size_t kMaxClaims = 8;
+constexpr Duration kClaimLifetime = Duration::Seconds(5);
 
 }  // namespace
 
@@ -40,36 +44,125 @@
   ended_.clear();
   acknowledged_ = 0;
   poll_answered_ = 0;
+  // The next poll is sent at once, and the answer to one of the former backend server is ignored.
+  poll_in_flight_ = false;
   clock_known_ = false;
   poll_not_before_ = TimePoint();
   gone_since_.reset();
   gone_ = false;
 }
 
-bool FleetAgentCore::OnAnnouncement(TimePoint /*now*/, const BackendAnnouncement& announcement) {
-  if (backend_) {
-    // A late announcement of a former incarnation must not replace the current one.
-    if (announcement.started_unix_ms < backend_->started_unix_ms) return false;
-    if (SameBackendIncarnation(announcement) && announcement.sequence <= backend_->sequence) {
-      return false;
-    }
+bool FleetAgentCore::IsServiceKnown(const ServiceId& service) const {
+  return services_.empty() ||
+         std::find(services_.begin(), services_.end(), service) != services_.end();
+}
+
+void FleetAgentCore::LogIgnored(const BackendAnnouncement& announcement, std::string_view reason) {
+  LogDecision(fmt::format("backend={} born={} sequence={} service={} announcement ignored: {}",
+                          announcement.id.value(), announcement.started_unix_ms,
+                          announcement.sequence, announcement.service.value(), reason));
+}
+
+bool FleetAgentCore::OnAnnouncement(TimePoint now, const BackendAnnouncement& announcement) {
+  if (!IsServiceKnown(announcement.service)) {
+    LogIgnored(announcement, "the configuration does not contain its service");
+    return false;
+  }
+  if (SameBackendIncarnation(announcement)) return UpdateBackend(announcement);
+  if (backend_ && announcement.started_unix_ms < backend_->started_unix_ms) {
+    LogIgnored(announcement, "it is older than the registered backend server");
+    return false;
   }
-  const bool same = SameBackendIncarnation(announcement);
-  const bool changed = !same || announcement.draining != backend_->draining;
-  if (!same) {
-    ResetBackendState();
-    LogDecision(fmt::format("backend={} born={} service={} accelerators={} announced itself",
-                            announcement.id.value(), announcement.started_unix_ms,
-                            announcement.service.value(), announcement.capacity.accelerators));
-  } else if (changed) {
-    LogDecision(fmt::format("backend={} draining={} remaining_ms={}", announcement.id.value(),
+  AddClaim(now, announcement);
+  return true;
+}
+
+bool FleetAgentCore::UpdateBackend(const BackendAnnouncement& announcement) {
+  const bool contradicts = announcement.service != backend_->service ||
+                           announcement.address != backend_->address ||
+                           announcement.data_centre != backend_->data_centre;
+  // These don't change while a backend server runs. The registration itself is wrong if its service
+  // does not exist.
+  const bool corrects = contradicts && !IsServiceKnown(backend_->service);
+  if (contradicts && !corrects) {
+    LogIgnored(announcement, "it contradicts the registered backend server");
+    return false;
+  }
+  if (!corrects && announcement.sequence <= backend_->sequence) {
+    LogIgnored(announcement, "it is not newer than the last one");
+    return false;
+  }
+  if (corrects || announcement.draining != backend_->draining) {
+    LogDecision(fmt::format("backend={} service={} draining={} remaining_ms={}",
+                            announcement.id.value(), announcement.service.value(),
                             announcement.draining, announcement.drain_remaining.milliseconds()));
+    report_due_ = true;
   }
   backend_ = announcement;
-  if (changed) report_due_ = true;
   return true;
 }
 
+void FleetAgentCore::AddClaim(TimePoint now, const BackendAnnouncement& announcement) {
+  const auto found = std::find_if(claims_.begin(), claims_.end(), [&](const Claim& claim) {
+    return claim.announcement.id == announcement.id &&
+           claim.announcement.started_unix_ms == announcement.started_unix_ms;
+  });
+  if (found != claims_.end()) {
+    if (announcement.sequence > found->announcement.sequence) found->announcement = announcement;
+    found->announced_at = now;
+    return;
+  }
+  if (claims_.size() == kMaxClaims) claims_.pop_front();
+  claims_.push_back({announcement, now});
+}
+
+void FleetAgentCore::ProbeClaims(TimePoint now) {
+  if (probe_in_flight_ || now < probe_not_before_) return;
+  std::erase_if(claims_,
+                [&](const Claim& claim) { return now - claim.announced_at > kClaimLifetime; });
+  if (claims_.empty()) return;
+  BackendProbe probe;
+  probe.number = ++probes_sent_;
+  probe.backend = claims_.front().announcement;
+  probe.poll.term = term_;
+  probe_in_flight_ = true;
+  probed_ = probe.backend;
+  effects_.probe = std::move(probe);
+}
+
+void FleetAgentCore::OnProbed(TimePoint now, std::uint64_t number, const BackendReply& reply) {
+  if (!probe_in_flight_ || number != probes_sent_) return;
+  probe_in_flight_ = false;
+  const auto found = std::find_if(claims_.begin(), claims_.end(), [&](const Claim& claim) {
+    return claim.announcement.id == probed_.id &&
+           claim.announcement.started_unix_ms == probed_.started_unix_ms;
+  });
+  if (found == claims_.end()) return;
+  const Claim claim = *found;
+  claims_.erase(found);
+  // Answers without a start time identify the backend server by its id only.
+  const bool same_start =
+      reply.started_unix_ms == 0 || reply.started_unix_ms == claim.announcement.started_unix_ms;
+  if (reply.status == BackendStatus::kOk && same_start) {
+    Register(claim.announcement);
+  } else if (reply.status == BackendStatus::kOk ||
+             reply.status == BackendStatus::kOtherIncarnation) {
+    LogIgnored(claim.announcement, "another backend server listens at its address");
+  } else {
+    claims_.push_back(claim);
+    probe_not_before_ = now + kPollRetry;
+  }
+}
+
+void FleetAgentCore::Register(const BackendAnnouncement& announcement) {
+  ResetBackendState();
+  LogDecision(fmt::format("backend={} born={} service={} accelerators={} registered",
+                          announcement.id.value(), announcement.started_unix_ms,
+                          announcement.service.value(), announcement.capacity.accelerators));
+  backend_ = announcement;
+  report_due_ = true;
+}
+
 void FleetAgentCore::OnLeave(TimePoint /*now*/, const BackendId& id) {
   if (!backend_ || backend_->id != id) return;
   LogDecision(fmt::format("backend={} has left", id.value()));
@@ -124,6 +217,7 @@
   if (reply->term < term_) return;
   AdoptTerm(reply->term);
   last_contact_ = now;
+  services_ = reply->services;
   const auto sent = std::find_if(reports_sent_.begin(), reports_sent_.end(),
                                  [&](const auto& row) { return row.first == number; });
   if (sent != reports_sent_.end()) {
@@ -297,14 +391,14 @@
     poll_not_before_ = now + kPollRetry;
     return;
   }
+  const bool first_listing = poll_answered_ < first_poll_of_term_;
   poll_answered_ = polls_sent_;
   last_polled_ = now;
   gone_ = false;
   clock_ms_ = reply.clock_ms;
   clock_read_at_ = now;
   clock_known_ = true;
-  const bool rows_changed =
-      reply.running.size() != running_.size() || poll_answered_ == first_poll_of_term_;
+  const bool rows_changed = reply.running.size() != running_.size() || first_listing;
   running_ = reply.running;
   ended_.clear();
   for (const EndedRow& row : reply.ended) {
@@ -341,6 +435,7 @@
 }
 
 AgentEffects FleetAgentCore::Tick(TimePoint now) {
+  ProbeClaims(now);
   if (backend_ && !poll_in_flight_ && now >= poll_not_before_) {
     PollRuns poll;
     poll.term = term_;
--- a/src/fleet/agent_driver.cc
+++ b/src/fleet/agent_driver.cc
@@ -21,13 +21,7 @@
 
 void AgentDriver::OnAnnouncement(const BackendAnnouncement& announcement) {
   const TimePoint now = Clock::Now();
-  if (core_.OnAnnouncement(now, announcement)) {
-    announcement_ = announcement;
-  } else {
-    Log(EventId::kFleetAgent,
-        "backend={} born={} sequence={} ignored: not newer than the last announcement",
-        announcement.id.value(), announcement.started_unix_ms, announcement.sequence);
-  }
+  core_.OnAnnouncement(now, announcement);
   Execute(core_.Tick(now));
 }
 
@@ -60,16 +54,29 @@
     found->second(reply);
     answers_.erase(found);
   }
-  if (effects.poll && announcement_) {
-    context_.backend.Poll(*announcement_, *effects.poll,
-                          [this, alive = alive_, executor = context_.executor,
-                           number = effects.poll_number](BackendReply reply) {
-                            executor([this, alive, number, reply = std::move(reply)] {
-                              if (!*alive) return;
-                              core_.OnPolled(Clock::Now(), number, reply);
-                              Execute(core_.Tick(Clock::Now()));
-                            });
-                          });
+  const auto poll = [this](const BackendAnnouncement& backend, const PollRuns& order,
+                           auto on_answer) {
+    context_.backend.Poll(
+        backend, order,
+        [this, alive = alive_, executor = context_.executor, on_answer](BackendReply reply) {
+          executor([this, alive, on_answer, reply = std::move(reply)] {
+            if (!*alive) return;
+            on_answer(Clock::Now(), reply);
+            Execute(core_.Tick(Clock::Now()));
+          });
+        });
+  };
+  if (effects.poll) {
+    poll(*core_.backend(), *effects.poll,
+         [this, number = effects.poll_number](TimePoint now, const BackendReply& reply) {
+           core_.OnPolled(now, number, reply);
+         });
+  }
+  if (effects.probe) {
+    poll(effects.probe->backend, effects.probe->poll,
+         [this, number = effects.probe->number](TimePoint now, const BackendReply& reply) {
+           core_.OnProbed(now, number, reply);
+         });
   }
   for (const BackendOrder& order : effects.orders) {
     const auto done = [this, alive = alive_, executor = context_.executor,
@@ -81,9 +88,9 @@
       });
     };
     if (order.start) {
-      context_.backend.Start(*announcement_, order.start_run, done);
+      context_.backend.Start(*core_.backend(), order.start_run, done);
     } else {
-      context_.backend.Stop(*announcement_, order.stop_run, done);
+      context_.backend.Stop(*core_.backend(), order.stop_run, done);
     }
   }
   for (const AgentReport& report : effects.reports) SendReport(effects.report_to, report);
--- a/src/fleet/agent_driver.h
+++ b/src/fleet/agent_driver.h
@@ -4,7 +4,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 
 #include "basilspring/fleet/agent_core.h"
 #include "basilspring/fleet/peer_client.h"
@@ -46,8 +45,6 @@
 
   Context context_;
   FleetAgentCore core_;
-  /// Last announcement of the backend server.
-  std::optional<BackendAnnouncement> announcement_;
   /// Token of the next batch, and the functions that answer the open batches.
   std::uint64_t next_batch_ = 1;
   std::map<std::uint64_t, std::function<void(OrderBatchReply)>> answers_;
--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -86,6 +86,11 @@
   reply.lease = std::max(Duration(0), extended_at + options_.lease - now);
   reply.acknowledged = AcknowledgedEnd(report.node);
   if (worker.backend) reply.started_unix_ms = worker.backend->started_unix_ms;
+  if (operator_state_) {
+    for (const Service& service : operator_state_->config.services) {
+      reply.services.push_back(service.id);
+    }
+  }
   return reply;
 }
 
--- a/tests/fleet/agent_core_test.cc
+++ b/tests/fleet/agent_core_test.cc
@@ -12,17 +12,26 @@
   announcement.id = BackendId("backend");
   announcement.started_unix_ms = started_unix_ms;
   announcement.sequence = sequence;
+  announcement.service = ServiceId("service");
   announcement.capacity = {8000, 8000, 8};
   return announcement;
 }
 
+/// Returns an announcement of another writer, which nothing at the host's address stands behind.
+BackendAnnouncement MakeForeignAnnouncement() {
+  BackendAnnouncement announcement = MakeAnnouncement(9, 1);
+  announcement.id = BackendId("foreign");
+  announcement.service = ServiceId("billing");
+  return announcement;
+}
+
 const Address kScheduler{"10.0.0.1", 1};
 const TaskId kTask{JobId("0000000000000001"), 0, 0, 0};
 
 class FleetAgentTest : public ::testing::Test {
  protected:
   FleetAgentTest() : core_(MakeOptions()) {
-    core_.OnAnnouncement(now_, MakeAnnouncement(1, 1));
+    Announce(MakeAnnouncement(1, 1));
     core_.OnScheduler(now_, Term(1), kScheduler);
     PollAndReportUntilLeased();
   }
@@ -38,9 +47,33 @@
     AgentEffects effects = core_.Tick(now_);
     if (effects.poll) poll_ = effects.poll_number;
     for (const AgentReport& report : effects.reports) report_ = report;
+    if (effects.probe) probe_ = effects.probe;
     return effects;
   }
 
+  /// Announces a backend server that answers the probe that follows.
+  void Announce(const BackendAnnouncement& announcement) {
+    core_.OnAnnouncement(now_, announcement);
+    Tick();
+    AnswerProbe(BackendStatus::kOk, announcement.started_unix_ms);
+  }
+
+  void AnswerProbe(BackendStatus status, std::int64_t started_unix_ms = 0) {
+    ASSERT_TRUE(probe_);
+    BackendReply reply = MakeReply(status);
+    reply.started_unix_ms = started_unix_ms;
+    core_.OnProbed(now_, probe_->number, reply);
+    probe_.reset();
+  }
+
+  /// Returns the id of the backend server in the next report.
+  BackendId ReportedBackend() {
+    now_ = now_ + Duration(900);
+    Tick();
+    Accept(Duration(5000), 0);
+    return report_.backend.empty() ? BackendId() : report_.backend.front().id;
+  }
+
   /// Answers polls and reports until the scheduler has allowed a lease.
   void PollAndReportUntilLeased() {
     for (int i = 0; i < 4; ++i) {
@@ -69,6 +102,7 @@
     reply.lease = lease;
     reply.started_unix_ms = 1;
     reply.acknowledged = acknowledged;
+    reply.services = services_;
     core_.OnReportAnswered(now_, report_.number, reply);
   }
 
@@ -103,7 +137,10 @@
   TimePoint now_{100000};
   FleetAgentCore core_;
   std::uint64_t poll_ = 0;
+  std::optional<BackendProbe> probe_;
   AgentReport report_;
+  /// The services that the scheduler names in its answers to reports.
+  std::vector<ServiceId> services_;
 };
 
 TEST_F(FleetAgentTest, StartsARunWithTheLeaseThatTheSchedulerAllowed) {
@@ -139,7 +176,7 @@
 TEST_F(FleetAgentTest, RepeatsNoStartAtAnotherIncarnationOfTheBackendServer) {
   core_.OnOrders(now_, 1, MakeBatch(true));
   const std::uint64_t start = Tick().orders.front().token;
-  core_.OnAnnouncement(now_, MakeAnnouncement(2, 1));
+  Announce(MakeAnnouncement(2, 1));
   core_.OnOrderDone(now_, start, MakeReply(BackendStatus::kUnknown));
   const AgentEffects effects = Tick();
   ASSERT_EQ(effects.orders.size(), 1U);
@@ -252,7 +289,7 @@
 
 // A delayed announcement of a former incarnation would replace the current one.
 TEST_F(FleetAgentTest, IgnoresLateAnnouncements) {
-  EXPECT_TRUE(core_.OnAnnouncement(now_, MakeAnnouncement(5, 1)));
+  Announce(MakeAnnouncement(5, 1));
   EXPECT_FALSE(core_.OnAnnouncement(now_, MakeAnnouncement(1, 50)));
   EXPECT_FALSE(core_.OnAnnouncement(now_, MakeAnnouncement(5, 1)));
   EXPECT_TRUE(core_.OnAnnouncement(now_, MakeAnnouncement(5, 2)));
@@ -323,10 +360,93 @@
   Tick();
   ASSERT_TRUE(report_.backend_gone);
   Accept(Duration(5000), 0);
-  core_.OnAnnouncement(now_, MakeAnnouncement(2, 1));
+  Announce(MakeAnnouncement(2, 1));
   Tick();
   EXPECT_FALSE(report_.backend_gone);
 }
 
+// Guards against a task that runs twice: an announcement of another writer replaced the backend
+// server at work, and the scheduler started its tasks elsewhere while they ran on.
+TEST_F(FleetAgentTest, AForeignAnnouncementDoesNotReplaceTheBackendServer) {
+  core_.OnAnnouncement(now_, MakeForeignAnnouncement());
+  EXPECT_EQ(ReportedBackend(), BackendId("backend"));
+  AnswerProbe(BackendStatus::kOtherIncarnation);
+  EXPECT_EQ(ReportedBackend(), BackendId("backend"));
+  EXPECT_FALSE(probe_);
+}
+
+// The same with the backend server's id and a later start time.
+TEST_F(FleetAgentTest, AnAnnouncementWithAFalseStartTimeDoesNotReplaceTheBackendServer) {
+  core_.OnAnnouncement(now_, MakeAnnouncement(9, 1));
+  Tick();
+  AnswerProbe(BackendStatus::kOk, 1);
+  ReportedBackend();
+  EXPECT_EQ(report_.backend.front().started_unix_ms, 1);
+}
+
+// Guards against a host that is not used because a restarted agent heard of another writer first.
+TEST_F(FleetAgentTest, RegistersItsBackendServerAfterAForeignAnnouncement) {
+  core_ = FleetAgentCore(MakeOptions());
+  core_.OnScheduler(now_, Term(1), kScheduler);
+  core_.OnAnnouncement(now_, MakeForeignAnnouncement());
+  EXPECT_EQ(ReportedBackend(), BackendId());
+  core_.OnAnnouncement(now_, MakeAnnouncement(1, 1));
+  AnswerProbe(BackendStatus::kOtherIncarnation);
+  Tick();
+  AnswerProbe(BackendStatus::kOk, 1);
+  EXPECT_EQ(ReportedBackend(), BackendId("backend"));
+}
+
+// Guards against a new backend server that is never registered because it was announced before it
+// accepted connections.
+TEST_F(FleetAgentTest, ProbesAnAnnouncedBackendServerUntilItAnswers) {
+  core_.OnAnnouncement(now_, MakeAnnouncement(2, 1));
+  Tick();
+  AnswerProbe(BackendStatus::kGone);
+  now_ = now_ + Duration(200);
+  Tick();
+  AnswerProbe(BackendStatus::kOk, 2);
+  ReportedBackend();
+  EXPECT_EQ(report_.backend.front().started_unix_ms, 2);
+}
+
+// Guards against probing forever what another writer announced once.
+TEST_F(FleetAgentTest, ForgetsAnAnnouncementThatIsNeitherConfirmedNorRepeated) {
+  core_.OnAnnouncement(now_, MakeForeignAnnouncement());
+  for (int i = 0; i < 60; ++i) {
+    Tick();
+    if (probe_) AnswerProbe(BackendStatus::kUnknown);
+    now_ = now_ + Duration(100);
+  }
+  Tick();
+  EXPECT_FALSE(probe_);
+}
+
+// Guards against a report of another writer with the worker's own id and a service that no
+// configuration names: the worker's own announcements counted as older afterwards.
+TEST_F(FleetAgentTest, IgnoresAnnouncementsOfUnknownServicesAndContradictions) {
+  BackendAnnouncement foreign = MakeAnnouncement(1, 1000);
+  foreign.service = ServiceId("billing");
+  EXPECT_FALSE(core_.OnAnnouncement(now_, foreign));
+  services_ = {ServiceId("service")};
+  ReportedBackend();
+  EXPECT_FALSE(core_.OnAnnouncement(now_, MakeForeignAnnouncement()));
+  EXPECT_TRUE(core_.OnAnnouncement(now_, MakeAnnouncement(1, 2)));
+}
+
+// The same if a restarted agent heard the other writer's report before any of its scheduler.
+TEST_F(FleetAgentTest, CorrectsARegistrationWithAnUnknownService) {
+  core_ = FleetAgentCore(MakeOptions());
+  BackendAnnouncement foreign = MakeAnnouncement(1, 1000);
+  foreign.service = ServiceId("billing");
+  Announce(foreign);
+  core_.OnScheduler(now_, Term(1), kScheduler);
+  services_ = {ServiceId("service")};
+  ReportedBackend();
+  EXPECT_TRUE(core_.OnAnnouncement(now_, MakeAnnouncement(1, 2)));
+  ReportedBackend();
+  EXPECT_EQ(report_.backend.front().service, ServiceId("service"));
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -162,6 +162,8 @@
        R"({"service":"s","address":"nowhere","zone":"z","state":"ready","seq":1})",
        R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"sleeping","seq":1})",
        R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready","seq":"one"})",
+       R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready","seq":1})",
+       R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready","seq":1,"capacity":{"cpu":1}})",
        R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready","seq":1,"capacity":3})"}) {
     const auto decoded =
         PlatformAnnouncementFormat().Decode(MakeRequest("PUT", "/instances/i-1", body));
@@ -188,9 +190,9 @@
         std::string(R"("seq":-1)"),
         std::string(R"("remaining_ms":9223372036854775807)"),
         std::string(R"("remaining_ms":-5)"),
-        std::string(R"("capacity":{"cpu":9223372036854775807})"),
-        std::string(R"("capacity":{"mem_mb":9223372036854775807})"),
-        std::string(R"("capacity":{"gpu":-1})"),
+        std::string(R"("capacity":{"cpu":9223372036854775807,"mem_mb":1,"gpu":1})"),
+        std::string(R"("capacity":{"cpu":1,"mem_mb":9223372036854775807,"gpu":1})"),
+        std::string(R"("capacity":{"cpu":1,"mem_mb":1,"gpu":-1})"),
         std::string(R"("address":"10.0.0.9:65536")"),
         std::string(R"("address":"10.0.0.9:0")"),
         std::string(R"("address":"10.0.0.9:-80")"),
