Accept reports of another agent process only with an offered session

Callers saw tasks run twice: a report of a killed agent process, held up by a cut and delivered after its successor had reported, made the scheduler give up the successor's runs and start their tasks elsewhere while they worked on.

Cause: a report of any other incarnation replaced the known one. Incarnations are random numbers, so a process that has ended can't be told from a new one.

Change: while a process of the agent is known, a report of another one has no effect and is answered with a session, which the sender has to return. Only a process that is alive gets the answer. The number contains the term, because a late report may carry a session of an earlier term. The driver no longer takes the agent's address from a report that is not accepted.

--- a/include/basilspring/fleet/agent_core.h
+++ b/include/basilspring/fleet/agent_core.h
@@ -222,6 +222,8 @@
   std::vector<EndedRow> ended_;
 
   std::uint64_t report_number_ = 0;
+  /// See AgentReport::session.
+  std::uint64_t session_ = 0;
   /// Numbers and send times of the last reports.
   std::deque<std::pair<std::uint64_t, TimePoint>> reports_sent_;
   int reports_in_flight_ = 0;
--- a/include/basilspring/fleet/peer_messages.h
+++ b/include/basilspring/fleet/peer_messages.h
@@ -39,8 +39,10 @@
   Duration poll_age;
   std::vector<RunningRow> running;
   std::vector<EndedRow> ended;
+  /// The last session that a scheduler offered to this agent process; 0 if none did.
+  std::uint64_t session = 0;
   BASILSPRING_SERIALIZE(node, address, incarnation, number, term, backend, backend_gone, poll,
-                        poll_age, running, ended)
+                        poll_age, running, ended, session)
 };
 
 struct AgentReportReply {
@@ -59,7 +61,11 @@
   std::int64_t started_unix_ms = 0;
   /// The services of the operators' configuration; empty if the scheduler has none.
   std::vector<ServiceId> services;
-  BASILSPRING_SERIALIZE(accepted, term, scheduler, lease, acknowledged, started_unix_ms, services)
+  /// If not 0, the scheduler knows another process of this agent and accepts reports of this one
+  /// only with this session. A process that has ended can't send it.
+  std::uint64_t session = 0;
+  BASILSPRING_SERIALIZE(accepted, term, scheduler, lease, acknowledged, started_unix_ms, services,
+                        session)
 };
 
 /// An order to start or stop a run.
--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -100,7 +100,8 @@
   /// Records that agents may exist that were not registered, so the shapes stay unknown.
   void SetAgentsIncomplete() { agents_incomplete_ = true; }
 
-  /// Processes the report of an agent and returns the answer to it.
+  /// Processes the report of an agent and returns the answer to it. A report that is not accepted
+  /// has no effect.
   AgentReportReply OnReport(TimePoint now, const AgentReport& report);
   /// Processes the answer to a batch of orders. `reply` is std::nullopt if the answer was lost.
   void OnOrdersAnswered(TimePoint now, std::uint64_t batch,
@@ -178,6 +179,8 @@
     NodeId node;
     Address address;
     std::uint64_t incarnation = 0;
+    /// Sessions offered to other incarnations of the agent since the current one was accepted.
+    std::map<std::uint64_t, std::uint64_t> offered_sessions;
     std::uint64_t report_number = 0;
     /// Whether the agent has reported in this term.
     bool reported = false;
@@ -368,6 +371,10 @@
   void RemoveOldJobs(TimePoint now, SchedulerOutput& out);
 
   // Reports, ends and losses of runs, in scheduler_runs.cc.
+  /// Returns std::nullopt if the report may replace what is known of the agent. If another process
+  /// of the agent is known, a report may be a late one of a process that has ended; its sender must
+  /// then first return the session in this answer.
+  std::optional<AgentReportReply> RequireSession(Worker& worker, const AgentReport& report);
   void RecordShape(const BackendAnnouncement& backend);
   void UpdateBackend(TimePoint now, Worker& worker, const AgentReport& report);
   void ApplyRunningRow(TimePoint now, Worker& worker, const RunningRow& row, std::uint64_t poll);
@@ -552,6 +559,8 @@
   };
   std::map<std::uint64_t, BatchInFlight> batches_;
   std::uint64_t next_batch_ = 1;
+  /// Contains the term, because a late report may carry a session of an earlier one.
+  std::uint64_t next_session_ = 0;
   std::vector<PendingOrder> pending_orders_;
   std::vector<Decision> decisions_;
   SchedulerCounts counts_;
--- a/src/fleet/agent_core.cc
+++ b/src/fleet/agent_core.cc
@@ -211,6 +211,10 @@
     report_due_ = true;
     report_not_before_ = now + options_.report_retry_delay;
     OnScheduler(now, reply->term, reply->scheduler);
+    if (reply->session != 0 && reply->term == term_) {
+      session_ = reply->session;
+      report_not_before_ = now;
+    }
     return;
   }
   // The answer of a superseded scheduler must not extend the lease.
@@ -426,6 +430,7 @@
   report.poll_age = poll_answered_ == 0 ? Duration::Seconds(3600) : now - last_polled_;
   report.running = running_;
   report.ended = ended_;
+  report.session = session_;
   reports_sent_.emplace_back(report.number, now);
   if (reports_sent_.size() > kMaxRememberedReports) reports_sent_.pop_front();
   ++reports_in_flight_;
--- a/src/fleet/scheduler_core.cc
+++ b/src/fleet/scheduler_core.cc
@@ -25,7 +25,8 @@
     : options_(options),
       term_(term),
       term_started_at_(now),
-      operator_state_(std::make_shared<OperatorState>()) {}
+      operator_state_(std::make_shared<OperatorState>()),
+      next_session_((term.value() << 32U) + 1) {}
 
 std::size_t SchedulerCore::StepIndex(const Job& job, const TaskId& task) {
   return static_cast<std::size_t>(task.occurrence) * job.spec.steps.size() +
--- a/src/fleet/scheduler_driver.cc
+++ b/src/fleet/scheduler_driver.cc
@@ -292,7 +292,8 @@
     answer(refusal);
     return;
   }
-  agents_[report.node] = report.address;
+  // The address of a late report may be outdated.
+  agents_.try_emplace(report.node, report.address);
   if (stored_agents_.count(report.node) == 0) {
     // An agent must be in the stored list before it gets runs, so that a successor knows it.
     SaveAgents();
@@ -301,6 +302,11 @@
   }
   AgentReportReply reply = core_.OnReport(now, report);
   reply.scheduler = context_.own_address;
+  if (!reply.accepted) {
+    answer(reply);
+    return;
+  }
+  agents_[report.node] = report.address;
   if (report.ended.empty() || !core_.HasUnsavedEnds(report.node)) {
     answer(reply);
   } else {
--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -37,11 +37,33 @@
          kLeaseMargin;
 }
 
+std::optional<AgentReportReply> SchedulerCore::RequireSession(Worker& worker,
+                                                              const AgentReport& report) {
+  if (!worker.reported || worker.incarnation == report.incarnation) return std::nullopt;
+  const auto [offered, added] =
+      worker.offered_sessions.try_emplace(report.incarnation, next_session_);
+  if (added) {
+    ++next_session_;
+    LogDecision(fmt::format(
+        "agent={} incarnation={:x} known_incarnation={:x} number={} session={} report of another "
+        "process of the agent: accepted only with the session",
+        report.node.value(), report.incarnation, worker.incarnation, report.number,
+        offered->second));
+  } else if (report.session == offered->second) {
+    return std::nullopt;
+  }
+  AgentReportReply reply;
+  reply.term = term_;
+  reply.session = offered->second;
+  return reply;
+}
+
 AgentReportReply SchedulerCore::OnReport(TimePoint now, const AgentReport& report) {
   AgentReportReply reply;
   reply.accepted = true;
   reply.term = term_;
   Worker& worker = workers_[report.node];
+  if (auto refusal = RequireSession(worker, report)) return *refusal;
   const bool stale = worker.incarnation == report.incarnation && worker.reported &&
                      report.number <= worker.report_number;
   unreported_agents_.erase(report.node);
@@ -54,6 +76,7 @@
           report.node.value(), report.incarnation, report.running.size(), term_.value()));
     }
     if (worker.incarnation != report.incarnation) {
+      worker.offered_sessions.clear();
       // The new agent process numbers its polls from the beginning, and the outcome of the orders
       // that its predecessor did not answer is unknown. A stop is confirmed again, together with
       // the poll that shows its effect.
--- a/tests/fleet/agent_core_test.cc
+++ b/tests/fleet/agent_core_test.cc
@@ -244,6 +244,21 @@
   EXPECT_EQ(core_.lease_until(), sent + Duration(5000));
 }
 
+// Guards against a restarted agent whose host is not used: the scheduler accepts its reports only
+// with the session that it has offered.
+TEST_F(FleetAgentTest, ReportsAtOnceWithTheSessionThatTheSchedulerOffers) {
+  now_ = now_ + Duration(900);
+  Tick();
+  AgentReportReply reply;
+  reply.term = core_.term();
+  reply.scheduler = kScheduler;
+  reply.session = 5;
+  core_.OnReportAnswered(now_, report_.number, reply);
+  const AgentEffects effects = Tick();
+  ASSERT_EQ(effects.reports.size(), 1U);
+  EXPECT_EQ(effects.reports.front().session, 5U);
+}
+
 // A new scheduler must not conclude from rows of a poll before its term that a run has vanished.
 TEST_F(FleetAgentTest, ReportsToANewSchedulerOnlyPollsOfItsTerm) {
   core_.OnScheduler(now_, Term(2), kScheduler);
--- a/tests/fleet/fleet_harness.cc
+++ b/tests/fleet/fleet_harness.cc
@@ -193,7 +193,12 @@
     agent.report.running.push_back(
         {run.task, run.run, run.checkpoint, static_cast<std::int32_t>(percent)});
   }
-  const AgentReportReply reply = core_->OnReport(TimePoint(now_ms_), agent.report);
+  AgentReportReply reply = core_->OnReport(TimePoint(now_ms_), agent.report);
+  if (!reply.accepted && reply.session != 0) {
+    agent.report.session = reply.session;
+    ++agent.report.number;
+    reply = core_->OnReport(TimePoint(now_ms_), agent.report);
+  }
   std::erase_if(agent.report.ended,
                 [&](const EndedRow& row) { return row.number <= reply.acknowledged; });
 }
--- a/tests/fleet/scheduler_core_test.cc
+++ b/tests/fleet/scheduler_core_test.cc
@@ -477,6 +477,52 @@
   EXPECT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, 5 * kSecond));
 }
 
+// Guards against tasks that run twice: a report of a killed agent process that arrives after those
+// of its successor made the scheduler give up the runs that it lacks.
+TEST_F(SchedulerCoreTest, ALateReportOfAKilledAgentProcessHasNoEffect) {
+  AddAgents(2);
+  std::map<std::string, AgentReport> late;
+  for (const char* name : {"a0", "a1"}) {
+    AgentReport& report = fleet_.agent(name).report;
+    late[name] = report;
+    ++report.incarnation;
+    report.number = 0;
+    report.poll = 0;
+  }
+  fleet_.Advance(kSecond);
+  const JobId job = fleet_.Submit("batch", "shop", MakeStep(1, 1, 10 * kSecond));
+  fleet_.Advance(kSecond);
+  ASSERT_EQ(fleet_.StartsOf(job), 1U);
+  AgentReport& report = late[fleet_.starts().front().first];
+  for (int i = 0; i < 3; ++i) {
+    ++report.number;
+    fleet_.core().OnReport(TimePoint(fleet_.now_ms()), report);
+    fleet_.Advance(kSecond);
+  }
+  EXPECT_EQ(fleet_.StartsOf(job), 1U);
+  EXPECT_TRUE(fleet_.overlapping_tasks().empty());
+  EXPECT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, 10 * kSecond));
+}
+
+// The same for a process that an earlier scheduler has accepted with a session.
+TEST_F(SchedulerCoreTest, ASessionOfAnEarlierTermDoesNotAdmitALateReport) {
+  AddAgents(1);
+  AgentReport& report = fleet_.agent("a0").report;
+  ++report.incarnation;
+  report.number = 0;
+  fleet_.Advance(kSecond);
+  ASSERT_NE(report.session, 0U);
+  AgentReport late = report;
+  fleet_.ChangeScheduler(2);
+  ++report.incarnation;
+  report.number = 0;
+  fleet_.Advance(kSecond);
+  for (int i = 0; i < 3; ++i) {
+    ++late.number;
+    EXPECT_FALSE(fleet_.core().OnReport(TimePoint(fleet_.now_ms()), late).accepted);
+  }
+}
+
 TEST_F(SchedulerCoreTest, ReportsOnlyFinalPhasesWithoutAValidLease) {
   AddAgents(1);
   const JobId ended = fleet_.Submit("batch", "shop", MakeStep(1, 1, 100));
