Store the cancellation of a job that has not been accepted

Callers saw a job run after its cancellation was acknowledged: they were answered 410, and an entry that had been suspended with the submission in its socket then stored the job, which ran to its end.

Cause: a cancellation of a job that did not exist was answered without a write, so nothing kept a submission that was still on its way, or a write that the store carries out late, from storing the job.

Change: the cancellation is stored on condition that the job does not exist, and a job on condition that it has no cancellation; a submission that comes second is answered 409, which says truthfully that the job never runs. The store decides which transaction is first, so a late one can't change it. The scheduler removes the cancellation of a job that was never accepted after the time for which it keeps finished jobs.

AnswersCancellationsUntilItsConnectionsAreClosed lets the store accept writes, as the test of submissions does: the answer 410 now needs one, and a store that leaves all writes unanswered makes 504 the right answer.

--- a/include/basilspring/fleet/entry_server.h
+++ b/include/basilspring/fleet/entry_server.h
@@ -114,9 +114,15 @@
   void QueryJob(const ExchangePtr& exchange);
   /// Answers with the phase of the job as far as the store shows it.
   void QueryStore(const ExchangePtr& exchange);
-  /// Stores a cancellation if the job exists.
+  /// Stores a cancellation, whether or not the job exists: its submission may still be on its way.
   void Cancel(const ExchangePtr& exchange);
+  /// Stores the cancellation of a job that exists.
   void StoreCancel(const ExchangePtr& exchange);
+  /// Stores the cancellation of a job that does not exist, so that no entry can accept it any more.
+  void ForbidJob(const ExchangePtr& exchange);
+  /// Calls `retry` after a delay, or refuses the request if its time is nearly over.
+  void RetryOrGiveUp(const ExchangePtr& exchange, void (EntryServer::*retry)(const ExchangePtr&),
+                     const std::string& reason);
   /// Refuses all open requests, because the process is about to end.
   void RefuseOpenRequests();
   /// Answers with the number of pending jobs of the queue. Asks the scheduler if its last summary
--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -92,8 +92,8 @@
   /// needs it. Only a final phase is recorded. If the specification can't be read, `spec` contains
   /// the id only, and listed runs are stopped.
   void AddUnreadableJob(TimePoint now, std::int64_t wall_ms, JobSpec spec);
-  /// Cancels a job for its caller. The cancellation is remembered if the job has not been added
-  /// yet.
+  /// Cancels a job for its caller. The cancellation of a job that has not been added is remembered
+  /// for as long as a finished job.
   void CancelJob(const JobId& job);
   /// Registers an agent that may have runs of an earlier term. The address is empty if unknown.
   void ExpectAgent(const NodeId& node, const Address& address);
@@ -369,6 +369,9 @@
   static JobProgress ProgressOf(Job& job);
   void CollectSaves(TimePoint now, SchedulerOutput& out);
   void RemoveOldJobs(TimePoint now, SchedulerOutput& out);
+  /// Deletes the cancellations of jobs that were never accepted, once no late submission can
+  /// arrive.
+  void RemoveOldCancels(TimePoint now, SchedulerOutput& out);
 
   // Reports, ends and losses of runs, in scheduler_runs.cc.
   /// Returns std::nullopt if the report may replace what is known of the agent. If another process
@@ -536,8 +539,14 @@
   std::map<JobId, Job> jobs_;
   /// Jobs that have not ended.
   std::set<JobId> active_;
-  /// Cancelled jobs that have not been added yet.
-  std::set<JobId> cancelled_before_added_;
+  /// A cancellation of a job that has not been added.
+  struct EarlyCancel {
+    /// When a pass first saw it.
+    std::optional<TimePoint> kept_since;
+    /// Whether the deletion of its key has been requested.
+    bool removing = false;
+  };
+  std::map<JobId, EarlyCancel> cancelled_before_added_;
   std::map<NodeId, Worker> workers_;
   /// Agents of earlier terms that have not reported in this one.
   std::set<NodeId> unreported_agents_;
--- a/include/basilspring/fleet/store.h
+++ b/include/basilspring/fleet/store.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "basilspring/clock.h"
@@ -55,6 +56,9 @@
   std::string message;
 };
 
+/// Returns whether the reply contains the item with this key.
+bool ContainsKey(const StoreReply& reply, std::string_view key);
+
 struct StoreCondition {
   std::string key;
   /// Revision that the key must have; 0 if the key must not exist.
--- a/src/fleet/entry_server.cc
+++ b/src/fleet/entry_server.cc
@@ -300,15 +300,43 @@
   context_.store.Call(call, [this, alive = alive_, exchange](const StoreReply& reply) {
     if (!*alive) return;
     if (reply.status == StoreStatus::kNotFound) {
-      Refuse(exchange, ErrorKind::kJobUnknown, "no such job was accepted");
+      ForbidJob(exchange);
     } else if (reply.status == StoreStatus::kOk) {
       StoreCancel(exchange);
-    } else if (TimeLeft(*exchange) > kMaxStoreTimeout / 2) {
-      context_.run_later(kStoreRetryDelay, [this, alive, exchange] {
-        if (*alive) Cancel(exchange);
-      });
     } else {
-      Refuse(exchange, ErrorKind::kTimeout, "the store is away: " + reply.message);
+      RetryOrGiveUp(exchange, &EntryServer::Cancel, "the store is away: " + reply.message);
+    }
+  });
+}
+
+void EntryServer::RetryOrGiveUp(const ExchangePtr& exchange,
+                                void (EntryServer::*retry)(const ExchangePtr&),
+                                const std::string& reason) {
+  if (TimeLeft(*exchange) <= kMaxStoreTimeout / 2) {
+    Refuse(exchange, ErrorKind::kTimeout, reason);
+    return;
+  }
+  context_.run_later(kStoreRetryDelay, [this, alive = alive_, exchange, retry] {
+    if (*alive) (this->*retry)(exchange);
+  });
+}
+
+void EntryServer::ForbidJob(const ExchangePtr& exchange) {
+  const std::string job = StoreKeys::Job(exchange->job);
+  const std::string cancel = StoreKeys::Cancel(exchange->job);
+  StoreCall call = StoreCall::Transaction().If(job, 0).If(cancel, 0).Set(cancel, "");
+  call.timeout = StoreTimeout(TimeLeft(*exchange));
+  ++exchange->attempts;
+  context_.store.Call(call, [this, alive = alive_, exchange, job](const StoreReply& reply) {
+    if (!*alive) return;
+    if (reply.status == StoreStatus::kOk ||
+        (reply.status == StoreStatus::kConflict && !ContainsKey(reply, job))) {
+      Refuse(exchange, ErrorKind::kJobUnknown, "no such job was accepted, and none will be");
+    } else if (reply.status == StoreStatus::kConflict) {
+      StoreCancel(exchange);
+    } else {
+      RetryOrGiveUp(exchange, &EntryServer::ForbidJob,
+                    "the cancellation may not be stored: " + reply.message);
     }
   });
 }
@@ -322,12 +350,9 @@
     if (!*alive) return;
     if (reply.status == StoreStatus::kOk || reply.status == StoreStatus::kConflict) {
       Answer(exchange, JobPhaseAnswer{JobPhase::kCancelled});
-    } else if (TimeLeft(*exchange) > kMaxStoreTimeout / 2) {
-      context_.run_later(kStoreRetryDelay, [this, alive, exchange] {
-        if (*alive) StoreCancel(exchange);
-      });
     } else {
-      Refuse(exchange, ErrorKind::kTimeout, "the cancellation may not be stored: " + reply.message);
+      RetryOrGiveUp(exchange, &EntryServer::StoreCancel,
+                    "the cancellation may not be stored: " + reply.message);
     }
   });
 }
--- a/src/fleet/entry_submit.cc
+++ b/src/fleet/entry_submit.cc
@@ -116,18 +116,25 @@
 
 void EntryServer::StoreJob(const ExchangePtr& exchange, const std::string& bytes) {
   const std::string key = StoreKeys::Job(exchange->job);
-  StoreCall call = StoreCall::Transaction().If(key, 0).Set(key, bytes);
+  const std::string cancel = StoreKeys::Cancel(exchange->job);
+  // The caller may have cancelled the job at another entry before this one read the request.
+  StoreCall call = StoreCall::Transaction().If(key, 0).If(cancel, 0).Set(key, bytes);
   call.timeout = StoreTimeout(TimeLeft(*exchange));
   ++exchange->attempts;
-  context_.store.Call(call, [this, alive = alive_, exchange, bytes](const StoreReply& reply) {
-    if (!*alive) return;
-    // If the key exists, an earlier attempt of the same request wrote it; it is the same job.
-    if (reply.status == StoreStatus::kOk || reply.status == StoreStatus::kConflict) {
-      Answer(exchange, JobAcceptedAnswer{});
-      return;
-    }
-    OnJobNotStored(exchange, bytes, reply);
-  });
+  context_.store.Call(
+      call, [this, alive = alive_, exchange, bytes, key, cancel](const StoreReply& reply) {
+        if (!*alive) return;
+        const bool conflict = reply.status == StoreStatus::kConflict;
+        // If the key exists, an earlier attempt of the same request wrote it; it is the same job.
+        if (reply.status == StoreStatus::kOk || (conflict && ContainsKey(reply, key))) {
+          Answer(exchange, JobAcceptedAnswer{});
+        } else if (conflict && ContainsKey(reply, cancel)) {
+          // An attempt that was not answered can't store the job any more either.
+          Refuse(exchange, ErrorKind::kCancelled, "the job was cancelled before it was accepted");
+        } else {
+          OnJobNotStored(exchange, bytes, reply);
+        }
+      });
 }
 
 void EntryServer::OnJobNotStored(const ExchangePtr& exchange, const std::string& bytes,
--- a/src/fleet/scheduler_core.cc
+++ b/src/fleet/scheduler_core.cc
@@ -171,7 +171,7 @@
 void SchedulerCore::CancelJob(const JobId& id) {
   const auto found = jobs_.find(id);
   if (found == jobs_.end()) {
-    cancelled_before_added_.insert(id);
+    cancelled_before_added_.try_emplace(id);
     return;
   }
   Job& job = found->second;
@@ -255,7 +255,20 @@
   }
 }
 
-void SchedulerCore::OnRemoved(const JobId& id) { jobs_.erase(id); }
+void SchedulerCore::RemoveOldCancels(TimePoint now, SchedulerOutput& out) {
+  for (auto& [id, cancel] : cancelled_before_added_) {
+    if (cancel.removing) continue;
+    if (!cancel.kept_since) cancel.kept_since = now;
+    if (now - *cancel.kept_since < options_.keep_finished) continue;
+    cancel.removing = true;
+    out.saves.push_back({id, 0, "", true});
+  }
+}
+
+void SchedulerCore::OnRemoved(const JobId& id) {
+  jobs_.erase(id);
+  cancelled_before_added_.erase(id);
+}
 
 void SchedulerCore::OnSaved(const JobId& id, std::uint64_t version) {
   const auto found = jobs_.find(id);
@@ -309,6 +322,7 @@
   EmitOrders(now, out);
   CollectSaves(now, out);
   RemoveOldJobs(now, out);
+  RemoveOldCancels(now, out);
   out.decisions = std::exchange(decisions_, {});
   return out;
 }
--- a/src/fleet/store.cc
+++ b/src/fleet/store.cc
@@ -1,5 +1,6 @@
 #include "basilspring/fleet/store.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -25,6 +26,11 @@
   return kStatusNames.at(static_cast<std::size_t>(status));
 }
 
+bool ContainsKey(const StoreReply& reply, std::string_view key) {
+  return std::any_of(reply.items.begin(), reply.items.end(),
+                     [key](const StoreItem& item) { return item.key == key; });
+}
+
 StoreCall StoreCall::Get(std::string key) {
   StoreCall call = MakeCall(StoreOperation::kGet);
   call.key = std::move(key);
--- a/tests/fleet/entry_server_test.cc
+++ b/tests/fleet/entry_server_test.cc
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+#include <optional>
+
 #include "basilspring/process/io_thread.h"
 #include "platform/caller_adapter.h"
 #include "scripted_store.h"
@@ -34,23 +37,42 @@
     entry_.SetOperatorState(state);
   }
 
-  void Cancel(const std::string& job) {
-    HttpRequest request;
-    request.method = "DELETE";
-    request.path = "/q/" + job;
-    request.headers["host"] = "h";
-    entry_.OnCaller(std::move(request), std::make_shared<IgnoringResponder>());
-  }
-
-  std::shared_ptr<IgnoringResponder> Query(const std::string& path) {
+  std::shared_ptr<IgnoringResponder> Send(const std::string& method, const std::string& path,
+                                          const std::string& body = "") {
     HttpRequest request;
-    request.method = "GET";
+    request.method = method;
     request.path = path;
     request.headers["host"] = "h";
+    request.body = body;
     auto responder = std::make_shared<IgnoringResponder>();
     entry_.OnCaller(std::move(request), responder);
     return responder;
   }
+  std::shared_ptr<IgnoringResponder> Submit(const std::string& job) {
+    return Send("POST", "/q/" + job, R"({"spec":"s","steps":[{"count":1,"cpu":1,"mem_mb":1}]})");
+  }
+  std::shared_ptr<IgnoringResponder> Cancel(const std::string& job) {
+    return Send("DELETE", "/q/" + job);
+  }
+  std::shared_ptr<IgnoringResponder> Query(const std::string& path) { return Send("GET", path); }
+
+  /// Makes the store keep what is written.
+  void KeepItems() {
+    store_.answer = [this](const StoreCall& call) {
+      StoreReply reply = MakeReply(StoreStatus::kOk);
+      if (call.kind() == StoreOperation::kGet && items_.count(call.key) == 0) {
+        return MakeReply(StoreStatus::kNotFound);
+      }
+      for (const StoreCondition& condition : call.conditions) {
+        if (items_.count(condition.key) == 0) continue;
+        reply.status = StoreStatus::kConflict;
+        reply.items.push_back({condition.key, items_[condition.key], 5, false});
+      }
+      if (reply.status != StoreStatus::kOk) return reply;
+      for (const StoreWrite& write : call.writes) items_[write.key] = write.value;
+      return reply;
+    };
+  }
 
   IoThread io_;
   HttpClient http_{io_};
@@ -61,6 +83,7 @@
   platform::PlatformCallerFormat format_;
   MetricRegistry metrics_;
   std::deque<std::function<void()>> delayed_;
+  std::map<std::string, std::string> items_;
   EntryServer entry_{EntryServer::Context{
       access_, peers_, inline_executor_,
       [this](Duration, std::function<void()> work) { delayed_.push_back(std::move(work)); },
@@ -87,6 +110,57 @@
   EXPECT_EQ(delayed_.size(), 1U);
 }
 
+// Guards against a job that runs after its cancellation was answered: an entry that was suspended
+// reads the submission only then.
+TEST_F(EntryServerTest, DoesNotStoreAJobThatWasCancelledBefore) {
+  KeepItems();
+  EXPECT_EQ(Cancel("00000000000000aa")->status, 410);
+  EXPECT_EQ(Submit("00000000000000aa")->status, 409);
+  EXPECT_EQ(items_.count(StoreKeys::Job(JobId("00000000000000aa"))), 0U);
+  EXPECT_EQ(Cancel("00000000000000aa")->status, 410);
+  EXPECT_EQ(Submit("00000000000000ab")->status, 200);
+}
+
+// Guards against a cancellation that is answered as unknown although the job was stored while the
+// entry looked for it.
+TEST_F(EntryServerTest, CancelsAJobThatIsStoredWhileItsCancellationIsHandled) {
+  KeepItems();
+  const auto keep = store_.answer;
+  const std::string job = StoreKeys::Job(JobId("00000000000000aa"));
+  store_.answer = [&, keep](const StoreCall& call) {
+    StoreReply reply = keep(call);
+    if (call.kind() == StoreOperation::kGet) items_[job] = "spec";
+    return reply;
+  };
+  EXPECT_EQ(Cancel("00000000000000aa")->status, 200);
+  EXPECT_EQ(items_.count(StoreKeys::Cancel(JobId("00000000000000aa"))), 1U);
+  // A repeat of the submission is answered as before the cancellation.
+  EXPECT_EQ(Submit("00000000000000aa")->status, 200);
+}
+
+// Guards against a submission that is stored although its entry has answered that it was cancelled:
+// the write of an earlier attempt, which was not answered, is carried out late.
+TEST_F(EntryServerTest, ALateWriteDoesNotStoreACancelledJob) {
+  KeepItems();
+  const auto keep = store_.answer;
+  std::optional<StoreCall> late;
+  store_.answer = [&](const StoreCall& call) {
+    if (call.kind() != StoreOperation::kTransaction || late) return keep(call);
+    late = call;
+    return MakeReply(StoreStatus::kUnknown);
+  };
+  const auto submission = Submit("00000000000000aa");
+  ASSERT_TRUE(late);
+  EXPECT_EQ(Cancel("00000000000000aa")->status, 410);
+  while (!delayed_.empty()) {
+    const std::function<void()> work = delayed_.front();
+    delayed_.pop_front();
+    work();
+  }
+  EXPECT_EQ(submission->status, 409);
+  EXPECT_EQ(keep(*late).status, StoreStatus::kConflict);
+}
+
 // Guards against a process that resumes after a pause and decides by a configuration of before it,
 // for example accepts a key that was withdrawn meanwhile.
 TEST_F(EntryServerTest, WaitsForACurrentConfigurationAfterAPause) {
--- a/tests/fleet/fleet_harness.cc
+++ b/tests/fleet/fleet_harness.cc
@@ -207,6 +207,7 @@
   for (const ProgressSave& save : output.saves) {
     if (!store_available) continue;
     if (save.remove) {
+      removed_.insert(save.job);
       stored_.erase(save.job);
       specs_.erase(save.job);
       core_->OnRemoved(save.job);
--- a/tests/fleet/fleet_harness.h
+++ b/tests/fleet/fleet_harness.h
@@ -81,6 +81,8 @@
   /// Tasks of which two runs were active at the same time.
   const std::set<std::string>& overlapping_tasks() const { return overlapping_tasks_; }
   const std::map<JobId, JobProgress>& stored() const { return stored_; }
+  /// Jobs of which all keys were removed from the store.
+  const std::set<JobId>& removed() const { return removed_; }
 
   /// Returns the run time of a task in milliseconds; the default is its estimate.
   std::function<std::int64_t(const TaskId&)> run_time_of;
@@ -114,6 +116,7 @@
   OperatorState operators_;
   std::map<JobId, JobSpec> specs_;
   std::map<JobId, JobProgress> stored_;
+  std::set<JobId> removed_;
   std::vector<std::pair<std::string, Run>> starts_;
   std::set<std::string> overlapping_tasks_;
   std::uint64_t next_job_ = 1;
--- a/tests/fleet/node_stop_test.cc
+++ b/tests/fleet/node_stop_test.cc
@@ -191,6 +191,7 @@
 
 // Guards against refusing cancellations during a planned stop.
 TEST_F(NodeStopTest, AnswersCancellationsUntilItsConnectionsAreClosed) {
+  write_status_ = StoreStatus::kOk;
   StartNode(Duration(5));
   const Outcome outcome =
       StopUnderLoad(8, "DELETE /q/00000000000000aa HTTP/1.1\r\nHost: h\r\n\r\n");
--- a/tests/fleet/scheduler_core_test.cc
+++ b/tests/fleet/scheduler_core_test.cc
@@ -80,6 +80,18 @@
   EXPECT_EQ(fleet_.PhaseOf(job), JobPhase::kCompleted);
 }
 
+// Guards against keys that stay in the store for good: cancellations of jobs that were never
+// accepted.
+TEST_F(SchedulerCoreTest, RemovesTheCancellationOfAnUnknownJobAfterAWhile) {
+  AddAgents(1);
+  const JobId unknown("00000000000000ff");
+  fleet_.Cancel(unknown);
+  fleet_.Advance(fleet_.options.keep_finished.milliseconds() - kSecond);
+  EXPECT_EQ(fleet_.removed().count(unknown), 0U);
+  fleet_.Advance(2 * kSecond);
+  EXPECT_EQ(fleet_.removed().count(unknown), 1U);
+}
+
 // Guards against removing a job that has just finished because the time of day jumped ahead.
 TEST_F(SchedulerCoreTest, AFinishedJobStaysKnownWhenTheTimeOfDayJumps) {
   AddAgents(1);
