Take refused connections for the end of a server only once its runs have ended

Cause: 0.4 s of refused connections counted as the end of the backend server, and so of its runs. A cut may refuse connections to a server that works on until its lease ends. RefusedConnectionsDoNotMeanThatRunsHaveEnded and two more new tests fail if RunsHaveEnded() always holds, which is the former condition.

Change: the agent reports a backend server as exited only if it has said that it leaves, or once the lease that any call may have granted has certainly expired; a refused poll grants nothing. Both are proofs that nothing runs there, which a refused connection is not. Another incarnation is recognized at once, as before.

ReportsABackendServerThatRefusesConnections expected the exit after 1.6 s of refused connections alone, which is the fault. In its place stand a test of a server that has left, with the same time, and one that expects the exit after the lease and not before; the two tests that need an exited server wait for the lease.

--- a/include/basilspring/fleet/agent_core.h
+++ b/include/basilspring/fleet/agent_core.h
@@ -21,6 +21,10 @@
   Address address;
   /// Random number drawn when the agent's process starts; see AgentReport::incarnation.
   std::uint64_t incarnation = 0;
+  /// Longest lease that a scheduler grants, and how long after its end runs have certainly ended;
+  /// see SchedulerOptions.
+  Duration lease = Duration(5000);
+  Duration lease_expiry_margin = Duration(1350);
   /// Longest time between two reports when nothing has changed; a fifth of the lease.
   Duration report_interval = Duration(800);
   /// How long the backend server may hold back the answer to one poll until a run ends.
@@ -163,7 +167,11 @@
   /// Probes the next claim if no probe is in flight, and drops claims that are not repeated.
   void ProbeClaims(TimePoint now);
   /// Replaces the registered backend server.
-  void Register(const BackendAnnouncement& announcement);
+  void Register(TimePoint now, const BackendAnnouncement& announcement);
+  /// Returns whether nothing runs on the registered backend server any more, given that it refuses
+  /// connections: it has left, or the lease of its runs has certainly expired. A refused connection
+  /// alone is no proof, because the network may refuse it for a host that works on.
+  bool RunsHaveEnded(TimePoint now) const;
   void LogIgnored(const BackendAnnouncement& announcement, std::string_view reason);
   /// Returns kOk if an order of the batch may be sent to the backend server, otherwise the reason
   /// for refusing it.
@@ -213,6 +221,12 @@
   std::optional<TimePoint> gone_since_;
   /// Whether the backend server is considered to have ended.
   bool gone_ = false;
+  /// Whether the backend server has said that it leaves and has not announced itself since.
+  bool left_ = false;
+  /// The latest end of the lease that an earlier call may have set at the backend server, and that
+  /// of the last poll, which it has not got if it refused the connection.
+  TimePoint lease_granted_until_;
+  TimePoint poll_lease_until_;
   TimePoint poll_not_before_;
   /// When the backend server last answered a poll.
   TimePoint last_polled_;
--- a/include/basilspring/fleet/scheduler_options.h
+++ b/include/basilspring/fleet/scheduler_options.h
@@ -66,6 +66,10 @@
   std::int32_t max_gangs_holding_capacity = 2;
   /// A step whose latest start is less than this away may use the headroom.
   Duration headroom_slack = Duration(2000);
+
+  /// Returns how long after the end of their lease runs have certainly ended. Covers a slow clock
+  /// of the backend server, the stop of the runs and the transit time of the last poll.
+  Duration LeaseExpiryMargin() const;
 };
 
 }  // namespace basilspring::fleet
--- a/src/fleet/agent_core.cc
+++ b/src/fleet/agent_core.cc
@@ -23,8 +23,8 @@
 // have ended.
 constexpr Duration kPollRetry(150);
 constexpr Duration kGonePollRetry(500);
-// A backend server is considered to have ended once connections to it have been refused for this
-// long.
+// A backend server whose runs have ended is considered to have ended too once connections to it
+// have been refused for this long.
 constexpr Duration kGoneAfter(400);
 // Number of unconfirmed announcements that are kept, and how long each is kept unless it is
 // repeated. A backend server announces itself every 1.5 s.
@@ -50,6 +50,13 @@
   poll_not_before_ = TimePoint();
   gone_since_.reset();
   gone_ = false;
+  left_ = false;
+  lease_granted_until_ = TimePoint();
+  poll_lease_until_ = TimePoint();
+}
+
+bool FleetAgentCore::RunsHaveEnded(TimePoint now) const {
+  return left_ || now > lease_granted_until_ + options_.lease_expiry_margin;
 }
 
 bool FleetAgentCore::IsServiceKnown(const ServiceId& service) const {
@@ -99,6 +106,7 @@
     report_due_ = true;
   }
   backend_ = announcement;
+  left_ = false;
   return true;
 }
 
@@ -144,7 +152,7 @@
   const bool same_start =
       reply.started_unix_ms == 0 || reply.started_unix_ms == claim.announcement.started_unix_ms;
   if (reply.status == BackendStatus::kOk && same_start) {
-    Register(claim.announcement);
+    Register(now, claim.announcement);
   } else if (reply.status == BackendStatus::kOk ||
              reply.status == BackendStatus::kOtherIncarnation) {
     LogIgnored(claim.announcement, "another backend server listens at its address");
@@ -154,8 +162,10 @@
   }
 }
 
-void FleetAgentCore::Register(const BackendAnnouncement& announcement) {
+void FleetAgentCore::Register(TimePoint now, const BackendAnnouncement& announcement) {
   ResetBackendState();
+  // A former process of this agent may have granted it.
+  lease_granted_until_ = now + options_.lease;
   LogDecision(fmt::format("backend={} born={} service={} accelerators={} registered",
                           announcement.id.value(), announcement.started_unix_ms,
                           announcement.service.value(), announcement.capacity.accelerators));
@@ -170,6 +180,7 @@
   // that a late announcement does not register it again as available.
   backend_->draining = true;
   backend_->drain_remaining = Duration(0);
+  left_ = true;
   report_due_ = true;
 }
 
@@ -298,6 +309,7 @@
   call.order.token = token;
   call.order.repeated = call.attempts > 0;
   ++call.attempts;
+  if (call.order.start) lease_granted_until_ = std::max(lease_granted_until_, lease_until_);
   effects_.orders.push_back(call.order);
   calls_[token] = std::move(call);
 }
@@ -365,8 +377,9 @@
   if (number != polls_sent_) return;
   poll_in_flight_ = false;
   if (reply.status == BackendStatus::kGone) {
+    poll_lease_until_ = TimePoint();
     if (!gone_since_) gone_since_ = now;
-    if (!gone_ && now - *gone_since_ >= kGoneAfter) {
+    if (!gone_ && now - *gone_since_ >= kGoneAfter && RunsHaveEnded(now)) {
       gone_ = true;
       report_due_ = true;
       running_.clear();
@@ -444,7 +457,12 @@
   if (backend_ && !poll_in_flight_ && now >= poll_not_before_) {
     PollRuns poll;
     poll.term = term_;
-    if (clock_known_ && lease_until_ > now) poll.lease_until_ms = ToBackendClock(lease_until_);
+    lease_granted_until_ = std::max(lease_granted_until_, poll_lease_until_);
+    poll_lease_until_ = TimePoint();
+    if (clock_known_ && lease_until_ > now) {
+      poll.lease_until_ms = ToBackendClock(lease_until_);
+      poll_lease_until_ = lease_until_;
+    }
     poll.acknowledged = acknowledged_;
     // The first poll reads the clock, and the first one of a term lists the runs: until then a new
     // scheduler starts nothing here. While ends are unacknowledged, the backend server would list
--- a/src/fleet/node.cc
+++ b/src/fleet/node.cc
@@ -119,6 +119,8 @@
     FleetAgentOptions agent;
     agent.node = settings_.name;
     agent.address = settings_.advertised;
+    agent.lease = settings_.scheduler.lease;
+    agent.lease_expiry_margin = settings_.scheduler.LeaseExpiryMargin();
     agent.incarnation = (std::uint64_t{std::random_device()()} << 32U) | std::random_device()();
     agent_ = std::make_unique<AgentDriver>(
         AgentDriver::Context{*adapters_.backend, *peers_, executor,
--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -11,8 +11,8 @@
 
 // Clocks of backend servers may run slow by this much, so that a lease lasts longer by as much.
 constexpr std::int64_t kClockErrorPercent = 3;
-// Added to every lease before its runs count as ended, for the transit time of the last poll.
-constexpr Duration kLeaseMargin(300);
+// Longest transit time of a poll or a report.
+constexpr Duration kTransitTime(300);
 // Delay before a failed task is started again, so that a transient fault can clear.
 constexpr Duration kRetryDelay(100);
 // Number of distinct jobs that must fail on a worker, without a success in between, before it is
@@ -32,9 +32,12 @@
 
 }  // namespace
 
+Duration SchedulerOptions::LeaseExpiryMargin() const {
+  return lease * kClockErrorPercent / 100 + stop_time + kTransitTime;
+}
+
 TimePoint SchedulerCore::LeaseExpiryBound(TimePoint extended_at) const {
-  return extended_at + options_.lease * (100 + kClockErrorPercent) / 100 + options_.stop_time +
-         kLeaseMargin;
+  return extended_at + options_.lease + options_.LeaseExpiryMargin();
 }
 
 std::optional<AgentReportReply> SchedulerCore::RequireSession(Worker& worker,
@@ -194,7 +197,7 @@
     // A run that is being stopped is no longer listed as running although it is still active. Its
     // end is listed later, unless it never started.
     if (run.stopping && (!run.stop_confirmed_at ||
-                         now - *run.stop_confirmed_at <= options_.stop_time + kLeaseMargin)) {
+                         now - *run.stop_confirmed_at <= options_.stop_time + kTransitTime)) {
       continue;
     }
     if (listed.count(key) == 0) vanished.push_back(key);
--- a/tests/fleet/agent_core_test.cc
+++ b/tests/fleet/agent_core_test.cc
@@ -66,6 +66,17 @@
     probe_.reset();
   }
 
+  /// Lets time pass in which the scheduler accepts reports and the backend server refuses
+  /// connections.
+  void RefuseConnectionsFor(Duration time) {
+    for (const TimePoint until = now_ + time; now_ < until;) {
+      now_ = now_ + Duration(200);
+      Tick();
+      core_.OnPolled(now_, poll_, MakeReply(BackendStatus::kGone));
+      Accept(Duration(5000), 0);
+    }
+  }
+
   /// Returns the id of the backend server in the next report.
   BackendId ReportedBackend() {
     now_ = now_ + Duration(900);
@@ -310,17 +321,47 @@
   EXPECT_TRUE(core_.OnAnnouncement(now_, MakeAnnouncement(5, 2)));
 }
 
-TEST_F(FleetAgentTest, ReportsABackendServerThatRefusesConnections) {
-  for (int i = 0; i < 8; ++i) {
-    now_ = now_ + Duration(200);
-    Tick();
-    core_.OnPolled(now_, poll_, MakeReply(BackendStatus::kGone));
-  }
+TEST_F(FleetAgentTest, ReportsABackendServerThatHasLeftAndRefusesConnections) {
+  core_.OnLeave(now_, BackendId("backend"));
+  RefuseConnectionsFor(Duration(1600));
   now_ = now_ + Duration(900);
   Tick();
   EXPECT_TRUE(report_.backend_gone);
 }
 
+// Guards against tasks that run twice: a backend server that was cut off, with connections to it
+// refused, was reported as exited while its runs went on.
+TEST_F(FleetAgentTest, RefusedConnectionsDoNotMeanThatRunsHaveEnded) {
+  const TimePoint granted_until = core_.lease_until();
+  // Reports are accepted meanwhile, but no refused poll extends the lease of the runs.
+  while (now_ <= granted_until + FleetAgentOptions().lease_expiry_margin) {
+    EXPECT_FALSE(report_.backend_gone);
+    RefuseConnectionsFor(Duration(200));
+  }
+  RefuseConnectionsFor(Duration(1000));
+  EXPECT_TRUE(report_.backend_gone);
+}
+
+// The same if another process of the agent may have extended the lease.
+TEST_F(FleetAgentTest, ARestartedAgentWaitsForTheLeaseThatItsPredecessorMayHaveGranted) {
+  core_ = FleetAgentCore(MakeOptions());
+  Announce(MakeAnnouncement(1, 1));
+  core_.OnScheduler(now_, Term(1), kScheduler);
+  RefuseConnectionsFor(Duration(5000));
+  EXPECT_FALSE(report_.backend_gone);
+  RefuseConnectionsFor(Duration(3000));
+  EXPECT_TRUE(report_.backend_gone);
+}
+
+// Guards against giving up a backend server after a notice of leaving that came late, for example
+// of a former incarnation with the same id.
+TEST_F(FleetAgentTest, ANewerAnnouncementEndsANoticeOfLeaving) {
+  core_.OnLeave(now_, BackendId("backend"));
+  core_.OnAnnouncement(now_, MakeAnnouncement(1, 2));
+  RefuseConnectionsFor(Duration(1600));
+  EXPECT_FALSE(report_.backend_gone);
+}
+
 // Guards against giving up a backend server that refuses a single connection.
 TEST_F(FleetAgentTest, OneRefusedConnectionDoesNotMeanThatTheBackendServerHasExited) {
   Tick();
@@ -347,12 +388,7 @@
 
 // Guards against a backend server that answers again and is never used again.
 TEST_F(FleetAgentTest, ReportsABackendServerThatAnswersAgain) {
-  for (int i = 0; i < 8; ++i) {
-    now_ = now_ + Duration(200);
-    Tick();
-    core_.OnPolled(now_, poll_, MakeReply(BackendStatus::kGone));
-    Accept(Duration(5000), 0);
-  }
+  RefuseConnectionsFor(Duration(8000));
   now_ = now_ + Duration(900);
   Tick();
   ASSERT_TRUE(report_.backend_gone);
@@ -365,12 +401,7 @@
 
 // Guards against a restarted backend server that is reported as exited.
 TEST_F(FleetAgentTest, ANewIncarnationHasNotExited) {
-  for (int i = 0; i < 8; ++i) {
-    now_ = now_ + Duration(200);
-    Tick();
-    core_.OnPolled(now_, poll_, MakeReply(BackendStatus::kGone));
-    Accept(Duration(5000), 0);
-  }
+  RefuseConnectionsFor(Duration(8000));
   now_ = now_ + Duration(900);
   Tick();
   ASSERT_TRUE(report_.backend_gone);
