Soak the ways between agents, backend servers and the scheduler

Callers of all modes also cancel jobs whose submission has not been answered.

Processes that the soak started inherited its sockets, so that a relay that had stopped listening went on accepting connections, and closed connections stayed open in the children. They are closed at the start of a process now.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
 # Soak test: runs the programs as separate processes on this machine under load and injected faults, both derived from
 # a seed, and checks the records of callers and backend servers:
-#   soak.sh [--seed N] [--minutes M | --seconds S] [--agents N] [--entries N] [--faults all|planned]
-# --faults planned leaves only stops and reloads of entries, changes of the configuration and failures of the store.
+#   soak.sh [--seed N] [--minutes M | --seconds S] [--agents N] [--entries N] [--faults all|planned|servers]
+# --faults planned leaves only stops and reloads of entries, changes of the configuration and failures of the store;
+# --faults servers plays faults between agents, their backend servers and the scheduler.
 # soak.sh --kept runs all seeds of scripts/soak-seeds.txt in parallel. Exits 0 only if no rule was broken. The folder
 # with the logs is kept if the run failed, or if KEEP=1 is set.
 set -euo pipefail
@@ -24,7 +25,7 @@
     --seconds) seconds=$2 ;;
     --agents) agents=$2 ;;
     --entries) entries=$2 ;;
-    --faults) if [ "$2" = planned ]; then options=(--planned-only); fi ;;
+    --faults) options=(--faults "$2") ;;
     *) sed -n 's/^#   soak.sh/usage: soak.sh/p' scripts/soak.sh >&2 && exit 2 ;;
   esac
   shift 2
--- a/standin/platform_worker.h
+++ b/standin/platform_worker.h
@@ -33,6 +33,7 @@
   std::string Announcement(const std::string& address);
 
   const std::string& id() const { return id_; }
+  std::int64_t started_unix_ms() const { return started_unix_ms_; }
   /// Lines "MILLISECONDS start|OUTCOME TASK RUN", where OUTCOME is "done", "stopped" or "lapsed".
   const std::vector<std::string>& history() const { return history_; }
   /// Lines "MILLISECONDS TASK RUN", one for each acknowledged end.
--- a/standin/relay.cc
+++ b/standin/relay.cc
@@ -53,6 +53,10 @@
     });
   }
   void Silence() { silent_ = true; }
+  void Hold(bool hold) {
+    held_ = hold;
+    Resume();
+  }
   /// Delivers the data that was held back in the directions that are no longer cut.
   void Resume() {
     Forward(to_target_);
@@ -80,7 +84,7 @@
     bool finished = false;
   };
 
-  bool Blocked(const Direction& direction) const { return silent_ || direction.cut; }
+  bool Blocked(const Direction& direction) const { return silent_ || held_ || direction.cut; }
 
   void Read(Direction& direction) {
     direction.from.async_read_some(
@@ -123,6 +127,7 @@
   tcp::socket client_;
   tcp::socket target_;
   bool silent_ = false;
+  bool held_ = false;
   bool closed_ = false;
   Direction to_target_{client_, target_, cuts_->towards_target};
   Direction to_client_{target_, client_, cuts_->towards_clients};
@@ -137,8 +142,8 @@
         target_ip(asio::ip::make_address(to.ip)),
         target_port(to.port),
         acceptor(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
-        datagrams(io, udp::endpoint(acceptor.local_endpoint().address(),
-                                    acceptor.local_endpoint().port())) {}
+        endpoint(acceptor.local_endpoint()),
+        datagrams(io, udp::endpoint(endpoint.address(), endpoint.port())) {}
 
   void Accept();
   void ReceiveFromClients();
@@ -155,6 +160,7 @@
   const asio::ip::address target_ip;
   const std::uint16_t target_port;
   tcp::acceptor acceptor;
+  const tcp::endpoint endpoint;
   udp::socket datagrams;
   const std::shared_ptr<Cuts> cuts = std::make_shared<Cuts>();
   std::set<std::shared_ptr<RelayedConnection>> connections;
@@ -238,9 +244,7 @@
   impl_->dispatcher->Close();
 }
 
-Address Relay::address() const {
-  return Address{"127.0.0.1", impl_->acceptor.local_endpoint().port()};
-}
+Address Relay::address() const { return Address{"127.0.0.1", impl_->endpoint.port()}; }
 
 void Relay::CutTowardsTarget(bool cut) {
   impl_->dispatcher->DispatchAndWait([impl = impl_, cut] {
@@ -267,12 +271,40 @@
   });
 }
 
+void Relay::HoldOpenConnections() {
+  impl_->dispatcher->DispatchAndWait([impl = impl_] {
+    impl->ForEachConnection([](RelayedConnection& connection) { connection.Hold(true); });
+  });
+}
+
+void Relay::ReleaseHeldConnections() {
+  impl_->dispatcher->DispatchAndWait([impl = impl_] {
+    impl->ForEachConnection([](RelayedConnection& connection) { connection.Hold(false); });
+  });
+}
+
 void Relay::CloseOpenConnections() {
   impl_->dispatcher->DispatchAndWait([impl = impl_] {
     impl->ForEachConnection([](RelayedConnection& connection) { connection.Close(); });
   });
 }
 
+void Relay::RefuseConnections(bool refuse) {
+  impl_->dispatcher->DispatchAndWait([impl = impl_, refuse] {
+    if (refuse == !impl->acceptor.is_open()) return;
+    if (refuse) {
+      impl->acceptor.close();
+      impl->ForEachConnection([](RelayedConnection& connection) { connection.Close(); });
+      return;
+    }
+    impl->acceptor.open(impl->endpoint.protocol());
+    impl->acceptor.set_option(tcp::acceptor::reuse_address(true));
+    impl->acceptor.bind(impl->endpoint);
+    impl->acceptor.listen();
+    impl->Accept();
+  });
+}
+
 int Relay::accepted() const { return impl_->accepted.load(); }
 
 }  // namespace basilspring::standin
--- a/standin/relay.h
+++ b/standin/relay.h
@@ -34,8 +34,16 @@
   /// Permanently stops forwarding on the connections that are open now, without closing them. New
   /// connections are not affected.
   void SilenceOpenConnections();
+  /// Holds back the data on the connections that are open now, also after their clients have ended.
+  /// New connections are not affected.
+  void HoldOpenConnections();
+  /// Delivers what HoldOpenConnections() has held back.
+  void ReleaseHeldConnections();
   /// Closes the connections that are open now.
   void CloseOpenConnections();
+  /// Refuses new connections and closes the open ones, as a host does on which nothing listens, or
+  /// accepts connections again.
+  void RefuseConnections(bool refuse);
 
   /// Returns the number of TCP connections accepted since the start.
   int accepted() const;
--- a/standin/soak_callers.cc
+++ b/standin/soak_callers.cc
@@ -111,6 +111,7 @@
 }
 
 void SoakCallers::Submit(const JobPtr& job) {
+  if (job->record.cancel_sent_ms) return;
   Call(job, "POST", job->body, [this, job](const HttpResult& result) {
     job->record.submit_statuses.push_back(result.error == ErrorKind::kNone ? result.status : 0);
     const int status = job->record.submit_statuses.back();
@@ -165,11 +166,15 @@
 }
 
 void SoakCallers::Cancel(const JobPtr& job) {
-  if (!job->record.accepted() || job->finished) return;
+  if (job->finished) return;
   if (!job->record.cancel_sent_ms) job->record.cancel_sent_ms = NowMs();
   Call(job, "DELETE", "", [this, job](const HttpResult& result) {
-    if (result.error == ErrorKind::kNone && result.status == 200) {
+    // The submission may still be on its way; after 410 it must not take effect.
+    const bool unknown = result.status == 410 && !job->record.accepted();
+    if (result.error == ErrorKind::kNone && (result.status == 200 || unknown)) {
       job->record.cancelled_ms = NowMs();
+      // No further attempt to submit it follows.
+      if (!job->record.accepted()) job->finished = true;
     } else if (!job->finished) {
       RunAfter(kRetryMs, [this, job] { Cancel(job); });
     }
--- a/standin/soak_fleet.cc
+++ b/standin/soak_fleet.cc
@@ -157,17 +157,36 @@
 void SoakFleet::Announce() {
   for (std::size_t i = 0; i < workers_.size(); ++i) {
     const SoakNode& agent = nodes_[static_cast<std::size_t>(options_.entries) + i];
-    HttpClientRequest request;
-    request.server = Address{IpOf(false, i), kControlPort};
-    request.method = "PUT";
-    request.target = "/instances/" + workers_[i].incarnation->id();
-    request.headers["content-type"] = "application/json";
-    request.body = workers_[i].incarnation->Announcement(agent.worker_relay->address().ToString());
-    request.timeout = Duration(1000);
-    http_.Send(std::move(request), [](const HttpResult&) {});
+    PlatformWorkerStandin& worker = *workers_[i].incarnation;
+    SendAnnouncement(i, worker.id(), worker.Announcement(agent.worker_relay->address().ToString()));
   }
 }
 
+void SoakFleet::SendAnnouncement(std::size_t index, const std::string& id, std::string body) {
+  HttpClientRequest request;
+  request.server = Address{IpOf(false, index), kControlPort};
+  request.method = "PUT";
+  request.target = "/instances/" + id;
+  request.headers["content-type"] = "application/json";
+  request.body = std::move(body);
+  request.timeout = Duration(1000);
+  http_.Send(std::move(request), [](const HttpResult&) {});
+}
+
+void SoakFleet::AnnounceForeign(std::size_t index, bool same_id) {
+  RunOnIo([&] {
+    const PlatformWorkerStandin& worker = *workers_[index].incarnation;
+    const std::string id = same_id ? worker.id() : "i-foreign";
+    const std::int64_t born = same_id ? worker.started_unix_ms() : Clock::WallMilliseconds();
+    SendAnnouncement(index, id,
+                     fmt::format(R"({{"service":"billing","address":"127.0.0.1:1",)"
+                                 R"("zone":"{}","state":"ready","seq":1000000,)"
+                                 R"("capacity":{{"cpu":1,"mem_mb":1,"gpu":0}},)"
+                                 R"("labels":["a","r1-1"],"born":{}}})",
+                                 ZoneOf(index), born));
+  });
+}
+
 std::vector<Address> SoakFleet::CallerAddresses() const {
   std::vector<Address> addresses;
   for (const SoakNode& node : nodes_) {
@@ -193,6 +212,8 @@
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, node.log_file.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // An inherited socket would stay open, and would go on listening, after a relay has closed it.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   std::array<std::string, 4> words = {options_.program, "node", "--settings", node.settings_file};
   std::array<char*, 5> arguments = {words[0].data(), words[1].data(), words[2].data(),
                                     words[3].data(), nullptr};
--- a/standin/soak_fleet.h
+++ b/standin/soak_fleet.h
@@ -83,6 +83,10 @@
 
   /// Calls the function with the store on the I/O thread, and waits for its return.
   void WithStore(const std::function<void(PlatformStoreStandin&)>& function);
+  /// Sends an announcement of another writer to the agent of a backend server: with an id and a
+  /// later start time of its own or, if `same_id` is true, with those of the backend server. No
+  /// configuration names its service.
+  void AnnounceForeign(std::size_t index, bool same_id);
   /// Simulates a crash of a backend server: its runs end as "crashed", and a new incarnation with
   /// another id starts.
   void RestartWorker(std::size_t index);
@@ -114,6 +118,7 @@
   void RunOnIo(const std::function<void()>& function);
   void ScheduleTick();
   void Announce();
+  void SendAnnouncement(std::size_t index, const std::string& id, std::string body);
   void WriteSettings(SoakNode& node, std::size_t index, const std::string& network);
   std::vector<SoakRun> RunsOfIncarnation(std::size_t index) const;
 
--- a/standin/soak_main.cc
+++ b/standin/soak_main.cc
@@ -44,13 +44,24 @@
       version, second_key);
 }
 
+/// The faults of a soak.
+enum class SoakFaults : std::uint8_t {
+  /// All kinds but those of kServers, together with planned work.
+  kAll,
+  /// Planned work only.
+  kPlanned,
+  /// Faults between agents, their backend servers and the scheduler. A mode of its own, so that the
+  /// kept seeds of the others draw the same faults as before.
+  kServers,
+};
+
 class Soak {
  public:
-  Soak(const SoakFleetOptions& options, Duration length, bool planned_only)
+  Soak(const SoakFleetOptions& options, Duration length, SoakFaults faults)
       : random_(options.seed),
         planned_random_(options.seed),
         length_(length),
-        planned_only_(planned_only),
+        faults_(faults),
         fleet_(options),
         callers_(fleet_.io(), fleet_.http(), fleet_.CallerAddresses(), options.seed) {}
 
@@ -67,10 +78,12 @@
     const std::int64_t end_ms = NowMs() + length_.milliseconds();
     load_enabled_ = true;
     while (NowMs() < end_ms) {
-      if (planned_only_) {
+      if (faults_ == SoakFaults::kPlanned) {
         RunPlannedWork();
+      } else if (faults_ == SoakFaults::kServers) {
+        RunFaultRound(kServerFaultKinds);
       } else {
-        RunFaultRound();
+        RunFaultRound(kFaultKinds);
       }
     }
     load_enabled_ = false;
@@ -160,6 +173,45 @@
     };
   }
 
+  Undo RefuseWorkerConnections() {
+    Relay& relay = *RandomNode(false).worker_relay;
+    relay.RefuseConnections(true);
+    return [&relay] { relay.RefuseConnections(false); };
+  }
+  Undo AnnounceForeign() {
+    fleet_.AnnounceForeign(RandomBelow(fleet_.workers()), RandomBelow(2) == 0);
+    return {};
+  }
+  /// Kills an agent whose reports are held back, and starts it again at once. The reports arrive
+  /// when the fault ends, after those of the new process.
+  Undo DelayReportsOfKilledAgent() {
+    Relay& relay = *fleet_.nodes()[fleet_.SchedulerIndexOr(RandomNodeIndex())].peer_relay;
+    relay.HoldOpenConnections();
+    RunLoadFor(static_cast<std::int64_t>(200 + RandomBelow(800)));
+    SoakNode& node = RandomNode(false);
+    SoakFleet::Signal(node, SIGKILL);
+    SoakFleet::WaitForEnd(node, kStopLimit);
+    if (node.pid <= 0) fleet_.Start(node);
+    return [&relay] { relay.ReleaseHeldConnections(); };
+  }
+  Undo PauseEntry() {
+    SoakNode& node = RandomNode(true);
+    if (node.pid <= 0 || node.paused) return {};
+    SoakFleet::Signal(node, SIGSTOP);
+    node.paused = true;
+    return [&node] { Resume(node); };
+  }
+
+  static constexpr std::array<FaultKind, 8> kServerFaultKinds = {{
+      {"backend server refuses connections", &Soak::RefuseWorkerConnections},
+      {"foreign announcement", &Soak::AnnounceForeign},
+      {"late reports of a killed agent", &Soak::DelayReportsOfKilledAgent},
+      {"pause entry", &Soak::PauseEntry},
+      {"cut from backend server", &Soak::CutFromWorker},
+      {"backend server crashes", &Soak::CrashWorker},
+      {"kill", &Soak::Kill},
+      {"kill scheduler", &Soak::KillScheduler},
+  }};
   static constexpr std::array<FaultKind, 23> kFaultKinds = {{
       {"kill", &Soak::Kill},
       {"kill scheduler", &Soak::KillScheduler},
@@ -268,11 +320,12 @@
   }
 
   /// Begins one to three overlapping faults, ends them, and waits.
-  void RunFaultRound() {
+  template <std::size_t kKinds>
+  void RunFaultRound(const std::array<FaultKind, kKinds>& kinds) {
     std::vector<Undo> undos;
     const std::uint64_t count = 1 + RandomBelow(3);
     for (std::uint64_t i = 0; i < count; ++i) {
-      const FaultKind& kind = kFaultKinds[RandomBelow(kFaultKinds.size())];
+      const FaultKind& kind = kinds[RandomBelow(kinds.size())];
       fmt::print("{} {}\n", NowMs(), kind.name);
       if (kind.begin == nullptr) {
         // The effects of faults of this round that are still active would be attributed to the
@@ -417,7 +470,7 @@
   /// Separate, so that the faults that follow from a seed don't depend on the planned work.
   std::mt19937_64 planned_random_;
   const Duration length_;
-  const bool planned_only_;
+  const SoakFaults faults_;
   SoakRecord record_;
   int version_ = 1;
   bool load_enabled_ = false;
@@ -429,6 +482,11 @@
   SoakCallers callers_;
 };
 
+SoakFaults KindsOf(const std::string& name) {
+  if (name == "planned") return SoakFaults::kPlanned;
+  return name == "servers" ? SoakFaults::kServers : SoakFaults::kAll;
+}
+
 }  // namespace
 
 int RunSoak(int argc, char** argv) {
@@ -444,7 +502,9 @@
   TCLAP::ValueArg<int> agents("", "agents", "Agents", false, 5, "N", command_line);
   TCLAP::ValueArg<int> network("", "network", "Second byte of the loopback addresses", false, 40,
                                "N", command_line);
-  TCLAP::SwitchArg planned_only("", "planned-only", "Planned work instead of faults", command_line);
+  TCLAP::ValuesConstraint<std::string> fault_names({"all", "planned", "servers"});
+  TCLAP::ValueArg<std::string> faults("", "faults", "Kinds of faults", false, "all", &fault_names,
+                                      command_line);
   command_line.parse(argc, argv);
   SoakFleetOptions options;
   options.network = network.getValue();
@@ -453,7 +513,7 @@
   options.entries = entries.getValue();
   options.agents = agents.getValue();
   options.seed = seed.getValue();
-  return Soak(options, Duration::Seconds(seconds.getValue()), planned_only.getValue()).Run();
+  return Soak(options, Duration::Seconds(seconds.getValue()), KindsOf(faults.getValue())).Run();
 }
 
 }  // namespace basilspring::standin
