Give up no run whose end may not be listed yet

Callers saw tasks start again after they had ended as done: of 1200 tasks of one backend server that ended while the store was away for 4 s, 200 ran twice.

Cause: a backend server lists 500 ends at a time. Runs whose ends come later are in neither list, and were taken for runs that do not exist, by ReleaseUnlistedRuns and, after a change of the scheduler, by taking the report for a complete list. RunsWhoseEndsAreNotListedYetAreNotGivenUp and ANewSchedulerWaitsForTheEndsThatAreNotListedYet fail without the two conditions.

Each acknowledgement makes room for further ends, so the list becomes complete.

--- a/include/basilspring/fleet/agent_core.h
+++ b/include/basilspring/fleet/agent_core.h
@@ -234,6 +234,8 @@
   std::int64_t acknowledged_ = 0;
   std::vector<RunningRow> running_;
   std::vector<EndedRow> ended_;
+  /// See AgentReport::more_ends.
+  bool more_ends_ = false;
 
   std::uint64_t report_number_ = 0;
   /// See AgentReport::session.
--- a/include/basilspring/fleet/backend.h
+++ b/include/basilspring/fleet/backend.h
@@ -93,6 +93,9 @@
   std::int64_t started_unix_ms = 0;
   std::vector<RunningRow> running;
   std::vector<EndedRow> ended;
+  /// Whether the backend server may have more ends than it has listed. Its answer lists only some
+  /// until they are acknowledged.
+  bool more_ends = false;
   std::string message;
 };
 
--- a/include/basilspring/fleet/peer_messages.h
+++ b/include/basilspring/fleet/peer_messages.h
@@ -39,10 +39,13 @@
   Duration poll_age;
   std::vector<RunningRow> running;
   std::vector<EndedRow> ended;
+  /// Whether there may be more ends than `ended` lists, so that a run that is in neither list may
+  /// have ended.
+  bool more_ends = false;
   /// The last session that a scheduler offered to this agent process; 0 if none did.
   std::uint64_t session = 0;
   BASILSPRING_SERIALIZE(node, address, incarnation, number, term, backend, backend_gone, poll,
-                        poll_age, running, ended, session)
+                        poll_age, running, ended, more_ends, session)
 };
 
 struct AgentReportReply {
--- a/src/fleet/agent_core.cc
+++ b/src/fleet/agent_core.cc
@@ -42,6 +42,7 @@
 void FleetAgentCore::ResetBackendState() {
   running_.clear();
   ended_.clear();
+  more_ends_ = false;
   acknowledged_ = 0;
   poll_answered_ = 0;
   // The next poll is sent at once, and the answer to one of the former backend server is ignored.
@@ -417,6 +418,7 @@
   clock_known_ = true;
   const bool rows_changed = reply.running.size() != running_.size() || first_listing;
   running_ = reply.running;
+  more_ends_ = reply.more_ends;
   ended_.clear();
   for (const EndedRow& row : reply.ended) {
     if (row.number > acknowledged_) ended_.push_back(row);
@@ -443,6 +445,7 @@
   report.poll_age = poll_answered_ == 0 ? Duration::Seconds(3600) : now - last_polled_;
   report.running = running_;
   report.ended = ended_;
+  report.more_ends = more_ends_;
   report.session = session_;
   reports_sent_.emplace_back(report.number, now);
   if (reports_sent_.size() > kMaxRememberedReports) reports_sent_.pop_front();
--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -181,7 +181,8 @@
   // A report that was made under an earlier term, and reaches this scheduler because an earlier one
   // had the same address, may lack runs that were started in between.
   if (report.poll == 0 || report.term != term_) return;
-  worker.has_listed_runs = true;
+  // A run of an earlier term that is not listed may have ended; its end is listed later.
+  if (!report.more_ends) worker.has_listed_runs = true;
   if (report.poll_age < kPollSilenceLimit) worker.last_lease_extension = now;
   for (const EndedRow& end : report.ended) RecordEnd(now, worker, end);
   for (const RunningRow& row : report.running) ApplyRunningRow(now, worker, row, report.poll);
@@ -189,6 +190,8 @@
 }
 
 void SchedulerCore::ReleaseUnlistedRuns(TimePoint now, Worker& worker, const AgentReport& report) {
+  // An unlisted run may have ended. Its end is listed once earlier ones are acknowledged.
+  if (report.more_ends) return;
   std::set<RunKey> listed;
   for (const RunningRow& row : report.running) listed.insert({row.task, row.run});
   std::vector<RunKey> vanished;
--- a/tests/fleet/agent_core_test.cc
+++ b/tests/fleet/agent_core_test.cc
@@ -296,6 +296,15 @@
   EXPECT_GT(effects.poll->wait, Duration(0));
 }
 
+TEST_F(FleetAgentTest, ReportsThatAListOfEndsMayBeIncomplete) {
+  Tick();
+  BackendReply reply = MakeReply(BackendStatus::kOk);
+  reply.more_ends = true;
+  core_.OnPolled(now_, poll_, reply);
+  ReportedBackend();
+  EXPECT_TRUE(report_.more_ends);
+}
+
 TEST_F(FleetAgentTest, AcknowledgesAnEndOnlyOnceItIsRecorded) {
   Tick();
   Poll({}, {{5, kTask, RunNumber(1), 0, ""}});
--- a/tests/fleet/scheduler_core_test.cc
+++ b/tests/fleet/scheduler_core_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "fleet_harness.h"
 
@@ -465,6 +466,45 @@
 
 // Guards against a superseded scheduler that was paused and then shows a job as running that its
 // successor has shown as completed (soak seed 14).
+// Guards against tasks that run twice: a backend server lists only its first 500 ends until they
+// are acknowledged, and the runs whose ends it did not list yet were taken for runs that do not
+// exist.
+TEST_F(SchedulerCoreTest, RunsWhoseEndsAreNotListedYetAreNotGivenUp) {
+  AddAgents(1);
+  const JobId job = fleet_.Submit("batch", "shop", MakeStep(2, 1, 10 * kSecond));
+  fleet_.Advance(kSecond);
+  ASSERT_EQ(fleet_.StartsOf(job), 2U);
+  FleetHarness::Agent& agent = fleet_.agent("a0");
+  const std::vector<FleetHarness::Run> runs = std::exchange(agent.runs, {});
+  agent.report.more_ends = true;
+  fleet_.Advance(2 * kSecond);
+  EXPECT_EQ(fleet_.StartsOf(job), 2U);
+  agent.report.more_ends = false;
+  for (const FleetHarness::Run& run : runs) {
+    agent.report.ended.push_back({agent.next_end++, run.task, run.run, 0, ""});
+  }
+  EXPECT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, kSecond));
+  EXPECT_EQ(fleet_.StartsOf(job), 2U);
+}
+
+// The same for a scheduler that takes over while ends are not listed yet.
+TEST_F(SchedulerCoreTest, ANewSchedulerWaitsForTheEndsThatAreNotListedYet) {
+  AddAgents(2);
+  const JobId job = fleet_.Submit("batch", "shop", MakeStep(1, 1, 10 * kSecond));
+  fleet_.Advance(kSecond);
+  ASSERT_EQ(fleet_.StartsOf(job), 1U);
+  FleetHarness::Agent& agent = fleet_.agent(fleet_.starts().front().first);
+  const std::vector<FleetHarness::Run> runs = std::exchange(agent.runs, {});
+  agent.report.more_ends = true;
+  fleet_.ChangeScheduler(2);
+  fleet_.Advance(10 * kSecond);
+  EXPECT_EQ(fleet_.StartsOf(job), 1U);
+  agent.report.more_ends = false;
+  agent.report.ended.push_back({agent.next_end++, runs.front().task, runs.front().run, 0, ""});
+  EXPECT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, kSecond));
+  EXPECT_EQ(fleet_.StartsOf(job), 1U);
+}
+
 // Guards against new work on a backend server that is about to leave: its agent was restarted, does
 // not know the notice any more, and reports an announcement that was delayed on the way.
 TEST_F(SchedulerCoreTest, ALateAnnouncementAtARestartedAgentDoesNotEndADrain) {
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -128,6 +128,22 @@
   EXPECT_EQ(DecodeBackendReply(connection_refused).status, fleet::BackendStatus::kGone);
 }
 
+// Guards against taking an answer with the largest number of ends for a complete list.
+TEST(PlatformBackendTest, AFullListOfEndsMayBeIncomplete) {
+  for (const int count : {499, 500}) {
+    std::string rows;
+    for (int i = 1; i <= count; ++i) {
+      rows += fmt::format(R"({}[{},"00ff.0.0.{}",1,"done",""])", i == 1 ? "" : ",", i, i);
+    }
+    HttpResult result;
+    result.status = 200;
+    result.body = fmt::format(R"({{"clock_ms":1,"running":[],"finished":[{}]}})", rows);
+    const fleet::BackendReply reply = DecodeBackendReply(result);
+    EXPECT_EQ(reply.ended.size(), static_cast<std::size_t>(count));
+    EXPECT_EQ(reply.more_ends, count == 500);
+  }
+}
+
 TEST(PlatformBackendTest, ParsesTaskNames) {
   EXPECT_EQ(ParseTaskName("00ff.0.1.17")->ToString(), "00ff.0.1.17");
   for (const char* text : {"", ".", "a.1.2", "a.1.2.", "a.1.2.x", ".1.2.3", "a.-1.2.3", "a.1..3",
