Record the ends that an agent has read, whatever the term and the server's state

Callers saw tasks run again after they had ended as done, while backend servers were replaced as planned and the scheduler changed: the ends were listed in that second, and the server that had listed them left.

Cause: ends in a report of an earlier term, or of a server that had exited, were not processed, and a stopping agent did not wait until its ends were recorded. The condition on the term is needed for rows of running tasks only; an end is final. EndsOfAnEarlierTermAreRecorded and EndsOfAServerThatHasLeftAreRecordedAndAcknowledged fail if the ends are processed where they were before.

Change: ends are processed from every accepted report and numbered by the incarnation that listed them, so that repeats have no effect. They are acknowledged to the agent also after the server has exited, and an agent that stops waits for that.

--- a/include/basilspring/fleet/agent_core.h
+++ b/include/basilspring/fleet/agent_core.h
@@ -117,8 +117,9 @@
   const Address& scheduler() const { return scheduler_; }
   /// When the scheduler last accepted a report.
   TimePoint last_contact() const { return last_contact_; }
-  /// Whether calls for orders to the backend server are unanswered.
-  bool busy() const { return !calls_.empty(); }
+  /// Whether calls for orders to the backend server are unanswered, or the scheduler has not
+  /// recorded ends that no other process can read any more once the backend server has left.
+  bool busy() const;
   /// Until when the scheduler has allowed runs to continue.
   TimePoint lease_until() const { return lease_until_; }
 
--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -196,7 +196,10 @@
     /// When the draining backend server shuts down.
     TimePoint drain_deadline;
     std::map<RunKey, Allocation> runs;
-    /// The number of the last processed end.
+    /// The incarnation of the backend server whose ends were processed last, and the number of the
+    /// last one. They are kept when the backend server is lost.
+    BackendId ends_backend;
+    std::int64_t ends_started_unix_ms = 0;
     std::int64_t last_end = 0;
     /// For each processed end that is not stored yet, the job and the version of its record that
     /// contains the end.
@@ -382,6 +385,9 @@
   void UpdateBackend(TimePoint now, Worker& worker, const AgentReport& report);
   void ApplyRunningRow(TimePoint now, Worker& worker, const RunningRow& row, std::uint64_t poll);
   void ReleaseUnlistedRuns(TimePoint now, Worker& worker, const AgentReport& report);
+  /// Processes the ends that the report lists. An end is final, so this does not depend on the term
+  /// in which the agent has read it, nor on whether the backend server still exists.
+  void RecordEnds(TimePoint now, Worker& worker, const AgentReport& report);
   void RecordEnd(TimePoint now, Worker& worker, const EndedRow& end);
   void ApplyEnd(TimePoint now, Worker& worker, const RunKey& key, RunEnd end,
                 const std::string& checkpoint);
--- a/src/fleet/agent_core.cc
+++ b/src/fleet/agent_core.cc
@@ -206,6 +206,10 @@
   poll_not_before_ = TimePoint();
 }
 
+bool FleetAgentCore::busy() const {
+  return !calls_.empty() || (!ended_.empty() && backend_->draining);
+}
+
 bool FleetAgentCore::HasOpenCallsOfEarlierTerms() const {
   return std::any_of(calls_.begin(), calls_.end(),
                      [this](const auto& row) { return row.second.term < term_; });
--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -95,6 +95,7 @@
     worker.last_report = now;
     worker.poll_age = report.poll_age;
     if (report.backend_gone) {
+      RecordEnds(now, worker, report);
       // A report of an earlier term may be older than the backend server's next incarnation and its
       // runs.
       if (report.term == term_) worker.has_listed_runs = true;
@@ -111,7 +112,7 @@
   const TimePoint extended_at = std::max(worker.last_lease_extension, term_started_at_);
   reply.lease = std::max(Duration(0), extended_at + options_.lease - now);
   reply.acknowledged = AcknowledgedEnd(report.node);
-  if (worker.backend) reply.started_unix_ms = worker.backend->started_unix_ms;
+  reply.started_unix_ms = worker.ends_started_unix_ms;
   if (operator_state_) {
     for (const Service& service : operator_state_->config.services) {
       reply.services.push_back(service.id);
@@ -141,8 +142,6 @@
       CountCrash(now, worker, report);
       MarkWorkerLost(now, worker, "its backend server was restarted");
     }
-    worker.last_end = 0;
-    worker.unsaved_ends.clear();
     worker.failed_jobs.clear();
     worker.failed_starts = 0;
     worker.probation_until = TimePoint();
@@ -178,13 +177,13 @@
           worker.runs.size()));
     }
   }
+  RecordEnds(now, worker, report);
   // A report that was made under an earlier term, and reaches this scheduler because an earlier one
   // had the same address, may lack runs that were started in between.
   if (report.poll == 0 || report.term != term_) return;
   // A run of an earlier term that is not listed may have ended; its end is listed later.
   if (!report.more_ends) worker.has_listed_runs = true;
   if (report.poll_age < kPollSilenceLimit) worker.last_lease_extension = now;
-  for (const EndedRow& end : report.ended) RecordEnd(now, worker, end);
   for (const RunningRow& row : report.running) ApplyRunningRow(now, worker, row, report.poll);
   ReleaseUnlistedRuns(now, worker, report);
 }
@@ -257,6 +256,18 @@
   if (job == nullptr && !run.stopping) RequestStop(now, worker, key, run);
 }
 
+void SchedulerCore::RecordEnds(TimePoint now, Worker& worker, const AgentReport& report) {
+  if (report.backend.empty()) return;
+  const BackendAnnouncement& backend = report.backend.front();
+  if (worker.ends_backend != backend.id || worker.ends_started_unix_ms != backend.started_unix_ms) {
+    worker.ends_backend = backend.id;
+    worker.ends_started_unix_ms = backend.started_unix_ms;
+    worker.last_end = 0;
+    worker.unsaved_ends.clear();
+  }
+  for (const EndedRow& end : report.ended) RecordEnd(now, worker, end);
+}
+
 void SchedulerCore::RecordEnd(TimePoint now, Worker& worker, const EndedRow& end) {
   if (end.number <= worker.last_end) return;
   worker.last_end = end.number;
--- a/tests/fleet/agent_core_test.cc
+++ b/tests/fleet/agent_core_test.cc
@@ -362,6 +362,22 @@
   EXPECT_TRUE(report_.backend_gone);
 }
 
+// Guards against ends that are lost with an agent that stops: its backend server has left, so that
+// no other process can read them again.
+TEST_F(FleetAgentTest, IsBusyWhileTheEndsOfALeavingServerAreNotRecorded) {
+  Tick();
+  Poll({}, {{5, kTask, RunNumber(1), 0, ""}});
+  EXPECT_FALSE(core_.busy());
+  core_.OnLeave(now_, BackendId("backend"));
+  RefuseConnectionsFor(Duration(1600));
+  EXPECT_TRUE(core_.busy());
+  now_ = now_ + Duration(900);
+  Tick();
+  EXPECT_EQ(report_.ended.size(), 1U);
+  Accept(Duration(5000), 5);
+  EXPECT_FALSE(core_.busy());
+}
+
 // Guards against giving up a backend server after a notice of leaving that came late, for example
 // of a former incarnation with the same id.
 TEST_F(FleetAgentTest, ANewerAnnouncementEndsANoticeOfLeaving) {
--- a/tests/fleet/scheduler_core_test.cc
+++ b/tests/fleet/scheduler_core_test.cc
@@ -505,6 +505,59 @@
   EXPECT_EQ(fleet_.StartsOf(job), 1U);
 }
 
+/// Tests of ends that an agent has read from a backend server that leaves while the scheduler
+/// changes.
+class LeavingServerTest : public SchedulerCoreTest {
+ protected:
+  LeavingServerTest() {
+    AddAgents(2);
+    job_ = fleet_.Submit("batch", "shop", MakeStep(1, 1, 10 * kSecond));
+    fleet_.Advance(kSecond);
+    FleetHarness::Agent& agent = fleet_.agent(fleet_.starts().front().first);
+    const FleetHarness::Run run = agent.runs.front();
+    agent.runs.clear();
+    agent.reachable = false;
+    report_ = agent.report;
+    report_.running.clear();
+    report_.ended.push_back({agent.next_end++, run.task, run.run, 0, ""});
+    fleet_.ChangeScheduler(2);
+    fleet_.Advance(200);
+    // No poll of the new term is answered.
+    report_.term = Term(2);
+    report_.poll = 0;
+  }
+
+  AgentReportReply Report() {
+    ++report_.number;
+    return fleet_.core().OnReport(TimePoint(fleet_.now_ms()), report_);
+  }
+
+  JobId job_;
+  AgentReport report_;
+};
+
+// Guards against tasks that run again: the next scheduler ignored ends that an agent had read in
+// the term before, and the server that listed them has left.
+TEST_F(LeavingServerTest, EndsOfAnEarlierTermAreRecorded) {
+  Report();
+  report_.backend_gone = true;
+  fleet_.Advance(kSecond);
+  Report();
+  EXPECT_TRUE(fleet_.RunUntil(job_, JobPhase::kCompleted, kSecond));
+  EXPECT_EQ(fleet_.StartsOf(job_), 1U);
+}
+
+// The same if the server has left before the agent's first report to the new scheduler.
+TEST_F(LeavingServerTest, EndsOfAServerThatHasLeftAreRecordedAndAcknowledged) {
+  report_.backend_gone = true;
+  Report();
+  EXPECT_TRUE(fleet_.RunUntil(job_, JobPhase::kCompleted, kSecond));
+  EXPECT_EQ(fleet_.StartsOf(job_), 1U);
+  const AgentReportReply reply = Report();
+  EXPECT_EQ(reply.acknowledged, report_.ended.back().number);
+  EXPECT_EQ(reply.started_unix_ms, report_.backend.front().started_unix_ms);
+}
+
 // Guards against new work on a backend server that is about to leave: its agent was restarted, does
 // not know the notice any more, and reports an announcement that was delayed on the way.
 TEST_F(SchedulerCoreTest, ALateAnnouncementAtARestartedAgentDoesNotEndADrain) {
