Notice the drain of a server whose service was removed from the configuration

Cause: since an agent ignored announcements of services that the configuration lacks, also those of the registered backend server, so its drain went unnoticed after the operator had removed its service. Found when reading the change; no run showed it. Evidence: TheRegisteredServerMayDrainAfterItsServiceWasRemoved fails on the commit before. Change: announcements of the registered incarnation are applied unless they contradict it; the services of the configuration decide about others, and about which of two contradicting ones is right.

--- a/include/basilspring/fleet/agent_core.h
+++ b/include/basilspring/fleet/agent_core.h
@@ -49,7 +49,6 @@
   bool repeated = false;
 };
 
-/// What the caller of FleetAgentCore::Tick has to do.
 /// A poll that finds out whether an announced backend server listens at the host's address.
 struct BackendProbe {
   /// The caller passes this number to OnProbed with the answer.
@@ -59,6 +58,7 @@
   PollRuns poll;
 };
 
+/// What the caller of FleetAgentCore::Tick has to do.
 struct AgentEffects {
   /// Poll to send to the backend server; std::nullopt if none is due.
   std::optional<PollRuns> poll;
@@ -85,10 +85,10 @@
  public:
   explicit FleetAgentCore(FleetAgentOptions options);
 
-  /// Handles an announcement. One of the registered backend server updates its registration. Any
-  /// other is only a claim, which may come from a foreign writer or from an incarnation that has
-  /// ended: its sender is registered once it has answered a probe. Returns false if the
-  /// announcement is ignored.
+  /// Handles an announcement. If it comes from the registered backend server, it updates the
+  /// registration. Any other one is only a claim, because it may come from a foreign writer or from
+  /// an incarnation that has ended: its sender is registered once it has answered a probe. Returns
+  /// false if the announcement is ignored.
   bool OnAnnouncement(TimePoint now, const BackendAnnouncement& announcement);
   /// Handles the backend server's notice that it leaves permanently.
   void OnLeave(TimePoint now, const BackendId& id);
@@ -117,8 +117,9 @@
   const Address& scheduler() const { return scheduler_; }
   /// When the scheduler last accepted a report.
   TimePoint last_contact() const { return last_contact_; }
-  /// Whether calls for orders to the backend server are unanswered, or the scheduler has not
-  /// recorded ends that no other process can read any more once the backend server has left.
+  /// Whether the process should not stop yet: calls for orders to the backend server are
+  /// unanswered, or the backend server leaves and the scheduler has not recorded all of its listed
+  /// ends, which no other process can read later.
   bool busy() const;
   /// Until when the scheduler has allowed runs to continue.
   TimePoint lease_until() const { return lease_until_; }
--- a/src/fleet/agent_core.cc
+++ b/src/fleet/agent_core.cc
@@ -72,11 +72,12 @@
 }
 
 bool FleetAgentCore::OnAnnouncement(TimePoint now, const BackendAnnouncement& announcement) {
+  // The service of the registered backend server may have been removed from the configuration.
+  if (SameBackendIncarnation(announcement)) return UpdateBackend(announcement);
   if (!IsServiceKnown(announcement.service)) {
     LogIgnored(announcement, "the configuration does not contain its service");
     return false;
   }
-  if (SameBackendIncarnation(announcement)) return UpdateBackend(announcement);
   if (backend_ && announcement.started_unix_ms < backend_->started_unix_ms) {
     LogIgnored(announcement, "it is older than the registered backend server");
     return false;
@@ -91,7 +92,8 @@
                            announcement.data_centre != backend_->data_centre;
   // These don't change while a backend server runs. The registration itself is wrong if its service
   // does not exist.
-  const bool corrects = contradicts && !IsServiceKnown(backend_->service);
+  const bool corrects =
+      contradicts && !IsServiceKnown(backend_->service) && IsServiceKnown(announcement.service);
   if (contradicts && !corrects) {
     LogIgnored(announcement, "it contradicts the registered backend server");
     return false;
--- a/tests/fleet/agent_core_test.cc
+++ b/tests/fleet/agent_core_test.cc
@@ -505,6 +505,18 @@
   EXPECT_TRUE(core_.OnAnnouncement(now_, MakeAnnouncement(1, 2)));
 }
 
+// Guards against a backend server whose drain is not noticed because the operator has removed its
+// service.
+TEST_F(FleetAgentTest, TheRegisteredServerMayDrainAfterItsServiceWasRemoved) {
+  services_ = {ServiceId("other")};
+  ReportedBackend();
+  BackendAnnouncement draining = MakeAnnouncement(1, 2);
+  draining.draining = true;
+  EXPECT_TRUE(core_.OnAnnouncement(now_, draining));
+  ReportedBackend();
+  EXPECT_TRUE(report_.backend.front().draining);
+}
+
 // The same if a restarted agent heard the other writer's report before any of its scheduler.
 TEST_F(FleetAgentTest, CorrectsARegistrationWithAnUnknownService) {
   core_ = FleetAgentCore(MakeOptions());
