--- a/standin/relay.cc
+++ b/standin/relay.cc
@@ -161,6 +161,7 @@
   const std::uint16_t target_port;
   tcp::acceptor acceptor;
   const tcp::endpoint endpoint;
+  bool refusing = false;
   udp::socket datagrams;
   const std::shared_ptr<Cuts> cuts = std::make_shared<Cuts>();
   std::set<std::shared_ptr<RelayedConnection>> connections;
@@ -174,7 +175,7 @@
 
 void Relay::Impl::Accept() {
   acceptor.async_accept([self = shared_from_this()](const error_code& error, tcp::socket socket) {
-    if (error || !self->acceptor.is_open()) return;
+    if (error || self->refusing || !self->acceptor.is_open()) return;
     self->accepted.fetch_add(1);
     const auto connection = std::make_shared<RelayedConnection>(
         self->context, std::move(socket), self->cuts,
@@ -291,17 +292,19 @@
 
 void Relay::RefuseConnections(bool refuse) {
   impl_->dispatcher->DispatchAndWait([impl = impl_, refuse] {
-    if (refuse == !impl->acceptor.is_open()) return;
-    if (refuse) {
-      impl->acceptor.close();
-      impl->ForEachConnection([](RelayedConnection& connection) { connection.Close(); });
+    if (refuse == impl->refusing) return;
+    impl->refusing = refuse;
+    if (!refuse) {
+      impl->acceptor.listen();
+      impl->Accept();
       return;
     }
+    // The port stays bound, so that no other socket takes it meanwhile.
+    impl->acceptor.close();
     impl->acceptor.open(impl->endpoint.protocol());
     impl->acceptor.set_option(tcp::acceptor::reuse_address(true));
     impl->acceptor.bind(impl->endpoint);
-    impl->acceptor.listen();
-    impl->Accept();
+    impl->ForEachConnection([](RelayedConnection& connection) { connection.Close(); });
   });
 }
 
--- a/standin/soak_main.cc
+++ b/standin/soak_main.cc
@@ -46,12 +46,12 @@
 
 /// The faults of a soak.
 enum class SoakFaults : std::uint8_t {
-  /// All kinds but those of kServers, together with planned work.
+  /// Those of kFaultKinds.
   kAll,
   /// Planned work only.
   kPlanned,
-  /// Faults between agents, their backend servers and the scheduler. A mode of its own, so that the
-  /// kept seeds of the others draw the same faults as before.
+  /// Those of kServerFaultKinds: between agents, their backend servers and the scheduler. They are
+  /// not among the others, so that the kept seeds of those draw the same faults as before.
   kServers,
 };
 
@@ -195,11 +195,8 @@
     return [&relay] { relay.ReleaseHeldConnections(); };
   }
   Undo PauseEntry() {
-    SoakNode& node = RandomNode(true);
-    if (node.pid <= 0 || node.paused) return {};
-    SoakFleet::Signal(node, SIGSTOP);
-    node.paused = true;
-    return [&node] { Resume(node); };
+    // The entries are the first nodes.
+    return PauseNode(RandomBelow(fleet_.CallerAddresses().size()));
   }
 
   static constexpr std::array<FaultKind, 8> kServerFaultKinds = {{
