--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -376,7 +376,7 @@
   /// arrive.
   void RemoveOldCancels(TimePoint now, SchedulerOutput& out);
 
-  // Reports, ends and losses of runs, in scheduler_runs.cc.
+  // Reports of agents, in scheduler_reports.cc.
   /// Returns std::nullopt if the report may replace what is known of the agent. If another process
   /// of the agent is known, a report may be a late one of a process that has ended; its sender must
   /// then first return the session in this answer.
@@ -385,6 +385,11 @@
   void UpdateBackend(TimePoint now, Worker& worker, const AgentReport& report);
   void ApplyRunningRow(TimePoint now, Worker& worker, const RunningRow& row, std::uint64_t poll);
   void ReleaseUnlistedRuns(TimePoint now, Worker& worker, const AgentReport& report);
+  /// Returns the time by which runs whose lease was last extended at `extended_at` have certainly
+  /// ended.
+  TimePoint LeaseExpiryBound(TimePoint extended_at) const;
+
+  // Ends and losses of runs, in scheduler_runs.cc.
   /// Processes the ends that the report lists. An end is final, so this does not depend on the term
   /// in which the agent has read it, nor on whether the backend server still exists.
   void RecordEnds(TimePoint now, Worker& worker, const AgentReport& report);
@@ -409,9 +414,6 @@
   void ReleaseRun(TimePoint now, Worker& worker, const RunKey& key, bool lost);
   void RequestStop(TimePoint now, Worker& worker, const RunKey& key, Allocation& run);
   void StopStep(TimePoint now, Job& job, std::size_t step);
-  /// Returns the time by which runs whose lease was last extended at `extended_at` have certainly
-  /// ended.
-  TimePoint LeaseExpiryBound(TimePoint extended_at) const;
 
   // Checks made in each pass, in scheduler_checks.cc.
   void StopUnwantedRuns(TimePoint now);
