Let a soak wait for another one with the same addresses

The script now takes a lock for its addresses, so that a second soak starts when the first has ended.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -31,11 +31,15 @@
   shift 2
 done
 build_dir=${BUILD_DIR:-build}
+# Waits for a soak that uses the same addresses on this machine, for example one of another checkout.
+network=$((20 + seed % 200))
+exec 9>"${TMPDIR:-/tmp}/basilspring-soak-$network.lock"
+flock 9
 run_dir=$(mktemp -d)
 echo "soak seed $seed for $seconds s, logs in $run_dir"
 status=0
 "$build_dir/basilspring-standin" soak --program "$build_dir/basilspring" --folder "$run_dir" --seed "$seed" \
-  --network "$((20 + seed % 200))" --seconds "$seconds" --agents "$agents" --entries "$entries" "${options[@]}" >"$run_dir/soak.log" 2>&1 || status=$?
+  --network "$network" --seconds "$seconds" --agents "$agents" --entries "$entries" "${options[@]}" >"$run_dir/soak.log" 2>&1 || status=$?
 grep -E '^(checked|BROKEN|soak)' "$run_dir/soak.log" || tail -n 5 "$run_dir/soak.log"
 if [ "$status" -eq 0 ] && [ -z "${KEEP:-}" ]; then rm -r "$run_dir"; fi
 exit "$status"
