Keep an acknowledged cancellation for the whole retention time

Callers saw: a job that was cancelled (410 or 200) and cancelled again towards the end of limits.keep_finished_s could be accepted (200) and run if its submission was read after that, for example by an entry that was suspended. Found by reading; no run has shown it.

Cause: a repeated cancellation changed nothing in the store, so the scheduler counted the retention from the first one. The deletion of a job's keys was conditional on the lease only. A deletion that was not answered and repeated, or that the store carried out late, also deleted a cancellation that was acknowledged in between, and so did the deletion of a finished job whose cancellation the scheduler had not seen yet.

Change: an entry writes a cancellation also if it exists. The scheduler starts the retention again when it sees the new revision, and deletes the keys on condition that the cancellation has the revision known when it decided. A refused deletion keeps the keys for another retention time. This works because a later cancellation always has another revision, so a deletion that was decided before it, in whatever order the store carries it out, does not apply. A deletion has four entries of a transaction instead of three.

--- a/include/basilspring/fleet/entry_server.h
+++ b/include/basilspring/fleet/entry_server.h
@@ -116,7 +116,8 @@
   void QueryStore(const ExchangePtr& exchange);
   /// Stores a cancellation, whether or not the job exists: its submission may still be on its way.
   void Cancel(const ExchangePtr& exchange);
-  /// Stores the cancellation of a job that exists.
+  /// Stores the cancellation of a job that exists. Like ForbidJob, writes it also if it is stored
+  /// already: its retention time, after which the scheduler deletes it, then starts again.
   void StoreCancel(const ExchangePtr& exchange);
   /// Stores the cancellation of a job that does not exist, so that no entry can accept it any more.
   void ForbidJob(const ExchangePtr& exchange);
--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -41,6 +41,9 @@
   /// If true, all keys of the job are deleted from the store instead, because its retention time is
   /// over.
   bool remove = false;
+  /// Deletion: revision of the job's cancellation when the deletion was decided; 0 if none is
+  /// known.
+  std::int64_t cancel_revision = 0;
 };
 
 struct SchedulerOutput {
@@ -93,7 +96,7 @@
   /// the id only, and listed runs are stopped.
   void AddUnreadableJob(TimePoint now, std::int64_t wall_ms, JobSpec spec);
   /// Cancels a job for its caller. The cancellation of a job that has not been added is remembered
-  /// for as long as a finished job.
+  /// for as long as a finished job. A repeated cancellation starts this time again.
   void CancelJob(const JobId& job);
   /// Registers an agent that may have runs of an earlier term. The address is empty if unknown.
   void ExpectAgent(const NodeId& node, const Address& address);
@@ -113,6 +116,9 @@
   void OnSaveRejected(TimePoint now, const JobId& job);
   /// Records that all keys of the job have been deleted from the store.
   void OnRemoved(const JobId& job);
+  /// Keeps a job or cancellation whose keys were not deleted, because the job was cancelled again.
+  /// Its retention time starts again.
+  void OnRemovalRefused(const JobId& job);
 
   /// Runs one scheduling pass. Starts no runs if `may_start` is false, because the scheduler's
   /// lease may have expired.
--- a/include/basilspring/fleet/scheduler_driver.h
+++ b/include/basilspring/fleet/scheduler_driver.h
@@ -125,7 +125,8 @@
   void Save();
   /// Handles a transaction that failed on a condition. Either this process no longer holds the
   /// lease, or a record has a newer revision because an earlier write was applied without an
-  /// answer. In the second case the batch is written again.
+  /// answer, or a job whose keys were to be deleted was cancelled again. In the second and third
+  /// case the batch is written again, without that deletion.
   void OnSaveRefused(const std::vector<ProgressSave>& batch, const StoreReply& reply);
   /// Handles a transaction whose content the store does not accept. The records of a batch are
   /// written again, each by itself; a single record is set aside, so that it stops no others.
@@ -156,6 +157,9 @@
   std::map<JobId, std::int64_t> progress_revisions_;
   /// Revisions at which the keys of jobs were deleted, until the inbox is known up to them.
   std::map<JobId, std::int64_t> removal_revisions_;
+  /// Revision of each job's cancellation, as far as the inbox has shown it. The deletion of a job's
+  /// keys is conditional on it, so that it deletes no cancellation that was acknowledged later.
+  std::map<JobId, std::int64_t> cancel_revisions_;
   /// Version of the operators' configuration that the scheduler uses; 0 if it knows none.
   std::int64_t config_version_ = 0;
   std::int64_t agents_revision_ = 0;
--- a/src/fleet/entry_server.cc
+++ b/src/fleet/entry_server.cc
@@ -323,14 +323,12 @@
 
 void EntryServer::ForbidJob(const ExchangePtr& exchange) {
   const std::string job = StoreKeys::Job(exchange->job);
-  const std::string cancel = StoreKeys::Cancel(exchange->job);
-  StoreCall call = StoreCall::Transaction().If(job, 0).If(cancel, 0).Set(cancel, "");
+  StoreCall call = StoreCall::Transaction().If(job, 0).Set(StoreKeys::Cancel(exchange->job), "");
   call.timeout = StoreTimeout(TimeLeft(*exchange));
   ++exchange->attempts;
-  context_.store.Call(call, [this, alive = alive_, exchange, job](const StoreReply& reply) {
+  context_.store.Call(call, [this, alive = alive_, exchange](const StoreReply& reply) {
     if (!*alive) return;
-    if (reply.status == StoreStatus::kOk ||
-        (reply.status == StoreStatus::kConflict && !ContainsKey(reply, job))) {
+    if (reply.status == StoreStatus::kOk) {
       Refuse(exchange, ErrorKind::kJobUnknown, "no such job was accepted, and none will be");
     } else if (reply.status == StoreStatus::kConflict) {
       StoreCancel(exchange);
@@ -342,13 +340,12 @@
 }
 
 void EntryServer::StoreCancel(const ExchangePtr& exchange) {
-  const std::string key = StoreKeys::Cancel(exchange->job);
-  StoreCall call = StoreCall::Transaction().If(key, 0).Set(key, "");
+  StoreCall call = StoreCall::Transaction().Set(StoreKeys::Cancel(exchange->job), "");
   call.timeout = StoreTimeout(TimeLeft(*exchange));
   ++exchange->attempts;
   context_.store.Call(call, [this, alive = alive_, exchange](const StoreReply& reply) {
     if (!*alive) return;
-    if (reply.status == StoreStatus::kOk || reply.status == StoreStatus::kConflict) {
+    if (reply.status == StoreStatus::kOk) {
       Answer(exchange, JobPhaseAnswer{JobPhase::kCancelled});
     } else {
       RetryOrGiveUp(exchange, &EntryServer::StoreCancel,
--- a/src/fleet/scheduler_core.cc
+++ b/src/fleet/scheduler_core.cc
@@ -171,11 +171,12 @@
 void SchedulerCore::CancelJob(const JobId& id) {
   const auto found = jobs_.find(id);
   if (found == jobs_.end()) {
-    cancelled_before_added_.try_emplace(id);
+    cancelled_before_added_[id].kept_since.reset();
     return;
   }
   Job& job = found->second;
   job.cancelled = true;
+  job.kept_since.reset();
   if (!IsFinal(job.phase)) FinishJob(job, JobPhase::kCancelled, "cancelled by its caller");
 }
 
@@ -270,6 +271,15 @@
   cancelled_before_added_.erase(id);
 }
 
+void SchedulerCore::OnRemovalRefused(const JobId& id) {
+  if (const auto job = jobs_.find(id); job != jobs_.end()) {
+    job->second.removing = false;
+    job->second.kept_since.reset();
+  }
+  const auto cancel = cancelled_before_added_.find(id);
+  if (cancel != cancelled_before_added_.end()) cancel->second = EarlyCancel();
+}
+
 void SchedulerCore::OnSaved(const JobId& id, std::uint64_t version) {
   const auto found = jobs_.find(id);
   if (found == jobs_.end()) return;
--- a/src/fleet/scheduler_driver.cc
+++ b/src/fleet/scheduler_driver.cc
@@ -147,7 +147,12 @@
     if (item.removed) continue;
     if (item.key.rfind(cancels, 0) == 0) {
       const JobId id(item.key.substr(cancels.size()));
-      if (!IsOlderThanRemoval(id, item)) core_.CancelJob(id);
+      if (IsOlderThanRemoval(id, item)) continue;
+      std::int64_t& known = cancel_revisions_[id];
+      // Reading the inbox again is not a repeated cancellation.
+      if (item.revision > std::exchange(known, std::max(known, item.revision))) {
+        core_.CancelJob(id);
+      }
     } else if (item.key.rfind(jobs, 0) == 0) {
       const JobId id(item.key.substr(jobs.size()));
       if (!IsOlderThanRemoval(id, item)) AddJob(id, item);
@@ -238,6 +243,10 @@
     Log(EventId::kFleetDecision, "term={} {}", term_.value(), decision.text);
   }
   for (OutgoingOrders& orders : out.orders) SendOrders(std::move(orders));
+  for (ProgressSave& save : out.saves) {
+    const auto cancel = cancel_revisions_.find(save.job);
+    if (save.remove && cancel != cancel_revisions_.end()) save.cancel_revision = cancel->second;
+  }
   std::move(out.saves.begin(), out.saves.end(), std::back_inserter(save_queue_));
   Save();
   SaveAgents();
--- a/src/fleet/scheduler_records.cc
+++ b/src/fleet/scheduler_records.cc
@@ -13,10 +13,10 @@
 namespace {
 
 // A transaction of the store may have 32 entries: the condition on the leader key, and for each
-// record a condition and a write, or three removals.
+// record a condition and a write, or a condition and three removals.
 constexpr std::size_t kMaxTransactionEntries = 31;
 constexpr std::size_t kEntriesPerSave = 2;
-constexpr std::size_t kEntriesPerRemoval = 3;
+constexpr std::size_t kEntriesPerRemoval = 4;
 constexpr Duration kSaveTimeout(1000);
 constexpr Duration kSaveRetry(100);
 // Time until a list of agents that the store rejected is written again.
@@ -40,7 +40,10 @@
     save_queue_.erase(save_queue_.begin());
     const std::string key = StoreKeys::Progress(save.job);
     if (remove) {
-      call.Remove(StoreKeys::Job(save.job)).Remove(StoreKeys::Cancel(save.job)).Remove(key);
+      // A cancellation that was acknowledged after the decision must outlast the job's other keys.
+      const std::string cancel = StoreKeys::Cancel(save.job);
+      call.If(cancel, save.cancel_revision);
+      call.Remove(StoreKeys::Job(save.job)).Remove(cancel).Remove(key);
     } else {
       const auto known = progress_revisions_.find(save.job);
       call.If(key, known == progress_revisions_.end() ? 0 : known->second).Set(key, save.bytes);
@@ -82,6 +85,13 @@
             unreadable_jobs_.erase(save.job);
             removal_revisions_[save.job] = reply.revision;
             core_.OnRemoved(save.job);
+            const auto cancel = cancel_revisions_.find(save.job);
+            if (cancel != cancel_revisions_.end() && cancel->second > reply.revision) {
+              // The inbox has shown a cancellation that is later than the deletion.
+              core_.CancelJob(save.job);
+            } else {
+              cancel_revisions_.erase(save.job);
+            }
           } else {
             progress_revisions_[save.job] = reply.revision;
             core_.OnSaved(save.job, save.version);
@@ -106,15 +116,33 @@
   }
   // The store has applied an earlier write that it did not answer. Overwrite it on condition of
   // the revision that the reply shows.
-  for (const ProgressSave& save : batch) {
+  std::vector<ProgressSave> repeated;
+  for (ProgressSave save : batch) {
+    if (save.remove) {
+      const std::string key = StoreKeys::Cancel(save.job);
+      const auto found = std::find_if(reply.items.begin(), reply.items.end(),
+                                      [&](const StoreItem& item) { return item.key == key; });
+      const std::int64_t stored = found == reply.items.end() ? 0 : found->revision;
+      if (stored != 0 && stored != save.cancel_revision) {
+        Log(EventId::kFleetStore, "job={} was cancelled again; its keys are kept",
+            save.job.value());
+        core_.OnRemovalRefused(save.job);
+        continue;
+      }
+      // If the cancellation is gone, an earlier deletion was carried out without an answer.
+      save.cancel_revision = stored;
+      repeated.push_back(std::move(save));
+      continue;
+    }
     progress_revisions_.erase(save.job);
     for (const StoreItem& item : reply.items) {
       if (item.key == StoreKeys::Progress(save.job)) progress_revisions_[save.job] = item.revision;
     }
     Log(EventId::kFleetStore, "job={} record was at another revision; retrying with revision {}",
         save.job.value(), progress_revisions_[save.job]);
+    repeated.push_back(std::move(save));
   }
-  save_queue_.insert(save_queue_.begin(), batch.begin(), batch.end());
+  save_queue_.insert(save_queue_.begin(), repeated.begin(), repeated.end());
   Save();
 }
 
--- a/tests/fleet/scheduler_core_test.cc
+++ b/tests/fleet/scheduler_core_test.cc
@@ -93,6 +93,24 @@
   EXPECT_EQ(fleet_.removed().count(unknown), 1U);
 }
 
+// Guards against forgetting a cancellation that was acknowledged again since it was first stored: a
+// submission that is read afterwards would be accepted.
+TEST_F(SchedulerCoreTest, ARepeatedCancellationIsKeptForTheWholeTimeAgain) {
+  AddAgents(1);
+  const std::int64_t keep_ms = fleet_.options.keep_finished.milliseconds();
+  const JobId unknown("00000000000000ff");
+  const JobId finished = fleet_.Submit("batch", "shop", MakeStep(1, 1, 500));
+  fleet_.Cancel(unknown);
+  ASSERT_TRUE(fleet_.RunUntil(finished, JobPhase::kCompleted, 5 * kSecond));
+  fleet_.Advance(keep_ms - 6 * kSecond);
+  fleet_.Cancel(unknown);
+  fleet_.Cancel(finished);
+  fleet_.Advance(keep_ms - kSecond);
+  EXPECT_TRUE(fleet_.removed().empty());
+  fleet_.Advance(2 * kSecond);
+  EXPECT_EQ(fleet_.removed().size(), 2U);
+}
+
 // Guards against removing a job that has just finished because the time of day jumped ahead.
 TEST_F(SchedulerCoreTest, AFinishedJobStaysKnownWhenTheTimeOfDayJumps) {
   AddAgents(1);
@@ -437,6 +455,26 @@
   EXPECT_TRUE(fleet_.agent("a0").runs.empty());
 }
 
+// Guards against sending a start that was decided before the cancellation and waited for the job's
+// record.
+TEST_F(SchedulerCoreTest, ACancelledJobDoesNotStartOnceItsRecordIsStored) {
+  AddAgents(1);
+  fleet_.Advance(kSecond);
+  fleet_.store_available = false;
+  const JobId job = fleet_.Submit("batch", "shop", MakeStep(2, 1, 20 * kSecond));
+  fleet_.Advance(500);
+  EXPECT_EQ(fleet_.StartsOf(job), 0U);
+  fleet_.Cancel(job);
+  fleet_.store_available = true;
+  // The record that the starts waited for.
+  fleet_.core().OnSaved(job, 1);
+  ASSERT_TRUE(fleet_.RunUntil(job, JobPhase::kCancelled, 5 * kSecond));
+  fleet_.ReadJobsAgain();
+  fleet_.ChangeScheduler(2);
+  fleet_.Advance(5 * kSecond);
+  EXPECT_EQ(fleet_.StartsOf(job), 0U);
+}
+
 TEST_F(SchedulerCoreTest, RemembersTheCancellationOfAJobNotYetAdded) {
   AddAgents(1);
   fleet_.Cancel(JobId("0000000000000001"));
