Check cancellations with suspended and restarted entries

Cause: an acknowledged cancellation was checked with entries in one process only, and by the soak, whose callers stop at the first acknowledgement.

Change: scripts/cancel-cases.sh runs two entries and an agent as processes against the stand-ins, as the ctest entry cancel_cases. It guards against a job that runs after its cancellation was acknowledged: an entry suspended before it reads the submission, or after it sent a write that the store carries out late; a store that is silent, busy, slow to carry out writes or loses its answers; a running job cancelled through the other entry; the same id submitted again; an entry that was killed and started again; a lost history of the store.

--- a/cmake/scripts_tests.cmake
+++ b/cmake/scripts_tests.cmake
@@ -10,6 +10,9 @@
 # Runs entries and agents against the platform's stand-ins, as separate processes on loopback addresses of their own.
 add_test(NAME platform_path COMMAND ${CMAKE_SOURCE_DIR}/scripts/platform-path.sh)
 set_tests_properties(platform_path PROPERTIES RUN_SERIAL TRUE TIMEOUT 180 ENVIRONMENT "BUILD_DIR=${CMAKE_BINARY_DIR}")
+# Runs entries that are suspended, killed and cut off from the store while callers cancel jobs.
+add_test(NAME cancel_cases COMMAND ${CMAKE_SOURCE_DIR}/scripts/cancel-cases.sh)
+set_tests_properties(cancel_cases PROPERTIES RUN_SERIAL TRUE TIMEOUT 180 ENVIRONMENT "BUILD_DIR=${CMAKE_BINARY_DIR}")
 # Checks that the platform's names are used only in platform/, so that the product does not depend on them.
 add_test(NAME platform_names COMMAND ${CMAKE_SOURCE_DIR}/scripts/check-platform-names.sh)
 # The soak test with faults: one short run of each of two sets of faults, and the seeds that have failed before.
