Add the settings of the scheduling decisions under a capacity shortage

The settings are read and checked; all defaults are today's behaviour, and nothing uses them yet.

Measured: the tests of the node's settings pass.

--- a/include/basilspring/fleet/scheduler_options.h
+++ b/include/basilspring/fleet/scheduler_options.h
@@ -7,6 +7,22 @@
 
 namespace basilspring::fleet {
 
+/// How work is chosen when there is too little capacity for all of it.
+enum class ShortagePolicy : std::uint8_t {
+  /// By tier, and by the latest start within a tier.
+  kTiers,
+  /// By what a delay costs callers; see delay_cost.h.
+  kCost,
+};
+
+/// How much capacity is kept free for jobs of priority 0 that have not arrived yet.
+enum class HeadroomPolicy : std::uint8_t {
+  /// The decaying peak of their demand.
+  kPeak,
+  /// A forecast of their demand, weighed by what a stop costs them; see urgent_headroom.h.
+  kForecast,
+};
+
 /// Timeouts and limits of the scheduler. Those that the platform guarantees are read from the
 /// settings file.
 struct SchedulerOptions {
@@ -67,6 +83,11 @@
   /// A step whose latest start is less than this away may use the headroom.
   Duration headroom_slack = Duration(2000);
 
+  ShortagePolicy shortage = ShortagePolicy::kTiers;
+  HeadroomPolicy headroom = HeadroomPolicy::kPeak;
+  /// Whether entries refuse jobs that would end too late to be of any use to their callers.
+  bool refuse_hopeless = false;
+
   /// Returns how long after the end of their lease runs have certainly ended. Covers a slow clock
   /// of the backend server, the stop of the runs and the transit time of the last poll.
   Duration LeaseExpiryMargin() const;
--- a/src/fleet/node_settings.cc
+++ b/src/fleet/node_settings.cc
@@ -62,6 +62,21 @@
   settings.drain_limit = grace - kDrainMargin;
 }
 
+void ReadScheduling(SettingsReader& reader, SchedulerOptions& options) {
+  if (const auto shortage =
+          reader.Choice("scheduling.shortage", Presence::kOptional, "tiers|cost")) {
+    options.shortage = *shortage == "cost" ? ShortagePolicy::kCost : ShortagePolicy::kTiers;
+  }
+  if (const auto headroom =
+          reader.Choice("scheduling.headroom", Presence::kOptional, "peak|forecast")) {
+    options.headroom = *headroom == "forecast" ? HeadroomPolicy::kForecast : HeadroomPolicy::kPeak;
+  }
+  if (const auto refuse =
+          reader.Choice("scheduling.refuse_hopeless", Presence::kOptional, "yes|no")) {
+    options.refuse_hopeless = *refuse == "yes";
+  }
+}
+
 }  // namespace
 
 NodeSettingsOutcome ParseNodeSettings(const std::string& text, const std::string& name) {
@@ -77,6 +92,7 @@
       DataCentreId(reader.Name("process.data_centre", Presence::kRequired).value_or(""));
   ReadNetwork(reader, settings);
   ReadLimits(reader, settings);
+  ReadScheduling(reader, settings.scheduler);
   if (const auto level =
           reader.Choice("log.level", Presence::kOptional, "debug|info|warning|error")) {
     settings.log_level = LogLevelFromName(*level);
@@ -101,6 +117,10 @@
   apply("limits.longest_lease_ms", next.scheduler.lease, current.scheduler.lease);
   apply("limits.stop_time_ms", next.scheduler.stop_time, current.scheduler.stop_time);
   apply("limits.keep_finished_s", next.scheduler.keep_finished, current.scheduler.keep_finished);
+  apply("scheduling.shortage", next.scheduler.shortage, current.scheduler.shortage);
+  apply("scheduling.headroom", next.scheduler.headroom, current.scheduler.headroom);
+  apply("scheduling.refuse_hopeless", next.scheduler.refuse_hopeless,
+        current.scheduler.refuse_hopeless);
   defer("process.role", next.role, current.role);
   defer("process.name", next.name, current.name);
   defer("process.data_centre", next.data_centre, current.data_centre);
