Limit the framing of a chunked request body

Cause: http::async_read reads into an unbounded buffer until a line of a chunk size or the trailers are complete. The limits of the header and of the body do not apply to them, so a client that never ends a trailer, a chunk extension or a chunk size makes the process run out of memory within the read timeout.

Change: RequestReader parses what has arrived step by step and counts chunk sizes, extensions and trailers over the whole request. Beyond HttpLimits::max_framing_bytes (16 KiB) the request is answered with 431. The session reads at most 16 KiB at a time, and an idle connection holds no input buffer. A Content-Length no longer reserves memory for the body. The fuzz harness uses the same reader; its corpora get the streams.

Measured: HttpServerTest.AnswersEndlessFramingOfAChunkedBodyWith431 failed before (408 after the read timeout of 10 s) and passes.

--- a/fuzz/http_input.h
+++ b/fuzz/http_input.h
@@ -2,12 +2,10 @@
 #define BASILSPRING_FUZZ_HTTP_INPUT_H_
 
 #include <algorithm>
-#include <boost/asio/buffer.hpp>
-#include <boost/beast/http/error.hpp>
 #include <string_view>
 
 #include "basilspring/connection/http_server.h"
-#include "connection/http_request.h"
+#include "connection/request_reader.h"
 
 namespace basilspring {
 
@@ -18,6 +16,7 @@
   HttpLimits limits;
   limits.max_header_bytes = 256;
   limits.max_body_bytes = 64;
+  limits.max_framing_bytes = 96;
   return limits;
 }
 
@@ -26,26 +25,30 @@
 /// if a refusal has no reason or a status that the server doesn't use.
 inline HttpVerdict CheckHttpInput(std::string_view bytes, std::size_t piece) {
   const HttpLimits limits = FuzzHttpLimits();
-  internal::RequestParser parser;
-  internal::SetParserLimits(parser, limits);
-  parser.eager(true);
-  std::string pending;
-  boost::system::error_code error;
-  while (!parser.is_done()) {
+  internal::RequestReader reader(limits);
+  reader.BeginRequest();
+  while (true) {
+    const internal::ReadStep step = reader.Parse();
+    if (step == internal::ReadStep::kComplete) break;
+    if (step == internal::ReadStep::kHeader) continue;
+    if (step == internal::ReadStep::kFailed) {
+      const auto refusal = reader.RefusalFor(reader.error());
+      const bool known =
+          refusal && !refusal->reason.empty() &&
+          (refusal->status == 400 || refusal->status == 413 || refusal->status == 431);
+      return known ? HttpVerdict::kRefused : HttpVerdict::kFaulty;
+    }
+    // Beyond the limits, at most one piece may be waiting to be parsed.
+    const std::size_t bound =
+        limits.max_header_bytes + limits.max_body_bytes + limits.max_framing_bytes + piece;
+    if (reader.input_bytes() > bound) return HttpVerdict::kFaulty;
     if (bytes.empty()) return HttpVerdict::kNeedsMore;
     const std::size_t taken = std::min(piece, bytes.size());
-    pending.append(bytes.substr(0, taken));
+    reader.Append(bytes.substr(0, taken));
     bytes.remove_prefix(taken);
-    pending.erase(0, parser.put(boost::asio::buffer(pending), error));
-    if (error == boost::beast::http::error::need_more) error = {};
-    if (!error) continue;
-    const auto refusal = internal::RefusalForError(error, limits);
-    const bool known = refusal && !refusal->reason.empty() &&
-                       (refusal->status == 400 || refusal->status == 413 || refusal->status == 431);
-    return known ? HttpVerdict::kRefused : HttpVerdict::kFaulty;
   }
   HttpRequest request;
-  if (internal::MakeRequest(parser, request)) return HttpVerdict::kRefused;
+  if (internal::MakeRequest(reader.parser(), request)) return HttpVerdict::kRefused;
   const bool valid = !request.method.empty() && request.path.starts_with("/") &&
                      request.path.find('\0') == std::string::npos &&
                      request.body.size() <= limits.max_body_bytes;
--- a/include/basilspring/connection/http_server.h
+++ b/include/basilspring/connection/http_server.h
@@ -57,6 +57,8 @@
 struct HttpLimits {
   std::size_t max_header_bytes = 16 * 1024;
   std::size_t max_body_bytes = 1024 * 1024;
+  /// Chunk sizes, chunk extensions and trailers of one request with a chunked body, altogether.
+  std::size_t max_framing_bytes = 16 * 1024;
   std::size_t max_connections = 4096;
   /// Time limit for a request to arrive completely, counted from its first byte.
   Duration read_timeout = Duration(10000);
@@ -68,8 +70,8 @@
 
 /// An HTTP/1.1 server. The handler runs on the I/O thread and must not block; it responds at once
 /// or passes the responder on. The server itself answers invalid requests, with 400 for a malformed
-/// request, 408 for a slow one, 413 for a large body, 431 for a large header and 503 for too many
-/// connections. An exception thrown by the handler gives 500.
+/// request, 408 for a slow one, 413 for a large body, 431 for a large header or too much framing of
+/// a chunked body, and 503 for too many connections. An exception thrown by the handler gives 500.
 class HttpServer {
  public:
   using Handler =
--- a/src/connection/http_server.cc
+++ b/src/connection/http_server.cc
@@ -21,6 +21,8 @@
 /// Number of connections over the limit that are kept open to receive a 503 response; further ones
 /// are closed without a response.
 constexpr std::size_t kMaxRefusedConnections = 64;
+/// Size of one read call.
+constexpr std::size_t kReadBytes = 16 * 1024;
 /// Delay after a failed accept, for example when the process has no file descriptors left.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{100};
 
@@ -34,6 +36,7 @@
         shared(std::make_shared<internal::HttpServerShared>(io)) {
     shared->handler = std::make_shared<const Handler>(std::move(handler));
     shared->limits = limits;
+    shared->read_buffer.resize(kReadBytes);
   }
 
   void Listen(const Address& listen);
@@ -83,6 +86,7 @@
 void HttpServer::Impl::AddSession(tcp::socket socket) {
   error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
+  socket.non_blocking(true, ignored);
   const std::size_t limit = shared->limits.max_connections;
   if (shared->sessions.size() >= limit + kMaxRefusedConnections) return;
   const bool refused = shared->sessions.size() >= limit;
--- a/src/connection/http_session.cc
+++ b/src/connection/http_session.cc
@@ -3,8 +3,7 @@
 #include <sys/socket.h>
 
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/string.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/verb.hpp>
 #include <chrono>
 #include <utility>
 
@@ -16,16 +15,20 @@
 namespace {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
+/// Reads in a row from one connection before others get their turn.
+constexpr int kReadsPerTurn = 4;
 constexpr const char* kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 }  // namespace
 
 HttpSession::HttpSession(std::shared_ptr<HttpServerShared> server, tcp::socket socket)
-    : server_(std::move(server)), socket_(std::move(socket)), timer_(socket_.get_executor()) {}
+    : server_(std::move(server)),
+      socket_(std::move(socket)),
+      timer_(socket_.get_executor()),
+      reader_(server_->limits) {}
 
 void HttpSession::ArmTimer(Duration after, std::function<void()> action) {
   const std::uint64_t generation = ++timer_generation_;
@@ -43,11 +46,11 @@
 
 void HttpSession::AwaitRequest() {
   if (closed_) return;
-  parser_.emplace();
-  SetParserLimits(*parser_, server_->limits);
+  reader_.BeginRequest();
   read_timed_out_ = false;
-  if (buffer_.size() > 0) {
-    ReadHeader();
+  if (reader_.has_input()) {
+    BeginRequest();
+    if (ParseInput()) AwaitInput();
     return;
   }
   idle_ = true;
@@ -57,62 +60,88 @@
     if (error) {
       self->Close();
     } else {
-      self->ReadHeader();
+      self->BeginRequest();
+      self->OnReadable();
     }
   });
 }
 
-void HttpSession::ReadHeader() {
+void HttpSession::BeginRequest() {
   idle_ = false;
   ArmTimer(server_->limits.read_timeout, [this] {
     read_timed_out_ = true;
     socket_.cancel();
   });
-  http::async_read_header(
-      socket_, buffer_, *parser_,
-      [self = shared_from_this()](const ErrorCode& error, std::size_t) { self->OnHeader(error); });
 }
 
-void HttpSession::OnHeader(const ErrorCode& error) {
-  if (closed_) return;
-  if (error) {
-    OnReadError(error);
-    return;
+void HttpSession::AwaitInput() {
+  socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const ErrorCode& error) {
+    if (self->closed_) return;
+    if (error) {
+      self->OnReadError(error);
+    } else {
+      self->OnReadable();
+    }
+  });
+}
+
+void HttpSession::OnReadable() {
+  for (int reads = 0; reads < kReadsPerTurn; ++reads) {
+    ErrorCode error;
+    // The timer may have expired while the socket was readable, when there was nothing to cancel.
+    if (read_timed_out_) error = asio::error::operation_aborted;
+    std::vector<char>& buffer = server_->read_buffer;
+    const std::size_t bytes = error ? 0 : socket_.read_some(asio::buffer(buffer), error);
+    if (error == asio::error::would_block || error == asio::error::try_again) break;
+    if (error == asio::error::eof) {
+      OnReadStep(reader_.ParseEnd());
+      return;
+    }
+    if (error) {
+      OnReadError(error);
+      return;
+    }
+    reader_.Append({buffer.data(), bytes});
+    if (!ParseInput()) return;
   }
-  const auto& head = parser_->get();
-  if (parser_->is_done() || !beast::iequals(head[http::field::expect], "100-continue")) {
-    ReadBody();
-    return;
+  AwaitInput();
+}
+
+bool HttpSession::ParseInput() { return OnReadStep(reader_.Parse()); }
+
+bool HttpSession::OnReadStep(ReadStep step) {
+  switch (step) {
+    case ReadStep::kNeedsMore:
+      return true;
+    case ReadStep::kHeader:
+      if (!reader_.expects_continue()) return ParseInput();
+      SendContinue();
+      return false;
+    case ReadStep::kComplete:
+      DisarmTimer();
+      Dispatch();
+      return false;
+    case ReadStep::kFailed:
+      break;
   }
+  OnReadError(reader_.error());
+  return false;
+}
+
+void HttpSession::SendContinue() {
   asio::async_write(socket_, asio::buffer(kContinue, std::char_traits<char>::length(kContinue)),
-                    [self = shared_from_this()](const ErrorCode& write_error, std::size_t) {
+                    [self = shared_from_this()](const ErrorCode& error, std::size_t) {
                       if (self->closed_) return;
-                      if (write_error) {
-                        self->OnReadError(write_error);
-                      } else {
-                        self->ReadBody();
+                      if (error) {
+                        self->OnReadError(error);
+                      } else if (self->ParseInput()) {
+                        self->AwaitInput();
                       }
                     });
 }
 
-void HttpSession::ReadBody() {
-  http::async_read(
-      socket_, buffer_, *parser_,
-      [self = shared_from_this()](const ErrorCode& error, std::size_t) { self->OnBody(error); });
-}
-
-void HttpSession::OnBody(const ErrorCode& error) {
-  if (closed_) return;
-  if (error) {
-    OnReadError(error);
-    return;
-  }
-  DisarmTimer();
-  Dispatch();
-}
-
 void HttpSession::OnReadError(const ErrorCode& error) {
-  const auto refusal = RefusalForError(error, server_->limits);
+  const auto refusal = reader_.RefusalFor(error);
   if (read_timed_out_) {
     Reject(408, ErrorKind::kTimeout, "the request did not arrive whole in time");
   } else if (refusal) {
@@ -124,13 +153,14 @@
 
 void HttpSession::Dispatch() {
   HttpRequest request;
-  if (const auto refusal = MakeRequest(*parser_, request)) {
+  RequestParser& parser = reader_.parser();
+  if (const auto refusal = MakeRequest(parser, request)) {
     Reject(refusal->status, refusal->kind, refusal->reason);
     return;
   }
-  keep_alive_ = parser_->keep_alive();
-  head_only_ = parser_->get().method() == http::verb::head;
-  http_1_0_ = parser_->get().version() == 10;
+  keep_alive_ = parser.keep_alive();
+  head_only_ = parser.get().method() == http::verb::head;
+  http_1_0_ = parser.get().version() == 10;
   CallHandler(std::move(request));
 }
 
--- a/src/connection/http_session.h
+++ b/src/connection/http_session.h
@@ -4,7 +4,6 @@
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -12,11 +11,12 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "basilspring/connection/http_server.h"
-#include "connection/http_request.h"
 #include "connection/http_text.h"
 #include "connection/io_dispatcher.h"
+#include "connection/request_reader.h"
 
 namespace basilspring::internal {
 
@@ -32,6 +32,8 @@
   HttpLimits limits;
   std::shared_ptr<IoDispatcher> dispatcher;
   std::set<std::shared_ptr<HttpSession>> sessions;
+  /// Receives the bytes of one read call; no session keeps it beyond that.
+  std::vector<char> read_buffer;
   /// Set by StopAccepting; from then on, each connection is closed after its response.
   bool stopping = false;
   std::atomic<std::size_t> in_flight{0};
@@ -63,10 +65,14 @@
  private:
   using ErrorCode = boost::system::error_code;
 
-  void ReadHeader();
-  void OnHeader(const ErrorCode& error);
-  void ReadBody();
-  void OnBody(const ErrorCode& error);
+  void BeginRequest();
+  void AwaitInput();
+  void OnReadable();
+  /// Parses what has been read. Returns whether the request needs further bytes.
+  bool ParseInput();
+  /// Handles the result of parsing; see ParseInput().
+  bool OnReadStep(ReadStep step);
+  void SendContinue();
   /// Sends an error response to a request that could not be read, or closes the connection.
   void OnReadError(const ErrorCode& error);
   void Dispatch();
@@ -95,8 +101,7 @@
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;
   std::uint64_t timer_generation_ = 0;
-  boost::beast::flat_buffer buffer_;
-  std::optional<RequestParser> parser_;
+  RequestReader reader_;
 
   /// Number of the current request of this connection.
   std::uint64_t exchange_ = 0;
--- a/src/connection/http_session_response.cc
+++ b/src/connection/http_session_response.cc
@@ -121,23 +121,26 @@
   ErrorCode ignored;
   socket_.cancel(ignored);
   socket_.shutdown(tcp::socket::shutdown_send, ignored);
-  buffer_.clear();
+  reader_.Clear();
   ArmTimer(kLingerTimeout, [this] { Close(); });
   DiscardInput();
 }
 
 void HttpSession::DiscardInput() {
-  constexpr std::size_t kReadBytes = 16 * 1024;
-  socket_.async_read_some(buffer_.prepare(kReadBytes),
-                          [self = shared_from_this()](const ErrorCode& error, std::size_t bytes) {
-                            if (self->closed_) return;
-                            self->discarded_bytes_ += bytes;
-                            if (error || self->discarded_bytes_ > kMaxDiscardedBytes) {
-                              self->Close();
-                            } else {
-                              self->DiscardInput();
-                            }
-                          });
+  socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const ErrorCode& waited) {
+    if (self->closed_) return;
+    ErrorCode error = waited;
+    if (!error) {
+      self->discarded_bytes_ +=
+          self->socket_.read_some(asio::buffer(self->server_->read_buffer), error);
+    }
+    const bool go_on = !error || error == asio::error::would_block;
+    if (go_on && self->discarded_bytes_ <= kMaxDiscardedBytes) {
+      self->DiscardInput();
+    } else {
+      self->Close();
+    }
+  });
 }
 
 void HttpSession::WatchForDisconnect() {
--- a/tests/connection/http_robustness_test.cc
+++ b/tests/connection/http_robustness_test.cc
@@ -13,6 +13,13 @@
 namespace basilspring {
 namespace {
 
+/// Returns the framing of a chunked body, repeated beyond the limits.
+std::string Endless(const std::string& begin, const std::string& part) {
+  std::string body = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + begin;
+  for (int i = 0; i < 16; ++i) body += part;
+  return body;
+}
+
 std::vector<std::string> Corpus() {
   return {
       "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
@@ -22,6 +29,12 @@
       "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\nok",
       "HEAD http://h/x HTTP/1.0\r\nConnection: keep-alive\r\n\r\n",
       "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc",
+      Endless("0\r\n", "X-Trailer: y\r\n"),
+      Endless("1;a=b", ";extension=value"),
+      Endless("", "1;a=value\r\nx\r\n"),
+      Endless("", "0000000000"),
+      "PUT /t HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5;a=\"b\"\r\nhello\r\n"
+      "0\r\nX: y\r\n\r\n",
   };
 }
 
--- a/tests/connection/http_server_test.cc
+++ b/tests/connection/http_server_test.cc
@@ -5,6 +5,7 @@
 #include <atomic>
 
 #include "basilspring/process/io_thread.h"
+#include "connection/request_reader.h"
 #include "tests/connection/raw_socket.h"
 
 namespace basilspring {
@@ -93,6 +94,56 @@
       Exchange("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(600, 'x') + "\r\n\r\n"), 431));
 }
 
+// Guards against a process that runs out of memory because a chunked body never ends: neither the
+// limit of the header nor that of the body applies to trailers, chunk extensions and chunk sizes.
+TEST_F(HttpServerTest, AnswersEndlessFramingOfAChunkedBodyWith431) {
+  ServeEcho();
+  const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::string trailers = "0\r\n";
+  std::string extensions;
+  while (trailers.size() <= 64 * 1024) trailers += "X-Trailer: 0123456789\r\n";
+  while (extensions.size() <= 64 * 1024) extensions += "1;a=0123456789\r\nx\r\n";
+  const std::vector<std::string> bodies = {trailers, extensions, "1;a=" + std::string(65536, 'x'),
+                                           std::string(65536, '0')};
+  for (const std::string& body : bodies) {
+    const RawSocket socket(server_->address());
+    ASSERT_TRUE(socket.Write(head + body));
+    EXPECT_TRUE(HasStatus(socket.ReadUntilText("\r\n\r\n"), 431)) << body.substr(0, 30);
+  }
+}
+
+// Guards against a limit on framing that refuses ordinary chunked bodies, also of pipelined
+// requests and in single bytes.
+TEST_F(HttpServerTest, ServesChunkedBodiesWithinTheLimitOfFraming) {
+  HttpLimits limits;
+  limits.max_framing_bytes = 64;
+  ServeEcho(limits);
+  const std::string request =
+      "POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "2;a=b\r\nde\r\n10\r\n0123456789abcdef\r\n0\r\nX: y\r\n\r\n";
+  const RawSocket socket(server_->address());
+  ASSERT_TRUE(socket.Write(request + request));
+  for (const char byte : request) ASSERT_TRUE(socket.Write({&byte, 1}));
+  socket.ShutdownWrite();
+  const std::string answers = socket.ReadAll();
+  std::size_t found = 0;
+  for (std::size_t at = 0; (at = answers.find("body=de0123456789abcdef", at)) != answers.npos; ++at)
+    ++found;
+  EXPECT_EQ(found, 3U) << answers;
+}
+
+// Guards against a length in a header that occupies memory before the body arrives.
+TEST_F(HttpServerTest, ReservesNoMemoryForAnAnnouncedBody) {
+  HttpLimits limits;
+  limits.max_body_bytes = 64 * 1024 * 1024;
+  internal::RequestReader reader(limits);
+  reader.BeginRequest();
+  reader.Append("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 60000000\r\n\r\nabc");
+  EXPECT_EQ(reader.Parse(), internal::ReadStep::kHeader);
+  EXPECT_EQ(reader.Parse(), internal::ReadStep::kNeedsMore);
+  EXPECT_LT(reader.parser().get().body().capacity(), 1024U);
+}
+
 // Guards against peers that hold a connection by sending a request byte by byte.
 TEST_F(HttpServerTest, AnswersSlowRequestsWith408AndClosesIdleConnections) {
   HttpLimits limits;
