Keep the parser's assertion on short chunked bodies from ending the process

Cause: Beast 1.81 asserts in parse_chunk_header that it is called with at least 5 bytes once it has seen the last chunk. A chunked body that begins with "0", a line end and then a single byte in a further packet breaks that, and the build keeps assertions, so one client ends the process.

Change: RequestReader calls the parser for a chunked body only with at least 5 bytes, which a body that is not complete always still needs.

The new test HttpRobustness.ChunkedBodiesAreAcceptedInAnyDivision divides three bodies at all pairs of places.

--- a/src/connection/request_reader.cc
+++ b/src/connection/request_reader.cc
@@ -11,6 +11,15 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+namespace {
+
+/// Length of "0" and two line ends. A chunked body that is not complete needs at least as many
+/// further bytes, so fewer need not be parsed. Beast 1.81 asserts that the parser is not called
+/// with fewer once it has seen a last chunk at the beginning of a body.
+constexpr std::size_t kMinChunkedEnd = 5;
+
+}  // namespace
+
 void RequestReader::BeginRequest() {
   parser_.emplace();
   SetParserLimits(*parser_, limits_);
@@ -44,6 +53,7 @@
 }
 
 ReadStep RequestReader::ParseBody() {
+  if (parser_->chunked() && input_bytes() < kMinChunkedEnd) return ReadStep::kNeedsMore;
   parser_->eager(true);
   const std::size_t parsed =
       parser_->put(boost::asio::buffer(input_.data() + parsed_, input_.size() - parsed_), error_);
--- a/tests/connection/http_robustness_test.cc
+++ b/tests/connection/http_robustness_test.cc
@@ -58,6 +58,31 @@
   EXPECT_GT(verdicts[static_cast<std::size_t>(HttpVerdict::kRefused)], 1000);
 }
 
+// Guards against a process that ends in an assertion of the parser: it fails if an empty chunked
+// body arrives as "0", one line end, and then a single byte.
+TEST(HttpRobustness, ChunkedBodiesAreAcceptedInAnyDivision) {
+  const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string body : {"0\r\n\r\n", "00;a=b\r\nX: y\r\n\r\n", "1\r\nx\r\n0\r\n\r\n"}) {
+    for (std::size_t piece = 1; piece < head.size() + body.size(); ++piece) {
+      EXPECT_EQ(CheckHttpInput(head + body, piece), HttpVerdict::kAccepted) << body << piece;
+    }
+    for (std::size_t first = 0; first < body.size(); ++first) {
+      for (std::size_t second = first; second < body.size(); ++second) {
+        const HttpLimits limits = FuzzHttpLimits();
+        internal::RequestReader reader(limits);
+        reader.BeginRequest();
+        reader.Append(head + body.substr(0, first));
+        EXPECT_EQ(reader.Parse(), internal::ReadStep::kHeader);
+        EXPECT_EQ(reader.Parse(), internal::ReadStep::kNeedsMore);
+        reader.Append(body.substr(first, second - first));
+        EXPECT_EQ(reader.Parse(), internal::ReadStep::kNeedsMore);
+        reader.Append(body.substr(second));
+        EXPECT_EQ(reader.Parse(), internal::ReadStep::kComplete) << body << first << second;
+      }
+    }
+  }
+}
+
 // Guards against a leaked connection or a request that stays open after such input.
 TEST(HttpRobustness, ServerSurvivesMutatedRequestsOnConnections) {
   ConfigureLog(LogLevel::kWarning, "test");
