Bound what all accepted connections of a process hold together

Cause: each connection was bounded on its own, but not their sum. With 4,096 connections per listener, bodies, unread answers and pipelined input could hold gigabytes, connections that were left open kept new clients out for a minute, and requests of disconnected callers piled up behind a slow handler. An accept without a free descriptor was repeated every 100 ms until a client went away by itself.

Change: ConnectionBudget counts the bytes of every connection of all servers of a process (input, request, output, and a fixed part), the requests being handled until the handler drops them, and the connections. Beyond limits.connection_memory_mb (32) it closes the connection with the largest product of bytes and time without progress, beyond limits.connections (3,000, and the process's limit of descriptors less 900) the one without progress for longest; connections with a request being handled go last, without an answer. A request that would exceed three quarters of the memory together with those being handled is refused with 503 before the handler gets it. An accept that fails for want of a descriptor closes one connection and is repeated after 1 ms. Both settings take effect at a reload. The older entry and agent have a budget with fixed memory (64 and 32 MB). Event 605 (at most 10 lines a second) and metrics report the connections that were closed.

--- a/include/basilspring/connection/http_server.h
+++ b/include/basilspring/connection/http_server.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "basilspring/clock.h"
+#include "basilspring/connection/connection_budget.h"
 #include "basilspring/connection/messages.h"
 
 namespace basilspring {
@@ -71,14 +72,18 @@
 /// An HTTP/1.1 server. The handler runs on the I/O thread and must not block; it responds at once
 /// or passes the responder on. The server itself answers invalid requests, with 400 for a malformed
 /// request, 408 for a slow one, 413 for a large body, 431 for a large header or too much framing of
-/// a chunked body, and 503 for too many connections. An exception thrown by the handler gives 500.
+/// a chunked body, and 503 for too many connections or for
+/// requests being handled that hold too much memory. An exception thrown by the handler gives 500.
 class HttpServer {
  public:
   using Handler =
       std::function<void(HttpRequest request, std::shared_ptr<HttpResponder> responder)>;
 
   /// Starts to listen; port 0 selects a free port. Throws Error(kInternal) if the port is taken.
-  HttpServer(IoThread& io, const Address& listen, Handler handler, const HttpLimits& limits = {});
+  /// `budget` is shared by all servers of a process, or nullptr for no common limit; log lines
+  /// about it contain `listener`.
+  HttpServer(IoThread& io, const Address& listen, Handler handler, const HttpLimits& limits = {},
+             std::shared_ptr<ConnectionBudget> budget = nullptr, std::string listener = "http");
   /// Closes the listener and all connections.
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
--- a/include/basilspring/fleet/node_settings.h
+++ b/include/basilspring/fleet/node_settings.h
@@ -6,6 +6,7 @@
 
 #include "basilspring/clock.h"
 #include "basilspring/connection/address.h"
+#include "basilspring/connection/connection_budget.h"
 #include "basilspring/fleet/job_model.h"
 #include "basilspring/fleet/scheduler_core.h"
 #include "basilspring/process/log.h"
@@ -43,6 +44,9 @@
   double processor_share = 1.0;
   /// Time for requests in flight to finish on a graceful stop.
   Duration drain_limit = Duration(5000);
+  /// For all accepted connections of the process. The number of connections is also bounded by the
+  /// process's limit of descriptors.
+  ConnectionLimits connections;
   LogLevel log_level = LogLevel::kInfo;
 };
 
--- a/include/basilspring/process/log_events.h
+++ b/include/basilspring/process/log_events.h
@@ -69,6 +69,7 @@
   kConnectionClosed = 602,
   kFrameRejected = 603,
   kHttpRejected = 604,
+  kConnectionOverBudget = 605,
   kConfigurationApplied = 700,
   kConfigurationIgnored = 701,
   kConfigurationConflict = 702,
--- a/src/connection/http_responder.cc
+++ b/src/connection/http_responder.cc
@@ -5,8 +5,12 @@
 namespace basilspring::internal {
 
 SessionResponder::SessionResponder(std::shared_ptr<IoDispatcher> dispatcher,
-                                   std::weak_ptr<HttpSession> session, std::uint64_t exchange)
-    : dispatcher_(std::move(dispatcher)), session_(std::move(session)), exchange_(exchange) {}
+                                   std::weak_ptr<HttpSession> session, std::uint64_t exchange,
+                                   ConnectionBudget::Charge charge)
+    : dispatcher_(std::move(dispatcher)),
+      session_(std::move(session)),
+      exchange_(exchange),
+      charge_(std::move(charge)) {}
 
 SessionResponder::~SessionResponder() {
   if (Transition(State::kNew, State::kDone)) {
--- a/src/connection/http_responder.h
+++ b/src/connection/http_responder.h
@@ -16,7 +16,7 @@
 class SessionResponder : public HttpResponder {
  public:
   SessionResponder(std::shared_ptr<IoDispatcher> dispatcher, std::weak_ptr<HttpSession> session,
-                   std::uint64_t exchange);
+                   std::uint64_t exchange, ConnectionBudget::Charge charge);
   /// Sends status 500 if there was no response, so that no caller waits forever; closes the
   /// connection if a stream is unfinished.
   ~SessionResponder() override;
@@ -39,6 +39,8 @@
   std::shared_ptr<IoDispatcher> dispatcher_;
   std::weak_ptr<HttpSession> session_;
   std::uint64_t exchange_;
+  /// Held until the handler drops the responder, also if the connection is closed before.
+  ConnectionBudget::Charge charge_;
   std::atomic<State> state_{State::kNew};
 };
 
--- a/src/connection/http_server.cc
+++ b/src/connection/http_server.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
+#include <limits>
 #include <utility>
 
 #include "basilspring/error.h"
@@ -25,17 +26,26 @@
 constexpr std::size_t kReadBytes = 16 * 1024;
 /// Delay after a failed accept, for example when the process has no file descriptors left.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{100};
+/// Delay if a connection was closed to free a descriptor.
+constexpr std::chrono::milliseconds kAcceptRetryAfterClose{1};
 
 }  // namespace
 
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
-  Impl(asio::io_context& io, Handler handler, const HttpLimits& limits)
+  Impl(asio::io_context& io, Handler handler, const HttpLimits& limits,
+       std::shared_ptr<ConnectionBudget> budget, std::string listener)
       : context(io),
         acceptor(io),
         retry_timer(io),
         shared(std::make_shared<internal::HttpServerShared>(io)) {
     shared->handler = std::make_shared<const Handler>(std::move(handler));
     shared->limits = limits;
+    shared->budget = std::move(budget);
+    shared->listener = std::move(listener);
+    if (!shared->budget) {
+      constexpr std::size_t kUnlimited = std::numeric_limits<std::size_t>::max();
+      shared->budget = std::make_shared<ConnectionBudget>(ConnectionLimits{kUnlimited, kUnlimited});
+    }
     shared->read_buffer.resize(kReadBytes);
   }
 
@@ -72,7 +82,10 @@
   acceptor.async_accept([self = shared_from_this()](const error_code& error, tcp::socket socket) {
     if (!self->acceptor.is_open()) return;
     if (error) {
-      self->retry_timer.expires_after(kAcceptRetryDelay);
+      const bool no_descriptors = error == asio::error::no_descriptors ||
+                                  error == boost::system::errc::too_many_files_open_in_system;
+      const bool freed = no_descriptors && self->shared->budget->CloseForDescriptor(Clock::Now());
+      self->retry_timer.expires_after(freed ? kAcceptRetryAfterClose : kAcceptRetryDelay);
       self->retry_timer.async_wait([self](const error_code& cancelled) {
         if (!cancelled && self->acceptor.is_open()) self->Accept();
       });
@@ -92,6 +105,7 @@
   const bool refused = shared->sessions.size() >= limit;
   const auto session = std::make_shared<internal::HttpSession>(shared, std::move(socket));
   shared->sessions.insert(session);
+  session->JoinBudget();
   if (refused) {
     session->Reject(503, ErrorKind::kOverloaded, "too many connections");
   } else {
@@ -133,8 +147,10 @@
 }
 
 HttpServer::HttpServer(IoThread& io, const Address& listen, Handler handler,
-                       const HttpLimits& limits)
-    : impl_(std::make_shared<Impl>(internal::IoContextOf(io), std::move(handler), limits)) {
+                       const HttpLimits& limits, std::shared_ptr<ConnectionBudget> budget,
+                       std::string listener)
+    : impl_(std::make_shared<Impl>(internal::IoContextOf(io), std::move(handler), limits,
+                                   std::move(budget), std::move(listener))) {
   impl_->Listen(listen);
   impl_->shared->dispatcher->Dispatch([impl = impl_] { impl->Accept(); });
 }
--- a/src/connection/http_session.cc
+++ b/src/connection/http_session.cc
@@ -18,6 +18,9 @@
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
+/// Estimate of what an open connection holds besides its input and output: the session, the parser
+/// and the registrations for events.
+constexpr std::size_t kConnectionBytes = 2048;
 /// Reads in a row from one connection before others get their turn.
 constexpr int kReadsPerTurn = 4;
 constexpr const char* kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -44,6 +47,21 @@
   timer_.cancel();
 }
 
+void HttpSession::JoinBudget() {
+  budget_id_ = server_->budget->Add(server_->listener, Clock::Now(), [session = weak_from_this()] {
+    if (const auto self = session.lock()) self->Close();
+  });
+  UpdateBudget();
+}
+
+bool HttpSession::UpdateBudget() {
+  if (closed_) return false;
+  server_->budget->SetBytes(budget_id_, kConnectionBytes + reader_.held_bytes() + output_bytes_);
+  // May close this connection.
+  server_->budget->Enforce(Clock::Now());
+  return !closed_;
+}
+
 void HttpSession::AwaitRequest() {
   if (closed_) return;
   reader_.BeginRequest();
@@ -54,6 +72,7 @@
     return;
   }
   idle_ = true;
+  if (!UpdateBudget()) return;
   ArmTimer(server_->limits.idle_timeout, [this] { Close(); });
   socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const ErrorCode& error) {
     if (self->closed_) return;
@@ -68,6 +87,7 @@
 
 void HttpSession::BeginRequest() {
   idle_ = false;
+  server_->budget->SetProgress(budget_id_, Clock::Now());
   ArmTimer(server_->limits.read_timeout, [this] {
     read_timed_out_ = true;
     socket_.cancel();
@@ -102,7 +122,7 @@
       return;
     }
     reader_.Append({buffer.data(), bytes});
-    if (!ParseInput()) return;
+    if (!UpdateBudget() || !ParseInput()) return;
   }
   AwaitInput();
 }
@@ -161,21 +181,32 @@
   keep_alive_ = parser.keep_alive();
   head_only_ = parser.get().method() == http::verb::head;
   http_1_0_ = parser.get().version() == 10;
-  CallHandler(std::move(request));
+  const std::size_t request_bytes = reader_.held_request_bytes() + request.body.size();
+  reader_.DropRequest();
+  ConnectionBudget::Charge charge = server_->budget->TryHandle(request_bytes);
+  if (!charge) {
+    Reject(503, ErrorKind::kOverloaded,
+           "too much memory is held by requests; this one was not run");
+    return;
+  }
+  CallHandler(std::move(request), std::move(charge));
 }
 
-void HttpSession::CallHandler(HttpRequest request) {
+void HttpSession::CallHandler(HttpRequest request, ConnectionBudget::Charge charge) {
   ++exchange_;
   request_open_ = true;
   response_started_ = false;
   response_complete_ = false;
   server_->in_flight.fetch_add(1);
+  server_->budget->SetProgress(budget_id_, Clock::Now());
+  server_->budget->SetHandled(budget_id_, true);
+  if (!UpdateBudget()) return;
   const std::uint64_t exchange = exchange_;
   {
     // Holds a reference, because the handler may destroy the server.
     const auto handler = server_->handler;
-    auto responder =
-        std::make_shared<SessionResponder>(server_->dispatcher, weak_from_this(), exchange);
+    auto responder = std::make_shared<SessionResponder>(server_->dispatcher, weak_from_this(),
+                                                        exchange, std::move(charge));
     try {
       if (handler) (*handler)(std::move(request), responder);
     } catch (const std::exception& error) {
@@ -212,6 +243,7 @@
   socket_.close(ignored);
   const auto self = shared_from_this();
   server_->sessions.erase(self);
+  server_->budget->Remove(budget_id_);
   if (request_open_) {
     std::function<void()> handler = std::move(on_disconnect_);
     EndExchange();
@@ -222,6 +254,7 @@
 void HttpSession::EndExchange() {
   if (!request_open_) return;
   request_open_ = false;
+  server_->budget->SetHandled(budget_id_, false);
   on_disconnect_ = nullptr;
   server_->in_flight.fetch_sub(1);
 }
--- a/src/connection/http_session.h
+++ b/src/connection/http_session.h
@@ -30,6 +30,8 @@
 
   std::shared_ptr<const HttpServer::Handler> handler;
   HttpLimits limits;
+  std::shared_ptr<ConnectionBudget> budget;
+  std::string listener;
   std::shared_ptr<IoDispatcher> dispatcher;
   std::set<std::shared_ptr<HttpSession>> sessions;
   /// Receives the bytes of one read call; no session keeps it beyond that.
@@ -45,6 +47,8 @@
  public:
   HttpSession(std::shared_ptr<HttpServerShared> server, boost::asio::ip::tcp::socket socket);
 
+  /// Counts the connection in the budget; to be called once, before any other function.
+  void JoinBudget();
   /// Waits for the next request.
   void AwaitRequest();
   /// Sends an error response that no handler has produced, then closes the connection.
@@ -76,7 +80,7 @@
   /// Sends an error response to a request that could not be read, or closes the connection.
   void OnReadError(const ErrorCode& error);
   void Dispatch();
-  void CallHandler(HttpRequest request);
+  void CallHandler(HttpRequest request, ConnectionBudget::Charge charge);
 
   /// Detects a disconnect of the peer while the response is being produced.
   void WatchForDisconnect();
@@ -93,6 +97,8 @@
   void LingeringClose();
   void DiscardInput();
 
+  /// Tells the budget what the connection holds. Returns whether the connection is still open.
+  bool UpdateBudget();
   void ArmTimer(Duration after, std::function<void()> action);
   void DisarmTimer();
   bool IsCurrent(std::uint64_t exchange) const { return request_open_ && exchange == exchange_; }
@@ -101,6 +107,7 @@
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;
   std::uint64_t timer_generation_ = 0;
+  ConnectionBudget::Id budget_id_ = 0;
   RequestReader reader_;
 
   /// Number of the current request of this connection.
--- a/src/connection/http_session_response.cc
+++ b/src/connection/http_session_response.cc
@@ -77,7 +77,7 @@
   if (closed_) return;
   output_bytes_ += bytes.size();
   output_.push_back(std::move(bytes));
-  if (!writing_) WriteNext();
+  if (UpdateBudget() && !writing_) WriteNext();
 }
 
 void HttpSession::WriteNext() {
@@ -98,6 +98,8 @@
   output_bytes_ -= output_.front().size();
   output_.pop_front();
   DisarmTimer();
+  server_->budget->SetProgress(budget_id_, Clock::Now());
+  if (!UpdateBudget()) return;
   if (!output_.empty()) {
     WriteNext();
   } else if (response_complete_) {
--- a/src/connection/request_reader.cc
+++ b/src/connection/request_reader.cc
@@ -17,6 +17,8 @@
 /// further bytes, so fewer need not be parsed. Beast 1.81 asserts that the parser is not called
 /// with fewer once it has seen a last chunk at the beginning of a body.
 constexpr std::size_t kMinChunkedEnd = 5;
+/// Memory that a header field takes besides its text. It matters for fields of single bytes.
+constexpr std::size_t kFieldBytes = 128;
 
 }  // namespace
 
@@ -24,6 +26,7 @@
   parser_.emplace();
   SetParserLimits(*parser_, limits_);
   body_input_bytes_ = 0;
+  field_bytes_ = 0;
   framing_exceeded_ = false;
   error_ = {};
   // An idle connection holds no memory for its input.
@@ -49,6 +52,7 @@
       parser_->put(boost::asio::buffer(input_.data() + parsed_, input_.size() - parsed_), error_);
   if (error_ == http::error::need_more) return ReadStep::kNeedsMore;
   if (error_) return ReadStep::kFailed;
+  CountFields();
   return parser_->is_done() ? ReadStep::kComplete : ReadStep::kHeader;
 }
 
@@ -66,7 +70,9 @@
     error_ = http::make_error_code(http::error::header_limit);
     return ReadStep::kFailed;
   }
-  return parser_->is_done() ? ReadStep::kComplete : ReadStep::kNeedsMore;
+  if (!parser_->is_done()) return ReadStep::kNeedsMore;
+  CountFields();
+  return ReadStep::kComplete;
 }
 
 std::size_t RequestReader::FramingBytes() const {
@@ -76,6 +82,20 @@
   return body_input_bytes_ - parser_->get().body().size() + unparsed;
 }
 
+std::size_t RequestReader::held_request_bytes() const {
+  if (!parser_) return 0;
+  return field_bytes_ + parser_->get().body().size();
+}
+
+void RequestReader::CountFields() {
+  field_bytes_ = 0;
+  for (const auto& field : parser_->get()) {
+    field_bytes_ += kFieldBytes + field.name_string().size() + field.value().size();
+  }
+}
+
+std::size_t RequestReader::held_bytes() const { return input_.capacity() + held_request_bytes(); }
+
 ReadStep RequestReader::ParseEnd() {
   if (!parser_->got_some()) {
     error_ = http::make_error_code(http::error::end_of_stream);
--- a/src/connection/request_reader.h
+++ b/src/connection/request_reader.h
@@ -33,12 +33,18 @@
   ReadStep Parse();
   /// Ends the input within a request; returns kFailed or kComplete.
   ReadStep ParseEnd();
+  /// Releases the parsed request; BeginRequest() must follow before Parse().
+  void DropRequest() { parser_.reset(); }
   /// Discards bytes that are not parsed yet.
   void Clear();
 
   bool has_input() const { return input_bytes() > 0; }
   /// Bytes that were appended and are not parsed yet.
   std::size_t input_bytes() const { return input_.size() - parsed_; }
+  /// Memory of the input and of the request as far as it was parsed.
+  std::size_t held_bytes() const;
+  /// Memory of the current request's fields, and of its body unless that was moved away.
+  std::size_t held_request_bytes() const;
   /// Whether the client waits for an interim response before it sends the body.
   bool expects_continue() const;
   /// Why Parse() failed.
@@ -51,6 +57,7 @@
  private:
   ReadStep ParseHeader();
   ReadStep ParseBody();
+  void CountFields();
   /// Chunk sizes, extensions and trailers so far, including those that are not parsed yet.
   std::size_t FramingBytes() const;
 
@@ -61,6 +68,8 @@
   std::optional<RequestParser> parser_;
   /// Bytes parsed after the header of the current request.
   std::size_t body_input_bytes_ = 0;
+  /// Memory of the header fields and trailers of the current request.
+  std::size_t field_bytes_ = 0;
   bool framing_exceeded_ = false;
   boost::system::error_code error_;
 };
--- a/src/fleet/node.cc
+++ b/src/fleet/node.cc
@@ -57,6 +57,13 @@
   return error ? std::filesystem::file_time_type::min() : written;
 }
 
+/// Returns the limits of all accepted connections, within the process's limit of descriptors.
+ConnectionLimits LimitsOf(const NodeSettings& settings) {
+  ConnectionLimits limits = settings.connections;
+  limits.connections = ConnectionsWithinProcessLimit(limits.connections);
+  return limits;
+}
+
 void SleepUntil(TimePoint time) {
   const Duration wait = time - Clock::Now();
   if (wait > Duration()) {
@@ -128,6 +135,7 @@
                              [this] { return scheduler_.get(); }},
         agent);
   }
+  connection_budget_ = std::make_shared<ConnectionBudget>(LimitsOf(settings_));
   running_ = true;
   Post([this] {
     if (entry_role_) operator_watch_->Start();
@@ -229,6 +237,7 @@
   }
   const NodeSettingsChange change = ApplyChanges(outcome.settings, settings_);
   SetLogLevel(settings_.log_level);
+  connection_budget_->SetLimits(LimitsOf(settings_));
   SetPeers();
   Log(EventId::kSettingsReloaded, "cause=\"{}\" applied={} after_restart={}", cause,
       fmt::join(change.applied, ","), fmt::join(change.deferred, ","));
--- a/src/fleet/node_process.h
+++ b/src/fleet/node_process.h
@@ -73,6 +73,7 @@
   void CheckSettingsFile(TimePoint now);
   void ReloadSettings(std::string_view cause);
   void UpdateMetrics();
+  void UpdateConnectionMetrics();
   /// When the scheduler last answered.
   TimePoint LastContact() const;
   /// Whether an agent still carries out orders.
@@ -110,6 +111,8 @@
   std::unique_ptr<EntryServer> entry_;
   std::unique_ptr<AgentDriver> agent_;
   Address scheduler_address_;
+  /// Of all servers.
+  std::shared_ptr<ConnectionBudget> connection_budget_;
   std::vector<std::unique_ptr<HttpServer>> servers_;
 };
 
--- a/src/fleet/node_requests.cc
+++ b/src/fleet/node_requests.cc
@@ -45,40 +45,41 @@
       });
     };
   };
+  const auto listen = [&](const char* name, const Address& address, HttpServer::Handler handler,
+                          const HttpLimits& limits = {}) {
+    servers_.push_back(std::make_unique<HttpServer>(io_, address, std::move(handler), limits,
+                                                    connection_budget_, name));
+  };
   HttpLimits peer_limits;
   peer_limits.max_body_bytes = 8 * 1024 * 1024;
-  servers_.push_back(std::make_unique<HttpServer>(
-      io_, settings_.peers,
-      on_state_thread([this](const HttpRequest& request, const Responder& responder) {
-        OnPeer(request, responder);
-      }),
-      peer_limits));
+  listen("peers", settings_.peers,
+         on_state_thread([this](const HttpRequest& request, const Responder& responder) {
+           OnPeer(request, responder);
+         }),
+         peer_limits);
   if (entry_) {
-    servers_.push_back(std::make_unique<HttpServer>(
-        io_, settings_.callers, on_state_thread([this](HttpRequest request, Responder responder) {
-          entry_->OnCaller(std::move(request), std::move(responder));
-        })));
-    servers_.push_back(std::make_unique<HttpServer>(
-        io_, settings_.readiness,
-        on_state_thread([this](const HttpRequest&, const Responder& responder) {
-          responder->Respond(entry_->ready() ? PlainResponse(200, "ready\n")
-                                             : PlainResponse(503, "not ready\n"));
-        })));
+    listen("callers", settings_.callers,
+           on_state_thread([this](HttpRequest request, Responder responder) {
+             entry_->OnCaller(std::move(request), std::move(responder));
+           }));
+    listen("readiness", settings_.readiness,
+           on_state_thread([this](const HttpRequest&, const Responder& responder) {
+             responder->Respond(entry_->ready() ? PlainResponse(200, "ready\n")
+                                                : PlainResponse(503, "not ready\n"));
+           }));
   }
   if (agent_) {
-    servers_.push_back(std::make_unique<HttpServer>(
-        io_, settings_.announcements,
-        on_state_thread([this](const HttpRequest& request, const Responder& responder) {
-          OnAnnouncement(request, responder);
-        })));
+    listen("announcements", settings_.announcements,
+           on_state_thread([this](const HttpRequest& request, const Responder& responder) {
+             OnAnnouncement(request, responder);
+           }));
   }
   if (!settings_.metrics.empty()) {
-    servers_.push_back(std::make_unique<HttpServer>(
-        io_, settings_.metrics,
-        on_state_thread([this](const HttpRequest&, const Responder& responder) {
-          UpdateMetrics();
-          responder->Respond(PlainResponse(200, metrics_.Render()));
-        })));
+    listen("metrics", settings_.metrics,
+           on_state_thread([this](const HttpRequest&, const Responder& responder) {
+             UpdateMetrics();
+             responder->Respond(PlainResponse(200, metrics_.Render()));
+           }));
   }
 }
 
@@ -190,7 +191,26 @@
   responder->Respond(std::move(response));
 }
 
+void Node::UpdateConnectionMetrics() {
+  const ConnectionBudget& budget = *connection_budget_;
+  metrics_.GetGauge("basilspring_connections", "", "Accepted connections that are open.")
+      .Set(static_cast<std::int64_t>(budget.connections()));
+  metrics_
+      .GetGauge("basilspring_connection_bytes", "",
+                "Bytes held by accepted connections and the requests being handled.")
+      .Set(static_cast<std::int64_t>(budget.bytes()));
+  for (const BudgetCause cause :
+       {BudgetCause::kMemory, BudgetCause::kConnections, BudgetCause::kDescriptors}) {
+    metrics_
+        .GetGauge("basilspring_connections_over_budget",
+                  fmt::format("cause=\"{}\"", BudgetCauseName(cause)),
+                  "Connections closed because a limit of all connections was reached.")
+        .Set(static_cast<std::int64_t>(budget.closed(cause)));
+  }
+}
+
 void Node::UpdateMetrics() {
+  UpdateConnectionMetrics();
   const auto set = [this](const char* name, std::uint64_t value) {
     metrics_.GetGauge(name).Set(static_cast<std::int64_t>(value));
   };
--- a/src/fleet/node_settings.cc
+++ b/src/fleet/node_settings.cc
@@ -17,6 +17,7 @@
 constexpr Duration kMinLease(2000);
 // Part of the time between SIGTERM and the forced end that is not used for draining.
 constexpr Duration kDrainMargin(500);
+constexpr std::size_t kMegabyte = std::size_t{1024} * 1024;
 
 /// Reads a time in milliseconds if the key ends in "_ms", otherwise in seconds.
 Duration ReadDuration(SettingsReader& reader, std::string_view key, double minimum, double maximum,
@@ -57,6 +58,13 @@
           reader.Double("limits.processor_share", Presence::kOptional, 0.001, 1024)) {
     settings.processor_share = *share;
   }
+  if (const auto megabytes =
+          reader.Integer("limits.connection_memory_mb", Presence::kOptional, 1, 4096)) {
+    settings.connections.memory_bytes = static_cast<std::size_t>(*megabytes) * kMegabyte;
+  }
+  if (const auto count = reader.Integer("limits.connections", Presence::kOptional, 16, 1000000)) {
+    settings.connections.connections = static_cast<std::size_t>(*count);
+  }
   const Duration grace =
       ReadDuration(reader, "limits.stop_grace_s", 1, 3600, settings.drain_limit + kDrainMargin);
   settings.drain_limit = grace - kDrainMargin;
@@ -97,6 +105,9 @@
   };
   apply("network.seeds", next.seeds, current.seeds);
   apply("log.level", next.log_level, current.log_level);
+  apply("limits.connection_memory_mb", next.connections.memory_bytes,
+        current.connections.memory_bytes);
+  apply("limits.connections", next.connections.connections, current.connections.connections);
   apply("limits.stop_grace_s", next.drain_limit, current.drain_limit);
   apply("limits.longest_lease_ms", next.scheduler.lease, current.scheduler.lease);
   apply("limits.stop_time_ms", next.scheduler.stop_time, current.scheduler.stop_time);
--- a/src/process/agent.cc
+++ b/src/process/agent.cc
@@ -127,7 +127,12 @@
       io_, settings.http,
       [this](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
         OnHttp(request, *responder);
-      });
+      },
+      HttpLimits(),
+      std::make_shared<ConnectionBudget>(
+          ConnectionLimits{ConnectionLimits().memory_bytes,
+                           ConnectionsWithinProcessLimit(ConnectionLimits().connections)}),
+      "agent");
   running_ = true;
 }
 
--- a/src/process/entry.cc
+++ b/src/process/entry.cc
@@ -37,6 +37,11 @@
   return options;
 }
 
+// Memory for all connections of callers. An entry has 160 MB or more.
+constexpr std::size_t kConnectionMemory = std::size_t{64} * 1024 * 1024;
+// Connections beyond `max_connections` that HttpServer keeps to refuse them with 503.
+constexpr std::size_t kRefusedConnections = 64;
+
 std::uint64_t RandomSeed() {
   std::random_device device;
   return (std::uint64_t{device()} << 32) | device();
@@ -64,7 +69,11 @@
       [this](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
         OnHttp(std::move(request), responder);
       },
-      limits);
+      limits,
+      std::make_shared<ConnectionBudget>(ConnectionLimits{
+          kConnectionMemory,
+          ConnectionsWithinProcessLimit(settings_.max_connections + kRefusedConnections)}),
+      "callers");
   duty_ = std::make_unique<Duty>("entry", kTickInterval, [this] { OnTick(); });
   running_duty_ = duty_.get();
   Post([this] {
--- a/src/process/log_events.cc
+++ b/src/process/log_events.cc
@@ -14,7 +14,7 @@
 };
 
 // Sorted by number. Columns: event, number, name, level (0 debug, 1 info, 2 warning, 3 error).
-constexpr std::array<EventRow, 71> kEvents = {{
+constexpr std::array<EventRow, 72> kEvents = {{
     {EventId::kProcessStarted, 100, "ProcessStarted", 1},
     {EventId::kProcessStopping, 101, "ProcessStopping", 1},
     {EventId::kProcessStopped, 102, "ProcessStopped", 1},
@@ -74,6 +74,7 @@
     {EventId::kConnectionClosed, 602, "ConnectionClosed", 0},
     {EventId::kFrameRejected, 603, "FrameRejected", 2},
     {EventId::kHttpRejected, 604, "HttpRejected", 1},
+    {EventId::kConnectionOverBudget, 605, "ConnectionOverBudget", 2},
     {EventId::kConfigurationApplied, 700, "ConfigurationApplied", 1},
     {EventId::kConfigurationIgnored, 701, "ConfigurationIgnored", 1},
     {EventId::kConfigurationConflict, 702, "ConfigurationConflict", 1},
--- a/tests/fleet/node_settings_test.cc
+++ b/tests/fleet/node_settings_test.cc
@@ -70,6 +70,25 @@
   EXPECT_EQ(change.deferred, std::vector<std::string>{"network.store"});
 }
 
+// Guards against limits of connections that are ignored, or that need a restart under an attack.
+TEST(NodeSettingsTest, ReadsAndAppliesTheLimitsOfConnections) {
+  NodeSettings running = ParseNodeSettings(kAgent, "file").settings;
+  EXPECT_EQ(running.connections, ConnectionLimits());
+  const std::string text =
+      Replace(kAgent, "processor_share = 0.15", "connection_memory_mb = 8\nconnections = 64");
+  const NodeSettingsChange change = ApplyChanges(ParseNodeSettings(text, "file").settings, running);
+  EXPECT_EQ(running.connections, (ConnectionLimits{std::size_t{8} * 1024 * 1024, 64}));
+  EXPECT_EQ(change.applied,
+            (std::vector<std::string>{"limits.connection_memory_mb", "limits.connections"}));
+  EXPECT_TRUE(
+      HasFault(ParseNodeSettings(Replace(text, "connections = 64", "connections = 1"), "file"),
+               "limits.connections"));
+  EXPECT_TRUE(
+      HasFault(ParseNodeSettings(
+                   Replace(text, "connection_memory_mb = 8", "connection_memory_mb = 0"), "file"),
+               "limits.connection_memory_mb"));
+}
+
 TEST(NodeSettingsTest, ListsAllFaultsWithTheirLines) {
   std::string text = Replace(kAgent, "role = \"agent\"", "role = \"captain\"");
   text = Replace(text, "127.0.0.1:7003", "nowhere");
