Bound the open requests of an entry and the time that callers may state

Cause: an entry kept every request open for as long as its Timeout-Ms said, without an upper bound, and any number of them, also of callers that had disconnected.

Change: limits.longest_caller_timeout_ms (60,000) caps Timeout-Ms. With limits.open_requests (4,000) requests without an answer, a further one is refused with 503 before anything is written for it. Both take effect at a reload.

--- a/include/basilspring/fleet/entry_server.h
+++ b/include/basilspring/fleet/entry_server.h
@@ -1,6 +1,7 @@
 #ifndef BASILSPRING_FLEET_ENTRY_SERVER_H_
 #define BASILSPRING_FLEET_ENTRY_SERVER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -21,6 +22,17 @@
 
 namespace basilspring::fleet {
 
+/// What callers of an entry can make it hold.
+struct EntryLimits {
+  /// A caller's request is answered within this time, even if the caller would wait longer.
+  Duration longest_caller_timeout = Duration(60000);
+  /// Requests that are not answered yet, also those whose callers have disconnected. Further ones
+  /// are refused.
+  std::size_t open_requests = 4000;
+
+  bool operator==(const EntryLimits&) const = default;
+};
+
 /// Serves callers: stores the jobs that it accepts, and answers queries about jobs with the help of
 /// the scheduler or, if there is none, from the store. Used only on the thread that owns the
 /// process's state.
@@ -38,6 +50,7 @@
     Address own_address;
     /// Returns the scheduler in this process, or nullptr if there is none.
     std::function<SchedulerDriver*()> local_scheduler;
+    EntryLimits limits;
   };
 
   explicit EntryServer(Context context);
@@ -45,6 +58,8 @@
   EntryServer(const EntryServer&) = delete;
   EntryServer& operator=(const EntryServer&) = delete;
 
+  /// Applies to open requests, too.
+  void SetLimits(const EntryLimits& limits) { context_.limits = limits; }
   void SetOperatorState(std::shared_ptr<const OperatorState> state);
   /// Holds back callers' requests after the process was paused, until ConfirmConfiguration() or for
   /// a short time: the configuration may have changed meanwhile, and a key may have been withdrawn.
--- a/include/basilspring/fleet/node_settings.h
+++ b/include/basilspring/fleet/node_settings.h
@@ -7,6 +7,7 @@
 #include "basilspring/clock.h"
 #include "basilspring/connection/address.h"
 #include "basilspring/connection/connection_budget.h"
+#include "basilspring/fleet/entry_server.h"
 #include "basilspring/fleet/job_model.h"
 #include "basilspring/fleet/scheduler_core.h"
 #include "basilspring/process/log.h"
@@ -47,6 +48,8 @@
   /// For all accepted connections of the process. The number of connections is also bounded by the
   /// process's limit of descriptors.
   ConnectionLimits connections;
+  /// Entries only.
+  EntryLimits entry;
   LogLevel log_level = LogLevel::kInfo;
 };
 
--- a/src/fleet/node.cc
+++ b/src/fleet/node.cc
@@ -121,7 +121,7 @@
         *store_, *peers_, executor,
         [this](Duration delay, std::function<void()> work) { PostAfter(delay, std::move(work)); },
         *adapters_.callers, metrics_, settings_.name, settings_.advertised,
-        [this] { return scheduler_.get(); }});
+        [this] { return scheduler_.get(); }, settings_.entry});
   } else {
     FleetAgentOptions agent;
     agent.node = settings_.name;
@@ -238,6 +238,7 @@
   const NodeSettingsChange change = ApplyChanges(outcome.settings, settings_);
   SetLogLevel(settings_.log_level);
   connection_budget_->SetLimits(LimitsOf(settings_));
+  if (entry_) entry_->SetLimits(settings_.entry);
   SetPeers();
   Log(EventId::kSettingsReloaded, "cause=\"{}\" applied={} after_restart={}", cause,
       fmt::join(change.applied, ","), fmt::join(change.deferred, ","));
--- a/src/fleet/node_settings.cc
+++ b/src/fleet/node_settings.cc
@@ -65,6 +65,12 @@
   if (const auto count = reader.Integer("limits.connections", Presence::kOptional, 16, 1000000)) {
     settings.connections.connections = static_cast<std::size_t>(*count);
   }
+  settings.entry.longest_caller_timeout =
+      ReadDuration(reader, "limits.longest_caller_timeout_ms", 500, 3600000,
+                   settings.entry.longest_caller_timeout);
+  if (const auto count = reader.Integer("limits.open_requests", Presence::kOptional, 1, 1000000)) {
+    settings.entry.open_requests = static_cast<std::size_t>(*count);
+  }
   const Duration grace =
       ReadDuration(reader, "limits.stop_grace_s", 1, 3600, settings.drain_limit + kDrainMargin);
   settings.drain_limit = grace - kDrainMargin;
@@ -108,6 +114,9 @@
   apply("limits.connection_memory_mb", next.connections.memory_bytes,
         current.connections.memory_bytes);
   apply("limits.connections", next.connections.connections, current.connections.connections);
+  apply("limits.longest_caller_timeout_ms", next.entry.longest_caller_timeout,
+        current.entry.longest_caller_timeout);
+  apply("limits.open_requests", next.entry.open_requests, current.entry.open_requests);
   apply("limits.stop_grace_s", next.drain_limit, current.drain_limit);
   apply("limits.longest_lease_ms", next.scheduler.lease, current.scheduler.lease);
   apply("limits.stop_time_ms", next.scheduler.stop_time, current.scheduler.stop_time);
--- a/tests/fleet/entry_server_test.cc
+++ b/tests/fleet/entry_server_test.cc
@@ -38,8 +38,10 @@
   }
 
   std::shared_ptr<IgnoringResponder> Send(const std::string& method, const std::string& path,
-                                          const std::string& body = "") {
+                                          const std::string& body = "",
+                                          const std::string& timeout_ms = "") {
     HttpRequest request;
+    if (!timeout_ms.empty()) request.headers["timeout-ms"] = timeout_ms;
     request.method = method;
     request.path = path;
     request.headers["host"] = "h";
@@ -90,6 +92,39 @@
       format_, metrics_, NodeId("entry"), Address{"127.0.0.1", 1}, [] { return nullptr; }}};
 };
 
+// Guards against requests that stay open for as long as a hostile caller states, also one whose
+// time would overflow.
+TEST_F(EntryServerTest, CapsTheTimeoutThatACallerStates) {
+  entry_.SetLimits(EntryLimits{Duration(500), 10});
+  store_.answer = [](const StoreCall&) { return MakeReply(StoreStatus::kUnavailable); };
+  for (const char* timeout : {"3600000", "9223372036854775807"}) {
+    // With 500 ms, too little time is left for another attempt.
+    EXPECT_EQ(Send("DELETE", "/q/00000000000000aa", "", timeout)->status, 504) << timeout;
+  }
+  EXPECT_TRUE(delayed_.empty());
+}
+
+// Guards against requests without a bound, each of which holds its body, and against a refusal of a
+// job that may have been stored.
+TEST_F(EntryServerTest, RefusesRequestsBeyondTheBoundBeforeAnythingIsWritten) {
+  entry_.SetLimits(EntryLimits{Duration(60000), 1});
+  bool answers = false;
+  store_.answer = [&answers](const StoreCall&) {
+    return MakeReply(answers ? StoreStatus::kOk : StoreStatus::kUnavailable);
+  };
+  const auto open = Cancel("00000000000000aa");
+  ASSERT_EQ(open->status, 0);
+  const std::size_t calls = store_.calls.size();
+  EXPECT_EQ(Submit("00000000000000ab")->status, 503);
+  EXPECT_EQ(Cancel("00000000000000ac")->status, 503);
+  EXPECT_EQ(store_.calls.size(), calls);
+  answers = true;
+  ASSERT_EQ(delayed_.size(), 1U);
+  delayed_.front()();
+  EXPECT_EQ(open->status, 200);
+  EXPECT_NE(Submit("00000000000000ab")->status, 503);
+}
+
 // Guards against overloading store and peers: during an outage of the store, each waiting
 // cancellation called them again as soon as the former call had failed.
 TEST_F(EntryServerTest, WaitsBeforeItRepeatsACancellation) {
--- a/tests/fleet/node_settings_test.cc
+++ b/tests/fleet/node_settings_test.cc
@@ -89,6 +89,22 @@
                "limits.connection_memory_mb"));
 }
 
+// Guards against limits of callers that are ignored or out of range.
+TEST(NodeSettingsTest, ReadsAndAppliesTheLimitsOfCallers) {
+  NodeSettings running = ParseNodeSettings(kAgent, "file").settings;
+  const std::string text = Replace(kAgent, "processor_share = 0.15",
+                                   "longest_caller_timeout_ms = 5000\nopen_requests = 7");
+  const NodeSettingsChange change = ApplyChanges(ParseNodeSettings(text, "file").settings, running);
+  EXPECT_EQ(running.entry, (EntryLimits{Duration(5000), 7}));
+  EXPECT_EQ(change.applied,
+            (std::vector<std::string>{"limits.longest_caller_timeout_ms", "limits.open_requests"}));
+  EXPECT_TRUE(
+      HasFault(ParseNodeSettings(Replace(text, "open_requests = 7", "open_requests = 0"), "file"),
+               "limits.open_requests"));
+  EXPECT_TRUE(HasFault(ParseNodeSettings(Replace(text, "= 5000", "= 5"), "file"),
+                       "limits.longest_caller_timeout_ms"));
+}
+
 TEST(NodeSettingsTest, ListsAllFaultsWithTheirLines) {
   std::string text = Replace(kAgent, "role = \"agent\"", "role = \"captain\"");
   text = Replace(text, "127.0.0.1:7003", "nowhere");
