Merge the limits on what clients make a process hold

Endless framing of a chunked body is answered with 431, a chunked body that arrives in an odd division no longer ends the process, and all accepted connections of a process share a budget of memory and descriptors.

--- a/src/connection/http_session.h
+++ b/src/connection/http_session.h
@@ -4,7 +4,6 @@
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -12,11 +11,12 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "basilspring/connection/http_server.h"
-#include "connection/http_request.h"
 #include "connection/http_text.h"
 #include "connection/io_dispatcher.h"
+#include "connection/request_reader.h"
 
 namespace basilspring::internal {
 
@@ -30,8 +30,12 @@
 
   std::shared_ptr<const HttpServer::Handler> handler;
   HttpLimits limits;
+  std::shared_ptr<ConnectionBudget> budget;
+  std::string listener;
   std::shared_ptr<IoDispatcher> dispatcher;
   std::set<std::shared_ptr<HttpSession>> sessions;
+  /// Receives the bytes of one read call; no session keeps it beyond that.
+  std::vector<char> read_buffer;
   /// Set by StopAccepting; from then on, each connection is closed after its response.
   bool stopping = false;
   std::atomic<std::size_t> in_flight{0};
@@ -43,6 +47,8 @@
  public:
   HttpSession(std::shared_ptr<HttpServerShared> server, boost::asio::ip::tcp::socket socket);
 
+  /// Counts the connection in the budget; to be called once, before any other function.
+  void JoinBudget();
   /// Waits for the next request.
   void AwaitRequest();
   /// Sends an error response that no handler has produced, then closes the connection.
@@ -63,14 +69,18 @@
  private:
   using ErrorCode = boost::system::error_code;
 
-  void ReadHeader();
-  void OnHeader(const ErrorCode& error);
-  void ReadBody();
-  void OnBody(const ErrorCode& error);
+  void BeginRequest();
+  void AwaitInput();
+  void OnReadable();
+  /// Parses what has been read. Returns whether the request needs further bytes.
+  bool ParseInput();
+  /// Handles the result of parsing; see ParseInput().
+  bool OnReadStep(ReadStep step);
+  void SendContinue();
   /// Sends an error response to a request that could not be read, or closes the connection.
   void OnReadError(const ErrorCode& error);
   void Dispatch();
-  void CallHandler(HttpRequest request);
+  void CallHandler(HttpRequest request, ConnectionBudget::Charge charge);
 
   /// Detects a disconnect of the peer while the response is being produced.
   void WatchForDisconnect();
@@ -87,6 +97,8 @@
   void LingeringClose();
   void DiscardInput();
 
+  /// Tells the budget what the connection holds. Returns whether the connection is still open.
+  bool UpdateBudget();
   void ArmTimer(Duration after, std::function<void()> action);
   void DisarmTimer();
   bool IsCurrent(std::uint64_t exchange) const { return request_open_ && exchange == exchange_; }
@@ -95,8 +107,8 @@
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;
   std::uint64_t timer_generation_ = 0;
-  boost::beast::flat_buffer buffer_;
-  std::optional<RequestParser> parser_;
+  ConnectionBudget::Id budget_id_ = 0;
+  RequestReader reader_;
 
   /// Number of the current request of this connection.
   std::uint64_t exchange_ = 0;
--- a/src/fleet/node.cc
+++ b/src/fleet/node.cc
@@ -57,6 +57,13 @@
   return error ? std::filesystem::file_time_type::min() : written;
 }
 
+/// Returns the limits of all accepted connections, within the process's limit of descriptors.
+ConnectionLimits LimitsOf(const NodeSettings& settings) {
+  ConnectionLimits limits = settings.connections;
+  limits.connections = ConnectionsWithinProcessLimit(limits.connections);
+  return limits;
+}
+
 void SleepUntil(TimePoint time) {
   const Duration wait = time - Clock::Now();
   if (wait > Duration()) {
@@ -114,7 +121,7 @@
         *store_, *peers_, executor,
         [this](Duration delay, std::function<void()> work) { PostAfter(delay, std::move(work)); },
         *adapters_.callers, metrics_, settings_.name, settings_.advertised,
-        [this] { return scheduler_.get(); }});
+        [this] { return scheduler_.get(); }, settings_.entry});
   } else {
     FleetAgentOptions agent;
     agent.node = settings_.name;
@@ -128,6 +135,7 @@
                              [this] { return scheduler_.get(); }},
         agent);
   }
+  connection_budget_ = std::make_shared<ConnectionBudget>(LimitsOf(settings_));
   running_ = true;
   Post([this] {
     if (entry_role_) operator_watch_->Start();
@@ -229,6 +237,8 @@
   }
   const NodeSettingsChange change = ApplyChanges(outcome.settings, settings_);
   SetLogLevel(settings_.log_level);
+  connection_budget_->SetLimits(LimitsOf(settings_));
+  if (entry_) entry_->SetLimits(settings_.entry);
   SetPeers();
   Log(EventId::kSettingsReloaded, "cause=\"{}\" applied={} after_restart={}", cause,
       fmt::join(change.applied, ","), fmt::join(change.deferred, ","));
