Ask for changes when the watch lacks a stored job

Cause: the scheduler learns of jobs and cancellations from a watch of the store alone. When the watch's connection stops delivering answers, they arrive only when it is renewed, up to 1.7 s later, longer than the slack of an urgent gang.

Change: entries send the scheduler the revision of each item that they have stored, if scheduling.inbox_notices is set. A scheduler whose watch has not reached it after 60 ms asks the store for changes. The notice carries no content.

--- a/include/basilspring/fleet/entry_server.h
+++ b/include/basilspring/fleet/entry_server.h
@@ -38,6 +38,8 @@
     Address own_address;
     /// Returns the scheduler in this process, or nullptr if there is none.
     std::function<SchedulerDriver*()> local_scheduler;
+    /// Whether the scheduler gets a notice of each stored submission and cancellation.
+    bool sends_inbox_notices = false;
   };
 
   explicit EntryServer(Context context);
@@ -110,6 +112,9 @@
   /// does not answer either, and writes the job again if it is missing.
   void ResolveDoubt(const ExchangePtr& exchange, const std::string& bytes);
   void StoreJob(const ExchangePtr& exchange, const std::string& bytes);
+  /// Sends the scheduler a notice of an item that was stored at this revision. A lost notice delays
+  /// nothing beyond the watch of the store.
+  void NotifyScheduler(std::int64_t revision);
   /// Answers with the phase of the job, from the scheduler if possible.
   void QueryJob(const ExchangePtr& exchange);
   /// Answers with the phase of the job as far as the store shows it.
--- a/include/basilspring/fleet/node_settings.h
+++ b/include/basilspring/fleet/node_settings.h
@@ -41,6 +41,8 @@
   /// Share of a processor core that the process may use. Processes with a larger share contend for
   /// the scheduler's lease earlier.
   double processor_share = 1.0;
+  /// Entries only: whether the scheduler gets a notice of each stored submission and cancellation.
+  bool inbox_notices = false;
   /// Time for requests in flight to finish on a graceful stop.
   Duration drain_limit = Duration(5000);
   LogLevel log_level = LogLevel::kInfo;
@@ -56,8 +58,8 @@
 struct NodeSettingsChange {
   /// Keys whose new value the running process uses.
   std::vector<std::string> applied;
-  /// Keys whose new value takes effect only after a restart: the role, names, addresses and the
-  /// processor share.
+  /// Keys whose new value takes effect only after a restart: the role, names, addresses, the
+  /// processor share and the notices of the inbox.
   std::vector<std::string> deferred;
 };
 
--- a/include/basilspring/fleet/peer_messages.h
+++ b/include/basilspring/fleet/peer_messages.h
@@ -153,6 +153,21 @@
   BASILSPRING_SERIALIZE(accepted, term, scheduler, queues, shapes, peers)
 };
 
+/// An entry's notice to the scheduler that it has stored a submission or a cancellation. It carries
+/// no content: the scheduler asks the store for changes if its watch does not deliver them.
+struct InboxNotice {
+  static constexpr const char* kPath = "/fleet/inbox-notice";
+  /// Revision of the store at which the item was written.
+  std::int64_t revision = 0;
+  BASILSPRING_SERIALIZE(revision)
+};
+
+struct InboxNoticeReply {
+  /// False if the process asked is not the scheduler.
+  bool accepted = false;
+  BASILSPRING_SERIALIZE(accepted)
+};
+
 /// A call to the store that a process without a direct connection asks a peer to make.
 struct RelayedStoreCall {
   static constexpr const char* kPath = "/fleet/store";
--- a/include/basilspring/fleet/scheduler_driver.h
+++ b/include/basilspring/fleet/scheduler_driver.h
@@ -83,6 +83,9 @@
   /// the store, or after a short time even if they are not.
   void OnReport(const AgentReport& report, std::function<void(AgentReportReply)> answer);
   JobQueryReply OnQuery(const JobQuery& query) const;
+  /// Asks the store for changes of the inbox if the watch has not delivered the item shortly after
+  /// the notice, because its connection may have stopped delivering answers.
+  void OnInboxNotice(const InboxNotice& notice);
   /// Answers an entry's query for the queues, the worker shapes and the peers, and adds the entry
   /// to the peers through which other processes can relay store calls.
   SummaryReply OnSummary(const SummaryQuery& query);
@@ -163,6 +166,10 @@
   /// Version of the operators' configuration that the scheduler uses; 0 if it knows none.
   std::int64_t config_version_ = 0;
   std::int64_t agents_revision_ = 0;
+  /// Highest revision of the inbox of which an entry has sent a notice, and whether a check of it
+  /// is pending.
+  std::int64_t noticed_revision_ = 0;
+  bool notice_check_pending_ = false;
   bool inbox_loaded_ = false;
   bool progress_loaded_ = false;
   bool agents_loaded_ = false;
--- a/src/fleet/entry_server.cc
+++ b/src/fleet/entry_server.cc
@@ -346,6 +346,7 @@
   context_.store.Call(call, [this, alive = alive_, exchange](const StoreReply& reply) {
     if (!*alive) return;
     if (reply.status == StoreStatus::kOk) {
+      NotifyScheduler(reply.revision);
       Answer(exchange, JobPhaseAnswer{JobPhase::kCancelled});
     } else {
       RetryOrGiveUp(exchange, &EntryServer::StoreCancel,
--- a/src/fleet/entry_submit.cc
+++ b/src/fleet/entry_submit.cc
@@ -3,6 +3,7 @@
 #include "basilspring/fleet/entry_server.h"
 #include "basilspring/fleet/leadership.h"
 #include "fleet/entry_timing.h"
+#include "fleet/peer_call.h"
 
 // Submission of a job to an entry. A job is accepted once it is stored. It is refused as not stored
 // only if no write of this exchange can still store it.
@@ -18,6 +19,8 @@
 // Sent to callers that were refused because of the store, whose outages last several seconds.
 constexpr Duration kStoreRetryAfter(2000);
 constexpr Duration kProbeTimeout(350);
+// A later notice is of no use: by then the watch has been renewed.
+constexpr Duration kNoticeTimeout(1000);
 // Time between two probes while the store is unavailable.
 constexpr Duration kProbePause(200);
 // If a probe failed this recently, a job is refused without waiting for another one. Longer than a
@@ -127,6 +130,7 @@
         const bool conflict = reply.status == StoreStatus::kConflict;
         // If the key exists, an earlier attempt of the same request wrote it; it is the same job.
         if (reply.status == StoreStatus::kOk || (conflict && ContainsKey(reply, key))) {
+          if (reply.status == StoreStatus::kOk) NotifyScheduler(reply.revision);
           Answer(exchange, JobAcceptedAnswer{});
         } else if (conflict && ContainsKey(reply, cancel)) {
           // An attempt that was not answered can't store the job any more either.
@@ -137,6 +141,17 @@
       });
 }
 
+void EntryServer::NotifyScheduler(std::int64_t revision) {
+  if (!context_.sends_inbox_notices) return;
+  const InboxNotice notice{revision};
+  if (SchedulerDriver* local = context_.local_scheduler()) {
+    local->OnInboxNotice(notice);
+  } else if (!scheduler_.empty()) {
+    internal::CallPeer<InboxNoticeReply>(context_.peers, scheduler_, notice, kNoticeTimeout,
+                                         [](const std::optional<InboxNoticeReply>&) {});
+  }
+}
+
 void EntryServer::OnJobNotStored(const ExchangePtr& exchange, const std::string& bytes,
                                  const StoreReply& reply) {
   exchange->in_doubt = exchange->in_doubt || reply.status == StoreStatus::kUnknown;
--- a/src/fleet/node.cc
+++ b/src/fleet/node.cc
@@ -114,7 +114,7 @@
         *store_, *peers_, executor,
         [this](Duration delay, std::function<void()> work) { PostAfter(delay, std::move(work)); },
         *adapters_.callers, metrics_, settings_.name, settings_.advertised,
-        [this] { return scheduler_.get(); }});
+        [this] { return scheduler_.get(); }, settings_.inbox_notices});
   } else {
     FleetAgentOptions agent;
     agent.node = settings_.name;
--- a/src/fleet/node_requests.cc
+++ b/src/fleet/node_requests.cc
@@ -129,6 +129,13 @@
     Serve<SummaryQuery>(request.body, responder, [&](const SummaryQuery& query) {
       RespondOk(responder, scheduler_ ? scheduler_->OnSummary(query) : SummaryReply());
     });
+  } else if (request.path == InboxNotice::kPath) {
+    Serve<InboxNotice>(request.body, responder, [&](const InboxNotice& notice) {
+      if (scheduler_) scheduler_->OnInboxNotice(notice);
+      InboxNoticeReply reply;
+      reply.accepted = scheduler_ != nullptr;
+      RespondOk(responder, reply);
+    });
   } else if (request.path == RelayedStoreCall::kPath) {
     Serve<RelayedStoreCall>(request.body, responder,
                             [&](const RelayedStoreCall& call) { RelayStoreCall(call, responder); });
--- a/src/fleet/node_settings.cc
+++ b/src/fleet/node_settings.cc
@@ -62,7 +62,8 @@
   settings.drain_limit = grace - kDrainMargin;
 }
 
-void ReadScheduling(SettingsReader& reader, SchedulerOptions& options) {
+void ReadScheduling(SettingsReader& reader, NodeSettings& settings) {
+  SchedulerOptions& options = settings.scheduler;
   if (const auto shortage =
           reader.Choice("scheduling.shortage", Presence::kOptional, "tiers|cost")) {
     options.shortage = *shortage == "cost" ? ShortagePolicy::kCost : ShortagePolicy::kTiers;
@@ -75,6 +76,10 @@
           reader.Choice("scheduling.refuse_hopeless", Presence::kOptional, "yes|no")) {
     options.refuse_hopeless = *refuse == "yes";
   }
+  if (const auto notices =
+          reader.Choice("scheduling.inbox_notices", Presence::kOptional, "yes|no")) {
+    settings.inbox_notices = *notices == "yes";
+  }
 }
 
 }  // namespace
@@ -92,7 +97,7 @@
       DataCentreId(reader.Name("process.data_centre", Presence::kRequired).value_or(""));
   ReadNetwork(reader, settings);
   ReadLimits(reader, settings);
-  ReadScheduling(reader, settings.scheduler);
+  ReadScheduling(reader, settings);
   if (const auto level =
           reader.Choice("log.level", Presence::kOptional, "debug|info|warning|error")) {
     settings.log_level = LogLevelFromName(*level);
@@ -132,6 +137,7 @@
   defer("network.backend", next.backend, current.backend);
   defer("network.metrics", next.metrics, current.metrics);
   defer("network.store", next.store, current.store);
+  defer("scheduling.inbox_notices", next.inbox_notices, current.inbox_notices);
   defer("limits.processor_share", next.processor_share, current.processor_share);
   return change;
 }
--- a/src/fleet/scheduler_driver.cc
+++ b/src/fleet/scheduler_driver.cc
@@ -20,6 +20,9 @@
 constexpr Duration kOrderTimeout(2500);
 constexpr Duration kAnnouncementTimeout(1000);
 constexpr Duration kLoadRetry(100);
+// Time in which the watch delivers an item of which an entry has sent a notice. Both travel at the
+// same time, and a call to the store in another region takes about 30 ms.
+constexpr Duration kNoticeGrace(60);
 // A pass that takes longer is logged, at most once in this interval.
 constexpr Duration kSlowPass(100);
 constexpr Duration kSlowPassLogInterval(3000);
@@ -165,6 +168,28 @@
   if (ready_) RequestPass();
 }
 
+void SchedulerDriver::OnInboxNotice(const InboxNotice& notice) {
+  if (!inbox_loaded_ || notice.revision <= inbox_->revision()) return;
+  noticed_revision_ = std::max(noticed_revision_, notice.revision);
+  if (notice_check_pending_) return;
+  notice_check_pending_ = true;
+  context_.run_later(kNoticeGrace, [this, alive = alive_] {
+    if (!*alive) return;
+    notice_check_pending_ = false;
+    if (inbox_->revision() >= noticed_revision_) return;
+    Log(EventId::kFleetStore,
+        "term={} inbox_revision={} noticed_revision={} age_ms={} the watch lacks a stored item; "
+        "asking for changes",
+        term_.value(), inbox_->revision(), noticed_revision_,
+        (Clock::Now() - inbox_->current_at()).milliseconds());
+    context_.metrics
+        .GetCounter("basilspring_inbox_notices_ahead_total", "",
+                    "Times when entries had stored an item that the watch did not deliver.")
+        .Add();
+    inbox_->Refresh();
+  });
+}
+
 void SchedulerDriver::AddJob(const JobId& id, const StoreItem& item) {
   const TimePoint now = Clock::Now();
   const std::int64_t wall_ms = Clock::WallMilliseconds();
--- a/tests/fleet/entry_server_test.cc
+++ b/tests/fleet/entry_server_test.cc
@@ -1,13 +1,18 @@
 #include "basilspring/fleet/entry_server.h"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <map>
+#include <mutex>
 #include <optional>
 
 #include "basilspring/process/io_thread.h"
+#include "fleet/peer_call.h"
 #include "platform/caller_adapter.h"
 #include "scripted_store.h"
+#include "tests/connection/raw_socket.h"
 
 // Tests of EntryServer with a store whose answers each test sets and delays that each test ends.
 namespace basilspring::fleet {
@@ -24,9 +29,13 @@
   void OnDisconnect(std::function<void()>) override {}
 };
 
+constexpr const char* kJobBody = R"({"spec":"s","steps":[{"count":1,"cpu":1,"mem_mb":1}]})";
+
 class EntryServerTest : public ::testing::Test {
  protected:
-  EntryServerTest() {
+  EntryServerTest() { entry_.SetOperatorState(MakeState()); }
+
+  static std::shared_ptr<const OperatorState> MakeState() {
     auto state = std::make_shared<OperatorState>();
     Queue queue;
     queue.id = QueueId("q");
@@ -34,22 +43,40 @@
     queue.path_prefix = "/q/";
     queue.open_to_all = true;
     state->config.queues.push_back(queue);
-    entry_.SetOperatorState(state);
+    return state;
+  }
+
+  EntryServer::Context MakeContext() {
+    return EntryServer::Context{
+        access_,
+        peers_,
+        inline_executor_,
+        [this](Duration, std::function<void()> work) { delayed_.push_back(std::move(work)); },
+        format_,
+        metrics_,
+        NodeId("entry"),
+        Address{"127.0.0.1", 1},
+        [] { return nullptr; }};
   }
 
   std::shared_ptr<IgnoringResponder> Send(const std::string& method, const std::string& path,
                                           const std::string& body = "") {
+    return Send(entry_, method, path, body);
+  }
+  static std::shared_ptr<IgnoringResponder> Send(EntryServer& entry, const std::string& method,
+                                                 const std::string& path,
+                                                 const std::string& body = "") {
     HttpRequest request;
     request.method = method;
     request.path = path;
     request.headers["host"] = "h";
     request.body = body;
     auto responder = std::make_shared<IgnoringResponder>();
-    entry_.OnCaller(std::move(request), responder);
+    entry.OnCaller(std::move(request), responder);
     return responder;
   }
   std::shared_ptr<IgnoringResponder> Submit(const std::string& job) {
-    return Send("POST", "/q/" + job, R"({"spec":"s","steps":[{"count":1,"cpu":1,"mem_mb":1}]})");
+    return Send("POST", "/q/" + job, kJobBody);
   }
   std::shared_ptr<IgnoringResponder> Cancel(const std::string& job) {
     return Send("DELETE", "/q/" + job);
@@ -84,10 +111,8 @@
   MetricRegistry metrics_;
   std::deque<std::function<void()>> delayed_;
   std::map<std::string, std::string> items_;
-  EntryServer entry_{EntryServer::Context{
-      access_, peers_, inline_executor_,
-      [this](Duration, std::function<void()> work) { delayed_.push_back(std::move(work)); },
-      format_, metrics_, NodeId("entry"), Address{"127.0.0.1", 1}, [] { return nullptr; }}};
+  std::mutex mutex_;
+  EntryServer entry_{MakeContext()};
 };
 
 // Guards against overloading store and peers: during an outage of the store, each waiting
@@ -184,5 +209,44 @@
   EXPECT_EQ(held->status, 404);
 }
 
+// Guards against jobs and cancellations that the scheduler learns of only when its watch is
+// renewed: with the setting, it gets a notice with the revision of each stored item, and no other.
+TEST_F(EntryServerTest, SendsNoticesOfStoredItemsOnlyWithTheSetting) {
+  std::vector<std::int64_t> noticed;
+  const Address scheduler{fmt::format("127.7.{}.{}", ::getpid() / 256 % 256, ::getpid() % 256),
+                          7991};
+  HttpServer server(io_, scheduler,
+                    [&](const HttpRequest& request, const std::shared_ptr<HttpResponder>& out) {
+                      HttpResponse response;
+                      if (request.path == InboxNotice::kPath) {
+                        const auto notice = internal::DecodePeerBody<InboxNotice>(request.body);
+                        const std::lock_guard<std::mutex> lock(mutex_);
+                        noticed.push_back(notice.revision);
+                        response.body = internal::EncodePeerBody(InboxNoticeReply{true});
+                      }
+                      out->Respond(std::move(response));
+                    });
+  const auto count = [&] {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return noticed.size();
+  };
+  KeepItems();
+  entry_.OnScheduler(Term(1), scheduler);
+  EXPECT_EQ(Submit("00000000000000aa")->status, 200);
+  EntryServer::Context context = MakeContext();
+  context.sends_inbox_notices = true;
+  EntryServer notifying(context);
+  notifying.SetOperatorState(MakeState());
+  notifying.OnScheduler(Term(1), scheduler);
+  Send(notifying, "POST", "/q/00000000000000bb", kJobBody);
+  EXPECT_TRUE(Eventually([&] { return count() == 1; }));
+  Send(notifying, "DELETE", "/q/00000000000000bb");
+  EXPECT_TRUE(Eventually([&] { return count() == 2; }));
+  // A repeated submission stores nothing.
+  Send(notifying, "POST", "/q/00000000000000bb", kJobBody);
+  EXPECT_EQ(count(), 2U);
+  EXPECT_EQ(noticed, (std::vector<std::int64_t>{5, 5}));
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
--- a/tests/fleet/scheduler_driver_test.cc
+++ b/tests/fleet/scheduler_driver_test.cc
@@ -413,5 +413,45 @@
   EXPECT_EQ(pages, (std::vector<std::string>{"", first, first}));
 }
 
+// Guards against urgent jobs that wait until the watch of the inbox is renewed, for up to 1.7 s,
+// because its connection has stopped delivering answers.
+TEST_F(SchedulerDriverTest, ANoticeOfAnUnknownItemMakesTheDriverAskForChanges) {
+  AnswerFromItems();
+  const auto driver = MakeReadyDriver();
+  const auto watches_without_wait = [&] {
+    return std::count_if(store_.calls.begin(), store_.calls.end(), [](const StoreCall& call) {
+      return call.kind() == StoreOperation::kWatch && call.wait == Duration(0);
+    });
+  };
+  ASSERT_EQ(watches_without_wait(), 0);
+  driver->OnInboxNotice(InboxNotice{50});
+  RunPosted();
+  EXPECT_EQ(watches_without_wait(), 0) << "revision 50 is known";
+  driver->OnInboxNotice(InboxNotice{60});
+  driver->OnInboxNotice(InboxNotice{61});
+  RunPosted();
+  EXPECT_EQ(watches_without_wait(), 1) << "notices within the grace period share one call";
+}
+
+// Guards against a call to the store for each job while the watch works: an item that the watch
+// delivers before the end of the grace period needs none.
+TEST_F(SchedulerDriverTest, ANoticeOfAnItemThatTheWatchDeliversCausesNoCall) {
+  AnswerFromItems();
+  const auto driver = MakeReadyDriver();
+  ASSERT_FALSE(store_.held.empty());
+  const auto calls = store_.calls.size();
+  // The answer of the watch is handled after the notice and before the end of the grace period.
+  const StoreReply reply = MakeReply(StoreStatus::kOk, 60);
+  for (const StoreHandler& handler : std::exchange(store_.held, {})) handler(reply);
+  driver->OnInboxNotice(InboxNotice{60});
+  RunPosted();
+  const bool asked =
+      std::any_of(store_.calls.begin() + static_cast<std::ptrdiff_t>(calls), store_.calls.end(),
+                  [](const StoreCall& call) {
+                    return call.kind() == StoreOperation::kWatch && call.wait == Duration(0);
+                  });
+  EXPECT_FALSE(asked);
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
