Do not refuse chunked bodies because their chunks are small

Cause: the limit on the framing of a chunked body counted the lines of chunk sizes alone, so a body of 4 KB in chunks of one byte was answered with 431, although nothing of its framing is held.

Change: 5 bytes of framing for each byte of the body are free; what is not parsed yet stays within the limit.

Measured: HttpServerTest.ServesABodyInChunksOfOneByte; endless framing is still answered with 431.

--- a/src/connection/request_reader.cc
+++ b/src/connection/request_reader.cc
@@ -17,6 +17,9 @@
 /// further bytes, so fewer need not be parsed. Beast 1.81 asserts that the parser is not called
 /// with fewer once it has seen a last chunk at the beginning of a body.
 constexpr std::size_t kMinChunkedEnd = 5;
+/// Framing of a chunk without an extension that holds one byte: "1" and two line ends. Each byte of
+/// a body may come in a chunk of its own, and such a body is not refused.
+constexpr std::size_t kFramingPerBodyByte = 5;
 /// Memory that a header field takes besides its text. It matters for fields of single bytes.
 constexpr std::size_t kFieldBytes = 128;
 
@@ -65,7 +68,7 @@
   body_input_bytes_ += parsed;
   const bool needs_more = error_ == http::error::need_more;
   if (error_ && !needs_more) return ReadStep::kFailed;
-  if (parser_->chunked() && FramingBytes() > limits_.max_framing_bytes) {
+  if (parser_->chunked() && ExceedsFramingLimit()) {
     framing_exceeded_ = true;
     error_ = http::make_error_code(http::error::header_limit);
     return ReadStep::kFailed;
@@ -75,11 +78,14 @@
   return ReadStep::kComplete;
 }
 
-std::size_t RequestReader::FramingBytes() const {
+bool RequestReader::ExceedsFramingLimit() const {
   // The parser takes over bytes of a chunk's content as they arrive. What it leaves is the
   // incomplete line of a chunk's size or the incomplete trailers, or belongs to the next request.
   const std::size_t unparsed = parser_->is_done() ? 0 : input_bytes();
-  return body_input_bytes_ - parser_->get().body().size() + unparsed;
+  const std::size_t body = parser_->get().body().size();
+  const std::size_t framing = body_input_bytes_ - body + unparsed;
+  return unparsed > limits_.max_framing_bytes ||
+         framing > limits_.max_framing_bytes + kFramingPerBodyByte * body;
 }
 
 std::size_t RequestReader::held_request_bytes() const {
--- a/src/connection/request_reader.h
+++ b/src/connection/request_reader.h
@@ -58,8 +58,9 @@
   ReadStep ParseHeader();
   ReadStep ParseBody();
   void CountFields();
-  /// Chunk sizes, extensions and trailers so far, including those that are not parsed yet.
-  std::size_t FramingBytes() const;
+  /// Whether the chunk sizes, extensions and trailers so far exceed the limit, altogether or those
+  /// that are not parsed yet.
+  bool ExceedsFramingLimit() const;
 
   const HttpLimits& limits_;
   /// Appended bytes; those before `parsed_` have been parsed.
--- a/tests/connection/http_server_test.cc
+++ b/tests/connection/http_server_test.cc
@@ -132,6 +132,17 @@
   EXPECT_EQ(found, 3U) << answers;
 }
 
+// Guards against a limit on framing that refuses a body in chunks of one byte: its framing is five
+// times as large as the body, and nothing of it is held.
+TEST_F(HttpServerTest, ServesABodyInChunksOfOneByte) {
+  HttpLimits limits;
+  limits.max_framing_bytes = 64;
+  ServeEcho(limits);
+  std::string request = "POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (int i = 0; i < 5000; ++i) request += "1\r\nx\r\n";
+  EXPECT_TRUE(HasStatus(Exchange(request + "0\r\n\r\n"), 200));
+}
+
 // Guards against a length in a header that occupies memory before the body arrives.
 TEST_F(HttpServerTest, ReservesNoMemoryForAnAnnouncedBody) {
   HttpLimits limits;
