Make no promise about the job when the callers' listener is overloaded

Cause: an entry that is overloaded answered 503 before it had read the job's id. Callers take 503 for the promise that the job never runs, but an earlier attempt under the same id may have been accepted.

Change: HttpLimits::overload_outcome_unknown turns these answers into 504; the callers' listener sets it.

--- a/include/basilspring/connection/http_server.h
+++ b/include/basilspring/connection/http_server.h
@@ -58,9 +58,13 @@
 struct HttpLimits {
   std::size_t max_header_bytes = 16 * 1024;
   std::size_t max_body_bytes = 1024 * 1024;
-  /// Chunk sizes, chunk extensions and trailers of one request with a chunked body, altogether.
+  /// Chunk sizes, chunk extensions and trailers of one request with a chunked body, beyond 5 bytes
+  /// for each byte of the body, which small chunks need.
   std::size_t max_framing_bytes = 16 * 1024;
   std::size_t max_connections = 4096;
+  /// Whether an overloaded server answers 504 instead of 503. For listeners whose callers take 503
+  /// for the promise that a job never runs: an earlier attempt may have been accepted.
+  bool overload_outcome_unknown = false;
   /// Time limit for a request to arrive completely, counted from its first byte.
   Duration read_timeout = Duration(10000);
   /// Time limit for a connection to wait for its next request.
--- a/src/connection/http_server.cc
+++ b/src/connection/http_server.cc
@@ -107,7 +107,7 @@
   shared->sessions.insert(session);
   session->JoinBudget();
   if (refused) {
-    session->Reject(503, ErrorKind::kOverloaded, "too many connections");
+    session->RejectOverload("too many connections");
   } else {
     session->AwaitRequest();
   }
--- a/src/connection/http_session.cc
+++ b/src/connection/http_session.cc
@@ -185,8 +185,7 @@
   reader_.DropRequest();
   ConnectionBudget::Charge charge = server_->budget->TryHandle(request_bytes);
   if (!charge) {
-    Reject(503, ErrorKind::kOverloaded,
-           "too much memory is held by requests; this one was not run");
+    RejectOverload("too much memory is held by requests");
     return;
   }
   CallHandler(std::move(request), std::move(charge));
@@ -218,6 +217,14 @@
   if (IsCurrent(exchange) && !response_complete_) WatchForDisconnect();
 }
 
+void HttpSession::RejectOverload(const std::string& reason) {
+  if (server_->limits.overload_outcome_unknown) {
+    Reject(504, ErrorKind::kTimeout, reason);
+  } else {
+    Reject(503, ErrorKind::kOverloaded, reason);
+  }
+}
+
 void HttpSession::Reject(int status, ErrorKind kind, const std::string& reason) {
   if (closed_) return;
   Log(EventId::kHttpRejected, "status={} reason=\"{}\"", status, reason);
--- a/src/connection/http_session.h
+++ b/src/connection/http_session.h
@@ -53,6 +53,8 @@
   void AwaitRequest();
   /// Sends an error response that no handler has produced, then closes the connection.
   void Reject(int status, ErrorKind kind, const std::string& reason);
+  /// The same because the server is overloaded.
+  void RejectOverload(const std::string& reason);
   /// Closes the connection if no part of the next request has arrived.
   void CloseIfIdle();
   /// Closes the connection at once; the caller of an open request counts as disconnected.
--- a/src/fleet/node_requests.cc
+++ b/src/fleet/node_requests.cc
@@ -58,10 +58,13 @@
          }),
          peer_limits);
   if (entry_) {
+    HttpLimits caller_limits;
+    caller_limits.overload_outcome_unknown = true;
     listen("callers", settings_.callers,
            on_state_thread([this](HttpRequest request, Responder responder) {
              entry_->OnCaller(std::move(request), std::move(responder));
-           }));
+           }),
+           caller_limits);
     listen("readiness", settings_.readiness,
            on_state_thread([this](const HttpRequest&, const Responder& responder) {
              responder->Respond(entry_->ready() ? PlainResponse(200, "ready\n")
