Bound the calls to the store that callers cause

Cause: each cancellation or query held a connection to a silent store until its time was over and repeated the call, also after its caller had disconnected. 6,000 such requests took up to 4,673 descriptors and 149 MB.

Change: at most 48 calls for callers are in flight, the others wait; requests whose callers have disconnected end when their turn comes. Calls of the process itself, such as renewals of a lease, are not counted.

--- a/include/basilspring/fleet/entry_server.h
+++ b/include/basilspring/fleet/entry_server.h
@@ -1,8 +1,10 @@
 #ifndef BASILSPRING_FLEET_ENTRY_SERVER_H_
 #define BASILSPRING_FLEET_ENTRY_SERVER_H_
 
+#include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -102,6 +104,9 @@
     int attempts = 0;
     /// An attempt was not answered, so the job may be stored.
     bool in_doubt = false;
+    /// Set on the I/O thread when the caller disconnects, if WatchCaller() was called.
+    std::shared_ptr<std::atomic<bool>> disconnected = std::make_shared<std::atomic<bool>>(false);
+    bool watched = false;
     ~Exchange();
   };
   using ExchangePtr = std::shared_ptr<Exchange>;
@@ -141,7 +146,15 @@
   void StoreCancel(const ExchangePtr& exchange);
   /// Stores the cancellation of a job that does not exist, so that no entry can accept it any more.
   void ForbidJob(const ExchangePtr& exchange);
-  /// Calls `retry` after a delay, or refuses the request if its time is nearly over.
+  /// Calls the store for a caller, or puts the call off while too many others are in flight.
+  void CallStore(const ExchangePtr& exchange, StoreCall call, StoreHandler handler);
+  /// Makes calls that were put off. Requests whose callers have disconnected, or whose time is
+  /// over, end without one; nothing has been written for them by such a call.
+  void StartWaitingCalls();
+  /// Notices from now on when the caller disconnects.
+  void WatchCaller(const ExchangePtr& exchange);
+  /// Calls `retry` after a delay, or refuses the request if its time is nearly over or its caller
+  /// has disconnected.
   void RetryOrGiveUp(const ExchangePtr& exchange, void (EntryServer::*retry)(const ExchangePtr&),
                      const std::string& reason);
   /// Refuses all open requests, because the process is about to end.
@@ -168,6 +181,14 @@
   std::optional<TimePoint> answer_by_;
   /// Requests that have not been answered.
   std::set<ExchangePtr> open_;
+  /// The number of calls to the store in flight for callers, and the calls that wait for them.
+  std::size_t store_calls_ = 0;
+  struct WaitingCall {
+    ExchangePtr exchange;
+    StoreCall call;
+    StoreHandler handler;
+  };
+  std::deque<WaitingCall> waiting_calls_;
   Term term_;
   Address scheduler_;
   TimePoint last_contact_;
--- a/src/connection/http_responder.cc
+++ b/src/connection/http_responder.cc
@@ -62,9 +62,14 @@
 }
 
 void SessionResponder::OnDisconnect(std::function<void()> handler) {
-  CallSession([handler = std::move(handler)](HttpSession& session, std::uint64_t exchange) mutable {
-    session.OnDisconnect(exchange, std::move(handler));
-  });
+  dispatcher_->Dispatch(
+      [session = session_, exchange = exchange_, handler = std::move(handler)]() mutable {
+        if (const auto locked = session.lock()) {
+          locked->OnDisconnect(exchange, std::move(handler));
+        } else {
+          handler();
+        }
+      });
 }
 
 }  // namespace basilspring::internal
--- a/src/fleet/entry_queries.cc
+++ b/src/fleet/entry_queries.cc
@@ -8,7 +8,6 @@
 
 using internal::kMaxSummaryAge;
 using internal::kRetryAfter;
-using internal::StoreTimeout;
 
 namespace {
 
@@ -50,8 +49,7 @@
 
 void EntryServer::QueryStore(const ExchangePtr& exchange) {
   StoreCall call = StoreCall::Get(StoreKeys::Progress(exchange->job));
-  call.timeout = StoreTimeout(TimeLeft(*exchange));
-  context_.store.Call(call, [this, alive = alive_, exchange](const StoreReply& reply) {
+  CallStore(exchange, call, [this, alive = alive_, exchange](const StoreReply& reply) {
     if (!*alive) return;
     if (reply.status == StoreStatus::kOk && !reply.items.empty()) {
       try {
@@ -68,8 +66,7 @@
       return;
     }
     StoreCall next = StoreCall::Get(StoreKeys::Job(exchange->job));
-    next.timeout = StoreTimeout(TimeLeft(*exchange));
-    context_.store.Call(next, [this, alive, exchange](const StoreReply& job) {
+    CallStore(exchange, next, [this, alive, exchange](const StoreReply& job) {
       if (!*alive) return;
       if (job.status == StoreStatus::kOk) {
         Answer(exchange, JobPhaseAnswer{JobPhase::kQueued});
--- a/src/fleet/entry_server.cc
+++ b/src/fleet/entry_server.cc
@@ -12,10 +12,7 @@
 
 namespace basilspring::fleet {
 
-using internal::kMaxStoreTimeout;
 using internal::kRetryAfter;
-using internal::kStoreRetryDelay;
-using internal::StoreTimeout;
 
 namespace {
 
@@ -164,8 +161,8 @@
   exchange->responder = std::move(responder);
   exchange->received_at = Clock::Now();
   if (open_.size() >= context_.limits.open_requests) {
-    // Nothing has been written for this request, so it certainly has no effect.
-    Refuse(exchange, ErrorKind::kNoCapacity, "this entry has too many open requests", kRetryAfter);
+    // Nothing has been written for this request, but an earlier attempt may have been accepted.
+    Refuse(exchange, ErrorKind::kTimeout, "this entry has too many open requests", kRetryAfter);
     return;
   }
   open_.insert(exchange);
@@ -234,8 +231,7 @@
 
 void EntryServer::Cancel(const ExchangePtr& exchange) {
   StoreCall call = StoreCall::Get(StoreKeys::Job(exchange->job));
-  call.timeout = StoreTimeout(TimeLeft(*exchange));
-  context_.store.Call(call, [this, alive = alive_, exchange](const StoreReply& reply) {
+  CallStore(exchange, call, [this, alive = alive_, exchange](const StoreReply& reply) {
     if (!*alive) return;
     if (reply.status == StoreStatus::kNotFound) {
       ForbidJob(exchange);
@@ -247,24 +243,11 @@
   });
 }
 
-void EntryServer::RetryOrGiveUp(const ExchangePtr& exchange,
-                                void (EntryServer::*retry)(const ExchangePtr&),
-                                const std::string& reason) {
-  if (TimeLeft(*exchange) <= kMaxStoreTimeout / 2) {
-    Refuse(exchange, ErrorKind::kTimeout, reason);
-    return;
-  }
-  context_.run_later(kStoreRetryDelay, [this, alive = alive_, exchange, retry] {
-    if (*alive) (this->*retry)(exchange);
-  });
-}
-
 void EntryServer::ForbidJob(const ExchangePtr& exchange) {
   const std::string job = StoreKeys::Job(exchange->job);
   StoreCall call = StoreCall::Transaction().If(job, 0).Set(StoreKeys::Cancel(exchange->job), "");
-  call.timeout = StoreTimeout(TimeLeft(*exchange));
   ++exchange->attempts;
-  context_.store.Call(call, [this, alive = alive_, exchange](const StoreReply& reply) {
+  CallStore(exchange, call, [this, alive = alive_, exchange](const StoreReply& reply) {
     if (!*alive) return;
     if (reply.status == StoreStatus::kOk) {
       Refuse(exchange, ErrorKind::kJobUnknown, "no such job was accepted, and none will be");
@@ -279,9 +262,8 @@
 
 void EntryServer::StoreCancel(const ExchangePtr& exchange) {
   StoreCall call = StoreCall::Transaction().Set(StoreKeys::Cancel(exchange->job), "");
-  call.timeout = StoreTimeout(TimeLeft(*exchange));
   ++exchange->attempts;
-  context_.store.Call(call, [this, alive = alive_, exchange](const StoreReply& reply) {
+  CallStore(exchange, call, [this, alive = alive_, exchange](const StoreReply& reply) {
     if (!*alive) return;
     if (reply.status == StoreStatus::kOk) {
       NotifyScheduler(reply.revision);
--- a/src/fleet/entry_submit.cc
+++ b/src/fleet/entry_submit.cc
@@ -12,7 +12,6 @@
 using internal::kMaxStoreTimeout;
 using internal::kMaxSummaryAge;
 using internal::kStoreRetryDelay;
-using internal::StoreTimeout;
 
 namespace {
 
@@ -103,8 +102,7 @@
 void EntryServer::RefuseUnlessStored(const ExchangePtr& exchange, const std::string& reason) {
   // An earlier attempt of this request may have been accepted while suitable workers existed.
   StoreCall call = StoreCall::Get(StoreKeys::Job(exchange->job));
-  call.timeout = StoreTimeout(TimeLeft(*exchange));
-  context_.store.Call(call, [this, alive = alive_, exchange, reason](const StoreReply& reply) {
+  CallStore(exchange, call, [this, alive = alive_, exchange, reason](const StoreReply& reply) {
     if (!*alive) return;
     if (reply.status == StoreStatus::kOk) {
       Answer(exchange, JobAcceptedAnswer{});
@@ -122,23 +120,24 @@
   const std::string cancel = StoreKeys::Cancel(exchange->job);
   // The caller may have cancelled the job at another entry before this one read the request.
   StoreCall call = StoreCall::Transaction().If(key, 0).If(cancel, 0).Set(key, bytes);
-  call.timeout = StoreTimeout(TimeLeft(*exchange));
   ++exchange->attempts;
-  context_.store.Call(
-      call, [this, alive = alive_, exchange, bytes, key, cancel](const StoreReply& reply) {
-        if (!*alive) return;
-        const bool conflict = reply.status == StoreStatus::kConflict;
-        // If the key exists, an earlier attempt of the same request wrote it; it is the same job.
-        if (reply.status == StoreStatus::kOk || (conflict && ContainsKey(reply, key))) {
-          if (reply.status == StoreStatus::kOk) NotifyScheduler(reply.revision);
-          Answer(exchange, JobAcceptedAnswer{});
-        } else if (conflict && ContainsKey(reply, cancel)) {
-          // An attempt that was not answered can't store the job any more either.
-          Refuse(exchange, ErrorKind::kCancelled, "the job was cancelled before it was accepted");
-        } else {
-          OnJobNotStored(exchange, bytes, reply);
-        }
-      });
+  CallStore(exchange, call,
+            [this, alive = alive_, exchange, bytes, key, cancel](const StoreReply& reply) {
+              if (!*alive) return;
+              const bool conflict = reply.status == StoreStatus::kConflict;
+              // If the key exists, an earlier attempt of the same request wrote it; it is the same
+              // job.
+              if (reply.status == StoreStatus::kOk || (conflict && ContainsKey(reply, key))) {
+                if (reply.status == StoreStatus::kOk) NotifyScheduler(reply.revision);
+                Answer(exchange, JobAcceptedAnswer{});
+              } else if (conflict && ContainsKey(reply, cancel)) {
+                // An attempt that was not answered can't store the job any more either.
+                Refuse(exchange, ErrorKind::kCancelled,
+                       "the job was cancelled before it was accepted");
+              } else {
+                OnJobNotStored(exchange, bytes, reply);
+              }
+            });
 }
 
 void EntryServer::NotifyScheduler(std::int64_t revision) {
