Let the scheduler keep capacity free by the forecast

Cause: the scheduler had its own decaying peak of the urgent demand.

Change: UpdateHeadroom collects the demand, the slack of each urgent queue and the capacity of each service, and calls UrgentHeadroom. The slack is computed with HeadroomPolicy::kForecast only.

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -16,6 +16,7 @@
 #include "basilspring/fleet/peer_messages.h"
 #include "basilspring/fleet/run_time_model.h"
 #include "basilspring/fleet/scheduler_options.h"
+#include "basilspring/fleet/urgent_headroom.h"
 
 namespace basilspring::fleet {
 
@@ -142,6 +143,8 @@
   /// are still being stored. Ends that can't be stored at present don't count.
   bool HasUnsavedEnds(const NodeId& node) const;
   const SchedulerCounts& counts() const { return counts_; }
+  /// As of the last pass in which there were jobs.
+  const UrgentHeadroom& urgent_headroom() const { return urgent_headroom_; }
   /// Returns whether the agent may have runs: it reports, or its last lease has not expired yet.
   bool KnowsAgent(const NodeId& node) const { return workers_.count(node) > 0; }
 
@@ -519,7 +522,7 @@
   static std::int64_t UnacknowledgedEnds(const Worker& worker);
   /// Returns whether new work of the service may be started on the worker.
   bool IsUsable(TimePoint now, const Worker& worker, const ServiceId& service) const;
-  /// Updates the decaying peak demand of priority 0 and derives the headroom from it.
+  /// Updates the headroom from the demand of the jobs of priority 0.
   void UpdateHeadroom(TimePoint now, Pass& pass);
   /// Returns how many of the step's waiting tasks may start without using the headroom.
   std::int32_t TasksWithinHeadroom(TimePoint now, const Pass& pass, const ReadyStep& ready) const;
@@ -567,10 +570,7 @@
   bool agents_incomplete_ = false;
   std::vector<WorkerShape> shapes_;
   RunTimeModel run_times_;
-  /// For each service the exponentially decaying peak of the accelerators that jobs of priority 0
-  /// use or wait for, and when the peaks were computed.
-  std::map<ServiceId, double> urgent_peaks_;
-  TimePoint urgent_peaks_at_;
+  UrgentHeadroom urgent_headroom_;
   /// Orders that were sent and have not been answered, with the incarnations they were sent to.
   struct BatchInFlight {
     NodeId node;
--- a/src/fleet/scheduler_core.cc
+++ b/src/fleet/scheduler_core.cc
@@ -26,6 +26,7 @@
       term_(term),
       term_started_at_(now),
       operator_state_(std::make_shared<OperatorState>()),
+      urgent_headroom_(options),
       next_session_((term.value() << 32U) + 1) {}
 
 std::size_t SchedulerCore::StepIndex(const Job& job, const TaskId& task) {
--- a/src/fleet/scheduler_pass.h
+++ b/src/fleet/scheduler_pass.h
@@ -47,6 +47,8 @@
   /// Services of which less than half of all accelerators, cores and memory are in use, on workers
   /// that are neither draining nor evacuated.
   std::set<ServiceId> idle_services;
+  /// For each service the accelerators of the workers that are neither draining nor evacuated.
+  std::map<ServiceId, std::int64_t> accelerators;
   /// For each service the accelerators that other work leaves free for jobs of priority 0.
   std::map<ServiceId, std::int64_t> headroom;
   std::int64_t HeadroomOf(const ServiceId& service) const {
--- a/src/fleet/scheduler_room.cc
+++ b/src/fleet/scheduler_room.cc
@@ -1,7 +1,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -114,6 +113,7 @@
     use.free += FreeCapacity(worker);
   }
   for (const auto& [service, use] : services) {
+    pass.accelerators[service] = use.capacity.accelerators;
     if (use.free.accelerators * 2 > use.capacity.accelerators &&
         use.free.milli_cores * 2 > use.capacity.milli_cores &&
         use.free.memory_mb * 2 > use.capacity.memory_mb) {
@@ -307,30 +307,31 @@
 }
 
 void SchedulerCore::UpdateHeadroom(TimePoint now, Pass& pass) {
-  std::map<ServiceId, double> urgent;
+  std::map<ServiceId, UrgentDemand> urgent;
   for (const JobId& id : active_) {
     const Job& job = jobs_.at(id);
     if (!IsUrgent(job) || job.record_fault != RecordFault::kNone) continue;
+    UrgentDemand& demand = urgent[job.queue.service];
     for (std::size_t i = 0; i < job.steps.size(); ++i) {
       if (!StepIsReady(job, i)) continue;
       const auto open = static_cast<std::int64_t>(job.steps[i].tasks.size()) - job.steps[i].done;
-      urgent[job.queue.service] += static_cast<double>(SpecOf(job, i).needs.accelerators * open);
+      demand.accelerators += SpecOf(job, i).needs.accelerators * open;
     }
+    if (options_.headroom == HeadroomPolicy::kPeak) continue;
+    const auto critical_path_ms = static_cast<double>(CriticalPath(job).milliseconds());
+    UrgentDemand::QueueSlack& slack = demand.slack[job.spec.queue];
+    slack.total = slack.total + job.queue.target_slack +
+                  Duration(static_cast<std::int64_t>(critical_path_ms * (job.queue.stretch - 1.0)));
+    ++slack.jobs;
   }
-  const auto elapsed = static_cast<double>((now - urgent_peaks_at_).milliseconds());
-  const auto memory = static_cast<double>(options_.headroom_decay_time.milliseconds());
-  const double decay = std::exp(-elapsed / memory);
-  for (auto& [service, peak] : urgent_peaks_) peak *= decay;
-  // A smaller peak gives no headroom.
-  std::erase_if(urgent_peaks_, [](const auto& row) { return row.second < 1.0; });
-  for (const auto& [service, demand] : urgent) {
-    double& peak = urgent_peaks_[service];
-    peak = std::max(peak, demand);
+  for (const auto& [service, accelerators] : pass.accelerators) {
+    urgent[service].capacity = accelerators;
   }
-  urgent_peaks_at_ = now;
-  for (const auto& [service, peak] : urgent_peaks_) {
-    pass.headroom[service] = static_cast<std::int64_t>(peak - urgent[service]);
+  urgent_headroom_.Update(now, urgent);
+  for (const auto& [service, state] : urgent_headroom_.services()) {
+    pass.headroom[service] = state.kept_free;
   }
+  for (std::string& text : urgent_headroom_.TakeChanges(now)) LogDecision(std::move(text));
 }
 
 std::int32_t SchedulerCore::TasksWithinHeadroom(TimePoint now, const Pass& pass,
