Show the capacity kept free for urgent work in the metrics

Cause: how much is kept free, and why, was visible only in the lines of waiting steps.

Change: gauges per service for the accelerators kept free, level, swing and stop pressure.

Measured: the scheduler, headroom and settings tests pass (133 tests). The output of the listener was not checked by a test.

--- a/src/fleet/node_requests.cc
+++ b/src/fleet/node_requests.cc
@@ -1,4 +1,8 @@
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <cmath>
+#include <string>
 #include <utility>
 
 #include "basilspring/process/log.h"
@@ -223,6 +227,17 @@
   set("basilspring_steps_ready", counts.steps_ready);
   set("basilspring_steps_blocked", counts.steps_blocked);
   set("basilspring_workers_on_probation", counts.workers_on_probation);
+  for (const auto& [service, state] : scheduler_->core().urgent_headroom().services()) {
+    const std::string label = fmt::format("service=\"{}\"", service.value());
+    const auto set_of_service = [&](const char* name, double value) {
+      metrics_.GetGauge(name, label).Set(std::llround(value));
+    };
+    constexpr double kPercent = 100;
+    set_of_service("basilspring_urgent_kept_free", static_cast<double>(state.kept_free));
+    set_of_service("basilspring_urgent_level", state.level);
+    set_of_service("basilspring_urgent_swing", state.swing);
+    set_of_service("basilspring_urgent_pressure_percent", state.pressure * kPercent);
+  }
 }
 
 }  // namespace basilspring::fleet
