Test who may use the capacity kept free by the forecast

Cause: the bounds on the headroom were tested with the decaying peak only.

Change: with the forecast, a service of which more than half is unused keeps nothing free, and a step that must start within 2 s uses what is kept free, while other work waits.

--- a/tests/fleet/scheduler_headroom_test.cc
+++ b/tests/fleet/scheduler_headroom_test.cc
@@ -224,5 +224,33 @@
   }
 }
 
+// Guards against work that waits for the headroom in a service that is less than half used, and
+// against work that is made late by it.
+TEST(SchedulerHeadroomTest, IdleServicesAndWorkAboutToBeLateUseTheHeadroom) {
+  FleetHarness fleet;
+  fleet.options.stop_time = Duration(900);
+  fleet.options.headroom = HeadroomPolicy::kForecast;
+  fleet.ChangeScheduler(2);
+  fleet.AddQueue("urgent", 0, kStretch, kTargetMs);
+  fleet.AddQueue("soon", 1, 1.0, 1000);
+  fleet.AddQueue("batch", 2, 3.0, 3 * kSecond);
+  fleet.AddWorkspace("other", 0);
+  for (int i = 0; i < 12; ++i) fleet.AddAgent("a" + std::to_string(i), "rack");
+  fleet.Advance(kSecond);
+  const JobId urgent = fleet.Submit("urgent", "other", MakeStep(80, 1, kUrgentMs));
+  ASSERT_TRUE(fleet.RunUntil(urgent, JobPhase::kCompleted, 5 * kSecond));
+  // All of the service is free.
+  const JobId first = fleet.Submit("batch", "other", MakeStep(56, 1, 60 * kSecond));
+  fleet.Advance(500);
+  EXPECT_EQ(fleet.StartsOf(first), 56U);
+  // 40 of 96 accelerators are free, and as many are kept free.
+  const JobId second = fleet.Submit("batch", "other", MakeStep(8, 1, 60 * kSecond));
+  fleet.Advance(500);
+  EXPECT_EQ(fleet.StartsOf(second), 0U);
+  const JobId soon = fleet.Submit("soon", "other", MakeStep(8, 1, 60 * kSecond));
+  fleet.Advance(500);
+  EXPECT_EQ(fleet.StartsOf(soon), 8U);
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
