Order the steps by the cost of their delay under a shortage

Within a tier, steps went by their latest start only: one long job that had to start half a second earlier made twelve short ones late. With scheduling.shortage = cost the larger order index goes first within a tier; ties go by latest start, job and step as before. Steps within their guarantee keep the order by latest start.

Measured: in ShortJobsAreServedBeforeALongOneWhenRoomIsShort, 0 of 12 short jobs are on time by tiers and 12 by cost; the long job is then late.

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "basilspring/clock.h"
+#include "basilspring/fleet/delay_cost.h"
 #include "basilspring/fleet/fleet_config.h"
 #include "basilspring/fleet/job_model.h"
 #include "basilspring/fleet/peer_messages.h"
@@ -330,30 +331,9 @@
     TimePoint last_active_at;
   };
 
-  /// A step with tasks that can start now.
-  struct ReadyStep {
-    Job* job = nullptr;
-    std::size_t step = 0;
-    /// One of the kTier constants.
-    std::int32_t tier = 0;
-    /// The latest start at which the job can still be on time or, if that has passed, can still be
-    /// of use to its caller.
-    TimePoint latest_start;
-    /// The predicted work of its waiting tasks, in weighted core-seconds (Resources::Weight()).
-    double own_work = 0;
-    /// Indices of the tasks to start.
-    std::vector<std::int32_t> waiting;
-  };
-
-  /// Preferences of placement that are given up for a step that has waited for long.
-  struct Relaxation {
-    /// The step need not be placed in the rack of its data or of its other tasks.
-    bool any_rack = false;
-    /// The step may use capacity that is held back for waiting gangs.
-    bool with_held_back = false;
-    /// The step may use workers on probation.
-    bool with_probation = false;
-  };
+  // Defined in fleet/scheduler_pass.h.
+  struct ReadyStep;
+  struct Relaxation;
   struct PlacementView;
   struct Pass;
 
@@ -468,7 +448,9 @@
   std::set<JobId> GuaranteedJobs() const;
   /// Returns the predicted length of the longest chain of dependent steps.
   Duration CriticalPath(const Job& job) const;
-  /// Sets the tier, the latest start and the predicted work.
+  /// Returns the value of `work` of the job, in weighted core-seconds.
+  JobValue ValueOf(const Job& job, Duration critical_path, double work) const;
+  /// Sets the tier, the latest start, the predicted work and the order index.
   void Rank(TimePoint now, const Pass& pass, ReadyStep& ready) const;
   /// Starts as many tasks as fit or, if permitted, preempts other runs and reserves their capacity.
   void TryStart(TimePoint now, Pass& pass, ReadyStep ready);
@@ -478,12 +460,6 @@
   /// other runs. Returns false if none fits.
   bool StartOnFreeCapacity(TimePoint now, Pass& pass, const ReadyStep& ready, std::int32_t count,
                            const PlacementView& view);
-  /// Starts tasks of the step on its reserved workers as their capacity becomes free; a gang starts
-  /// when all of it is. Returns false if tasks are left that have no reserved worker; `ready` then
-  /// contains only these.
-  bool TryStartReserved(TimePoint now, Pass& pass, ReadyStep& ready);
-  /// The same for a gang. Returns false if the reservation was given up.
-  bool TryStartReservedGang(TimePoint now, Pass& pass, const ReadyStep& ready);
   /// Gives the capacity that is held back for the step to others.
   void ReleaseHeldBack(Pass& pass, const Job& job, std::size_t step);
   void StartTasks(TimePoint now, Pass& pass, Job& job, std::size_t step,
@@ -492,6 +468,14 @@
   void StartTask(TimePoint now, Job& job, const TaskId& id, Worker& worker,
                  const std::string& checkpoint);
 
+  // Reservations, in scheduler_reservations.cc.
+  /// Starts tasks of the step on its reserved workers as their capacity becomes free; a gang starts
+  /// when all of it is. Returns false if tasks are left that have no reserved worker; `ready` then
+  /// contains only these.
+  bool TryStartReserved(TimePoint now, Pass& pass, ReadyStep& ready);
+  /// The same for a gang. Returns false if the reservation was given up.
+  bool TryStartReservedGang(TimePoint now, Pass& pass, const ReadyStep& ready);
+
   // Steps that are not started, in scheduler_waits.cc.
   BlockCause FindBlockCause(TimePoint now, const Job& job, std::size_t step) const;
   /// Counts the step if it is blocked, and logs the cause at intervals.
--- a/src/fleet/scheduler_pass.h
+++ b/src/fleet/scheduler_pass.h
@@ -23,6 +23,37 @@
 /// Too late to be of use to the caller.
 inline constexpr std::int32_t kTierTooLate = 3;
 
+/// A step with tasks that can start now.
+struct SchedulerCore::ReadyStep {
+  Job* job = nullptr;
+  std::size_t step = 0;
+  /// One of the kTier constants.
+  std::int32_t tier = 0;
+  /// The latest start at which the job can still be on time or, if that has passed, can still be
+  /// of use to its caller.
+  TimePoint latest_start;
+  /// The predicted work of its waiting tasks, in weighted core-seconds (Resources::Weight()).
+  double own_work = 0;
+  /// Indices of the tasks to start.
+  std::vector<std::int32_t> waiting;
+  /// The predicted time from the start of the step to the end of the job.
+  Duration critical_path;
+  /// What the waiting tasks are worth to the caller.
+  JobValue value;
+  /// OrderIndex() of the step; the same for all steps under ShortagePolicy::kTiers.
+  double index = 0;
+};
+
+/// Preferences of placement that are given up for a step that has waited for long.
+struct SchedulerCore::Relaxation {
+  /// The step need not be placed in the rack of its data or of its other tasks.
+  bool any_rack = false;
+  /// The step may use capacity that is held back for waiting gangs.
+  bool with_held_back = false;
+  /// The step may use workers on probation.
+  bool with_probation = false;
+};
+
 /// The capacity of the usable workers during one scheduling pass. Updated as the pass starts and
 /// stops runs.
 struct SchedulerCore::Pass {
--- a/src/fleet/scheduler_queue.cc
+++ b/src/fleet/scheduler_queue.cc
@@ -100,6 +100,18 @@
   return longest;
 }
 
+JobValue SchedulerCore::ValueOf(const Job& job, Duration critical_path, double work) const {
+  const double allowed = static_cast<double>(critical_path.milliseconds()) * job.queue.stretch +
+                         static_cast<double>(job.queue.target_slack.milliseconds());
+  JobValue value;
+  value.weight = WeightOfPriority(job.queue.priority);
+  value.work = work;
+  value.due = job.accepted_at + Duration(static_cast<std::int64_t>(allowed));
+  value.useless_after =
+      job.accepted_at + Duration(static_cast<std::int64_t>(allowed * kUsefulStretchFactor));
+  return value;
+}
+
 void SchedulerCore::Rank(TimePoint now, const Pass& pass, ReadyStep& ready) const {
   const Job& job = *ready.job;
   const StepSpec& spec = SpecOf(job, ready.step);
@@ -109,19 +121,20 @@
   constexpr double kMillisecondsPerSecond = 1000.0;
   ready.own_work = static_cast<double>(ready.waiting.size()) * spec.needs.Weight() *
                    static_cast<double>(run_time.milliseconds()) / kMillisecondsPerSecond;
-  const double allowed = static_cast<double>(critical_path.milliseconds()) * job.queue.stretch +
-                         static_cast<double>(job.queue.target_slack.milliseconds());
-  const auto start_by = [&](double factor) {
-    return job.accepted_at + Duration(static_cast<std::int64_t>(allowed * factor)) - critical_path;
-  };
+  ready.critical_path = critical_path;
+  ready.value = ValueOf(job, critical_path, ready.own_work);
   const bool guaranteed = pass.guaranteed.count(job.spec.id) > 0;
-  ready.latest_start = start_by(1.0);
+  ready.latest_start = ready.value.due - critical_path;
   const bool on_time = now <= ready.latest_start;
-  if (!on_time) ready.latest_start = start_by(kUsefulStretchFactor);
+  if (!on_time) ready.latest_start = ready.value.useless_after - critical_path;
   ready.tier = kTierOther;
   if (now > ready.latest_start) ready.tier = kTierTooLate;
   if (IsUrgent(job) && on_time) ready.tier = kTierUrgent;
   if (IsUrgent(job) && guaranteed) ready.tier = kTierGuaranteed;
+  // The order within a guarantee is that of the latest start under all policies.
+  if (options_.shortage == ShortagePolicy::kCost && ready.tier != kTierGuaranteed) {
+    ready.index = OrderIndex(ready.value, critical_path, now);
+  }
 }
 
 std::vector<SchedulerCore::ReadyStep> SchedulerCore::ReadySteps(TimePoint now, const Pass& pass) {
@@ -154,91 +167,12 @@
     }
   }
   std::sort(ready.begin(), ready.end(), [](const ReadyStep& left, const ReadyStep& right) {
-    return std::tie(left.tier, left.latest_start, left.job->spec.id, left.step) <
-           std::tie(right.tier, right.latest_start, right.job->spec.id, right.step);
+    return std::tie(left.tier, right.index, left.latest_start, left.job->spec.id, left.step) <
+           std::tie(right.tier, left.index, right.latest_start, right.job->spec.id, right.step);
   });
   return ready;
 }
 
-bool SchedulerCore::TryStartReserved(TimePoint now, Pass& pass, ReadyStep& ready) {
-  Step& step = ready.job->steps[ready.step];
-  if (SpecOf(*ready.job, ready.step).gang) return TryStartReservedGang(now, pass, ready);
-  const StepSpec& spec = SpecOf(*ready.job, ready.step);
-  const bool expired = now - step.reserved_at > options_.stop_time + options_.stop_grace;
-  std::vector<NodeId> kept;
-  std::size_t started = 0;
-  std::size_t given_up = 0;
-  for (const NodeId& node : std::exchange(step.reserved_workers, {})) {
-    const auto found = pass.index.find(node);
-    if (found == pass.index.end()) {
-      ++given_up;
-      continue;
-    }
-    Pass::WorkerCapacity& worker = pass.workers[found->second];
-    const bool usable = !worker.on_probation || ready.tier == kTierGuaranteed;
-    const bool needed = started + kept.size() < ready.waiting.size();
-    const bool fits = spec.needs.FitsIn(worker.free);
-    if (usable && needed && !fits && !expired) {
-      kept.push_back(node);
-      continue;
-    }
-    worker.reserved -= spec.needs;
-    if (!usable || !needed || !fits) {
-      ++given_up;
-      continue;
-    }
-    StartTasks(now, pass, *ready.job, ready.step, {ready.waiting[started++]}, {found->second});
-  }
-  step.reserved_workers = std::move(kept);
-  if (given_up > 0) {
-    LogDecision(fmt::format("job={} step={} cancelled the reservation on {} workers after {} ms",
-                            ready.job->spec.id.value(), ready.step, given_up,
-                            (now - step.reserved_at).milliseconds()));
-  }
-  // The tasks at the end wait for the reserved workers, and those before them go on to placement.
-  const std::size_t placed = started + step.reserved_workers.size();
-  if (placed >= ready.waiting.size()) return true;
-  ready.own_work *= static_cast<double>(ready.waiting.size() - placed) /
-                    static_cast<double>(ready.waiting.size());
-  ready.waiting = {ready.waiting.begin() + static_cast<std::ptrdiff_t>(started),
-                   ready.waiting.end() - static_cast<std::ptrdiff_t>(step.reserved_workers.size())};
-  return false;
-}
-
-bool SchedulerCore::TryStartReservedGang(TimePoint now, Pass& pass, const ReadyStep& ready) {
-  Job& job = *ready.job;
-  Step& step = job.steps[ready.step];
-  const StepSpec& spec = SpecOf(job, ready.step);
-  std::vector<std::size_t> worker_indices;
-  std::map<std::size_t, std::int64_t> counts;
-  for (const NodeId& node : step.reserved_workers) {
-    const auto found = pass.index.find(node);
-    if (found == pass.index.end()) continue;
-    const bool on_probation = pass.workers[found->second].on_probation;
-    if (on_probation && ready.tier != kTierGuaranteed) continue;
-    worker_indices.push_back(found->second);
-    ++counts[found->second];
-  }
-  const bool valid = worker_indices.size() == step.reserved_workers.size() &&
-                     step.reserved_workers.size() == ready.waiting.size() &&
-                     now - step.reserved_at <= options_.stop_time + options_.stop_grace;
-  const bool fits = std::all_of(counts.begin(), counts.end(), [&](const auto& index_and_count) {
-    return Times(spec.needs, index_and_count.second)
-        .FitsIn(pass.workers[index_and_count.first].free);
-  });
-  if (valid && !fits) return true;
-  for (const std::size_t index : worker_indices) pass.workers[index].reserved -= spec.needs;
-  step.reserved_workers.clear();
-  if (!valid) {
-    LogDecision(fmt::format("job={} step={} cancelled the reservation on {} workers after {} ms",
-                            job.spec.id.value(), ready.step, counts.size(),
-                            (now - step.reserved_at).milliseconds()));
-    return false;
-  }
-  StartTasks(now, pass, job, ready.step, ready.waiting, worker_indices);
-  return true;
-}
-
 bool SchedulerCore::StartOnFreeCapacity(TimePoint now, Pass& pass, const ReadyStep& ready,
                                         std::int32_t count, const PlacementView& view) {
   const StepSpec& spec = SpecOf(*ready.job, ready.step);
--- /dev/null
+++ b/tests/fleet/scheduler_shortage_test.cc
@@ -0,0 +1,150 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <numbers>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "fleet_harness.h"
+
+// Plays loads with too little capacity under both shortage policies and compares what callers get.
+namespace basilspring::fleet {
+namespace {
+
+constexpr std::int64_t kSecond = 1000;
+
+/// A fleet of 8 accelerators per worker, three workers to a rack, under one shortage policy.
+class ShortageFleet : public FleetHarness {
+ public:
+  ShortageFleet(ShortagePolicy policy, int workers, std::int64_t stop_ms = 400) {
+    options.shortage = policy;
+    options.stop_time = Duration(stop_ms);
+    stop_time_ms = stop_ms;
+    ChangeScheduler(2);
+    AddQueue("urgent", 0, 1.5, 400);
+    AddQueue("forecast", 1, 3.0, 1200);
+    AddQueue("batch", 2, 3.0, 3000);
+    AddQueue("tight", 2, 1.0, 3000);
+    AddWorkspace("owner", 16);
+    AddWorkspace("other", 0);
+    for (int i = 0; i < workers; ++i) {
+      AddAgent("a" + std::to_string(i), "rack" + std::to_string(i / 3));
+    }
+    Advance(kSecond);
+  }
+};
+
+/// Returns the number of the jobs that are completed.
+std::int64_t CountCompleted(const FleetHarness& fleet, const std::vector<JobId>& jobs) {
+  return std::count_if(jobs.begin(), jobs.end(), [&](const JobId& job) {
+    return fleet.PhaseOf(job) == JobPhase::kCompleted;
+  });
+}
+
+struct ShortAndLong {
+  std::int64_t short_on_time = 0;
+  bool long_on_time = false;
+  bool long_completed = false;
+};
+
+/// A job of 48 tasks of 8 s waits for the whole fleet, and 12 jobs of 4 tasks of 1 s can start half
+/// a second later than it at the latest.
+ShortAndLong PlayShortAndLong(ShortagePolicy policy) {
+  ShortageFleet fleet(policy, 6);
+  fleet.Submit("forecast", "other", MakeStep(48, 1, 2500));
+  fleet.Advance(100);
+  const JobId long_job = fleet.Submit("tight", "other", MakeStep(48, 1, 8 * kSecond));
+  fleet.Advance(500);
+  std::vector<JobId> short_jobs;
+  for (int i = 0; i < 12; ++i) {
+    short_jobs.push_back(fleet.Submit("tight", "other", MakeStep(4, 1, kSecond)));
+  }
+  ShortAndLong result;
+  fleet.Advance(4 * kSecond);
+  result.short_on_time = CountCompleted(fleet, short_jobs);
+  fleet.Advance(6500);
+  result.long_on_time = fleet.PhaseOf(long_job) == JobPhase::kCompleted;
+  fleet.Advance(10 * kSecond);
+  result.long_completed = fleet.PhaseOf(long_job) == JobPhase::kCompleted;
+  return result;
+}
+
+// Guards against one long job that makes many short ones late, because it must start a little
+// earlier. By tiers, as in the order of arrival, it is the only one of 13 jobs that is on time.
+TEST(SchedulerShortageTest, ShortJobsAreServedBeforeALongOneWhenRoomIsShort) {
+  const ShortAndLong by_tiers = PlayShortAndLong(ShortagePolicy::kTiers);
+  EXPECT_EQ(by_tiers.short_on_time, 0);
+  EXPECT_TRUE(by_tiers.long_on_time);
+  const ShortAndLong by_cost = PlayShortAndLong(ShortagePolicy::kCost);
+  EXPECT_EQ(by_cost.short_on_time, 12);
+  EXPECT_TRUE(by_cost.long_completed);
+}
+
+struct Service {
+  double largest_tenth = 0;
+  double all = 0;
+};
+
+/// Jobs of one kind, of 1 to some 60 tasks of 2 s, whose demand varies by 0.55 around the capacity
+/// of 48 tasks with a period of 13 s. Returns the shares of the jobs that end while they are of
+/// use.
+Service PlayVaryingSizes(ShortagePolicy policy) {
+  constexpr std::int64_t kPlayedMs = 80 * kSecond;
+  constexpr std::int64_t kTaskMs = 2000;
+  constexpr std::int64_t kUsefulMs = 3 * (3 * kTaskMs + 3000);
+  ShortageFleet fleet(policy, 6);
+  std::mt19937 random(7);
+  std::lognormal_distribution<double> tasks(std::log(8.0), 0.8);
+  struct Played {
+    std::int32_t tasks = 0;
+    std::int64_t arrival_ms = 0;
+    JobId id;
+    bool useful = false;
+  };
+  std::vector<Played> jobs;
+  double owed = 0;
+  const std::int64_t begin_ms = fleet.now_ms();
+  std::int32_t next = std::max(1, static_cast<std::int32_t>(tasks(random)));
+  while (fleet.now_ms() - begin_ms < kPlayedMs + kUsefulMs) {
+    const std::int64_t played_ms = fleet.now_ms() - begin_ms;
+    const double phase = static_cast<double>(played_ms) * 2 * std::numbers::pi / 13000.0;
+    owed += 48.0 * 20 / kTaskMs * (1 + 0.55 * std::sin(phase));
+    while (played_ms < kPlayedMs && owed >= next) {
+      owed -= next;
+      const JobId id = fleet.Submit("batch", "other", MakeStep(next, 1, kTaskMs));
+      jobs.push_back({next, fleet.now_ms(), id, false});
+      next = std::max(1, static_cast<std::int32_t>(tasks(random)));
+    }
+    fleet.Advance(20);
+    for (Played& job : jobs) {
+      const bool in_time = fleet.now_ms() - job.arrival_ms <= kUsefulMs;
+      if (in_time && fleet.PhaseOf(job.id) == JobPhase::kCompleted) job.useful = true;
+    }
+  }
+  std::sort(jobs.begin(), jobs.end(),
+            [](const auto& left, const auto& right) { return left.tasks > right.tasks; });
+  const auto share = [&](std::size_t count) {
+    const auto end = jobs.begin() + static_cast<std::ptrdiff_t>(count);
+    return static_cast<double>(
+               std::count_if(jobs.begin(), end, [](const Played& job) { return job.useful; })) /
+           static_cast<double>(count);
+  };
+  return {share(jobs.size() / 10), share(jobs.size())};
+}
+
+// Guards against large jobs that starve behind small ones of the same kind: the largest tenth must
+// be served at least half as often as the kind.
+TEST(SchedulerShortageTest, LargeJobsAreNotStarved) {
+  const Service by_tiers = PlayVaryingSizes(ShortagePolicy::kTiers);
+  const Service by_cost = PlayVaryingSizes(ShortagePolicy::kCost);
+  EXPECT_GE(by_cost.largest_tenth, by_cost.all / 2);
+  EXPECT_GE(by_cost.all, by_tiers.all);
+  RecordProperty("served_by_tiers", std::to_string(by_tiers.all));
+  RecordProperty("served_by_cost", std::to_string(by_cost.all));
+}
+
+}  // namespace
+}  // namespace basilspring::fleet
