Stop runs for an urgent step only if it gains more than callers lose

An urgent step beyond its guarantee stopped runs whenever the lost work was at most four times its own, also if it was late nevertheless, or if running work was about to end. With scheduling.shortage = cost it stops runs only if its gain covers the loss. The gain is its value with a start after the stop, less its value after twice the predicted wait for running work; it is at most four times its own work, and a quarter of that if it would be late. The loss adds to the lost work the value that the callers of the victims lose by the later end, and what earlier preemptions for the same start have cost. A gang that is declined holds back the capacity that running work leaves, like waiting gangs of other priorities. Steps within their guarantee are decided as before.

Counter and metric: preemptions_declined.

Measured by tiers and by cost: a gang that is late anyway stops 64 and 0 runs and is of use both times; one that becomes on time stops 64 runs both times; one that has 3.4 s to start beside tasks that end within 0.8 s stops 16 and 0 runs and is on time both times.

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -15,6 +15,7 @@
 #include "basilspring/fleet/fleet_config.h"
 #include "basilspring/fleet/job_model.h"
 #include "basilspring/fleet/peer_messages.h"
+#include "basilspring/fleet/placement.h"
 #include "basilspring/fleet/run_time_model.h"
 #include "basilspring/fleet/scheduler_options.h"
 
@@ -64,6 +65,8 @@
   std::uint64_t crashes_counted = 0;
   std::uint64_t runs_preempted = 0;
   std::uint64_t runs_stalled = 0;
+  /// Steps for which no runs were stopped, because the loss was larger than the gain.
+  std::uint64_t preemptions_declined = 0;
   /// Gangs that were started on free capacity before the stops on their reserved workers completed.
   std::uint64_t reservations_moved = 0;
   /// Reservations that were kept beyond their time because stops were late.
@@ -270,6 +273,10 @@
     TimePoint reserved_at;
     /// Whether the reservation is kept beyond its time because stops are late.
     bool awaits_late_stops = false;
+    /// What the preemptions for the step have cost others since it last started tasks.
+    double preemption_loss = 0;
+    /// Whether a preemption was declined, because the loss was larger than the gain, since then.
+    bool preemption_declined = false;
     /// Workers on which capacity is held back for the step, a waiting gang; one element for each
     /// task. The runs there are not stopped, but the capacity that they free is not given to other
     /// steps below the urgent tier.
@@ -532,6 +539,19 @@
   // Preemption, in scheduler_preemption.cc.
   void AddVictims(TimePoint now, const Pass& pass, const ReadyStep& ready,
                   PlacementView& view) const;
+  struct VictimValue;
+  /// Returns the value of a step's runs to their caller, for each unit of work.
+  VictimValue ValueOfVictim(const Job& job, std::size_t step) const;
+  /// Returns the value that the caller of a run loses if the run is stopped now.
+  double ValueLost(TimePoint now, const VictimValue& victim, const RunKey& key,
+                   const Allocation& run, Duration occupied) const;
+  /// Returns the predicted wait of the step if no runs are stopped; std::nullopt if the running
+  /// work will not leave enough capacity.
+  std::optional<Duration> WaitWithoutStops(TimePoint now, const Pass& pass, const ReadyStep& ready,
+                                           const PlacementView& view) const;
+  /// Returns whether the step gains enough by stopping the placement's victims.
+  bool IsWorthPreempting(TimePoint now, const Pass& pass, const ReadyStep& ready,
+                         const PlacementView& view, const Placement& placement);
   void Preempt(TimePoint now, Pass& pass, const PlacementView& view,
                const std::vector<std::size_t>& victims);
   /// Returns the work, in weighted core-seconds, that is lost if the run is stopped now.
--- a/src/fleet/node_requests.cc
+++ b/src/fleet/node_requests.cc
@@ -216,6 +216,7 @@
   set("basilspring_crashes_counted", counts.crashes_counted);
   set("basilspring_runs_preempted", counts.runs_preempted);
   set("basilspring_runs_stalled", counts.runs_stalled);
+  set("basilspring_preemptions_declined", counts.preemptions_declined);
   set("basilspring_reservations_moved", counts.reservations_moved);
   set("basilspring_reservations_extended", counts.reservations_extended);
   set("basilspring_jobs_completed", counts.jobs_completed);
--- a/src/fleet/scheduler_queue.cc
+++ b/src/fleet/scheduler_queue.cc
@@ -16,9 +16,6 @@
 // record of each start. A long-running task that fails immediately starts about ten times a second,
 // so this lasts for a day of such starts.
 constexpr std::uint64_t kRunsPerTerm = 1000000;
-// Jobs beyond their workspace's guarantee (borrowed) preempt others only if the lost work is at
-// most this multiple of their own; beyond it, the total waiting time of all callers grows.
-constexpr double kMaxLostWorkRatio = 4.0;
 // A job is of use to its caller if it ends within this multiple of the time in which it is on time.
 constexpr double kUsefulStretchFactor = 3.0;
 
@@ -227,10 +224,12 @@
     AddVictims(now, pass, ready, view);
     placement = PlaceWithVictims(spec, count, view.candidates, view.any_rack);
   }
-  const bool worth_it = placement && (ready.tier == kTierGuaranteed ||
-                                      placement->lost_work <= kMaxLostWorkRatio * ready.own_work);
-  if (!worth_it) {
-    if (spec.gang && ready.tier == kTierOther) HoldBackCapacity(now, pass, ready, view);
+  if (!placement || !IsWorthPreempting(now, pass, ready, view, *placement)) {
+    // A gang that waits for running work to end needs the capacity that it leaves.
+    const bool declined = placement && options_.shortage == ShortagePolicy::kCost;
+    if (spec.gang && (ready.tier == kTierOther || declined)) {
+      HoldBackCapacity(now, pass, ready, view);
+    }
     LogWaitReason(now, pass, ready, view);
     return;
   }
@@ -241,6 +240,7 @@
   }
   step.reserved_at = now;
   step.awaits_late_stops = false;
+  step.preemption_loss += placement->lost_work;
   LogDecision(fmt::format(
       "job={} step={} tier={} tasks={} waited_ms={} preempting {} victims, lost_work={:.1f}",
       job.spec.id.value(), ready.step, ready.tier, count, (now - *step.ready_at).milliseconds(),
@@ -283,6 +283,8 @@
                                const std::vector<std::size_t>& worker_indices) {
   const StepSpec& spec = SpecOf(job, step);
   Step& state = job.steps[step];
+  state.preemption_loss = 0;
+  state.preemption_declined = false;
   std::uint64_t gang_run = 0;
   std::string gang_checkpoint;
   if (spec.gang) {
--- a/tests/fleet/scheduler_shortage_test.cc
+++ b/tests/fleet/scheduler_shortage_test.cc
@@ -278,5 +278,69 @@
   }
 }
 
+struct UrgentGang {
+  std::uint64_t preempted = 0;
+  std::uint64_t declined = 0;
+  bool on_time = false;
+  bool of_use = false;
+};
+
+/// 8 workers run 64 tasks of 4 s, and as many wait, when a gang of 8 whole workers arrives. A stop
+/// takes 0.9 s.
+UrgentGang PlayUrgentGang(ShortagePolicy policy, std::int64_t gang_ms) {
+  ShortageFleet fleet(policy, 8, 900);
+  fleet.Submit("batch", "other", MakeStep(128, 1, 4 * kSecond));
+  fleet.Advance(1500);
+  const JobId urgent = fleet.Submit("urgent", "other", MakeGang(8, gang_ms));
+  const std::int64_t due_ms = gang_ms * 3 / 2 + 400;
+  UrgentGang result;
+  result.on_time = fleet.RunUntil(urgent, JobPhase::kCompleted, due_ms);
+  result.of_use = result.on_time || fleet.RunUntil(urgent, JobPhase::kCompleted, 2 * due_ms);
+  result.preempted = fleet.core().counts().runs_preempted;
+  result.declined = fleet.core().counts().preemptions_declined;
+  return result;
+}
+
+// Guards against an urgent gang that stops all other work although it is late nevertheless. It is
+// of the same use if it waits for the running tasks to end.
+TEST(SchedulerShortageTest, AnUrgentGangThatIsLateAnywayDoesNotStopManyRuns) {
+  const UrgentGang by_tiers = PlayUrgentGang(ShortagePolicy::kTiers, kSecond);
+  EXPECT_EQ(by_tiers.preempted, 64U);
+  EXPECT_FALSE(by_tiers.on_time);
+  EXPECT_TRUE(by_tiers.of_use);
+  const UrgentGang by_cost = PlayUrgentGang(ShortagePolicy::kCost, kSecond);
+  EXPECT_EQ(by_cost.preempted, 0U);
+  EXPECT_EQ(by_cost.declined, 1U);
+  EXPECT_TRUE(by_cost.of_use);
+}
+
+// Guards against declining a preemption that makes an urgent gang on time.
+TEST(SchedulerShortageTest, AnUrgentGangThatBecomesOnTimeStopsRunsAsBefore) {
+  for (const ShortagePolicy policy : {ShortagePolicy::kTiers, ShortagePolicy::kCost}) {
+    const UrgentGang gang = PlayUrgentGang(policy, 2500);
+    EXPECT_EQ(gang.preempted, 64U);
+    EXPECT_EQ(gang.declined, 0U);
+    EXPECT_TRUE(gang.on_time);
+  }
+}
+
+/// Returns how many runs are stopped for an urgent gang of two whole workers that has 3.4 s to
+/// start, while all running tasks end within 0.8 s and others wait.
+std::uint64_t StopsBesideEndingWork(ShortagePolicy policy) {
+  ShortageFleet fleet(policy, 6, 200);
+  fleet.Submit("batch", "other", MakeStep(144, 1, 2 * kSecond));
+  fleet.Advance(1200);
+  const JobId urgent = fleet.Submit("urgent", "other", MakeGang(2, 6 * kSecond));
+  EXPECT_TRUE(fleet.RunUntil(urgent, JobPhase::kCompleted, 6 * kSecond * 3 / 2 + 400));
+  return fleet.core().counts().runs_preempted;
+}
+
+// Guards against stopping runs for a gang that is on time without it, and against a gang that waits
+// for running work to end and loses the capacity to work of lower priority.
+TEST(SchedulerShortageTest, AnUrgentGangWaitsForWorkThatEndsSoon) {
+  EXPECT_EQ(StopsBesideEndingWork(ShortagePolicy::kTiers), 16U);
+  EXPECT_EQ(StopsBesideEndingWork(ShortagePolicy::kCost), 0U);
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
