--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -11,9 +11,11 @@
 #include <vector>
 
 #include "basilspring/clock.h"
+#include "basilspring/fleet/delay_cost.h"
 #include "basilspring/fleet/fleet_config.h"
 #include "basilspring/fleet/job_model.h"
 #include "basilspring/fleet/peer_messages.h"
+#include "basilspring/fleet/placement.h"
 #include "basilspring/fleet/run_time_model.h"
 #include "basilspring/fleet/scheduler_options.h"
 #include "basilspring/fleet/urgent_headroom.h"
@@ -64,6 +66,12 @@
   std::uint64_t crashes_counted = 0;
   std::uint64_t runs_preempted = 0;
   std::uint64_t runs_stalled = 0;
+  /// Steps for which no runs were stopped, because the loss was larger than the gain.
+  std::uint64_t preemptions_declined = 0;
+  /// Gangs that were started on free capacity before the stops on their reserved workers completed.
+  std::uint64_t reservations_moved = 0;
+  /// Reservations that were kept beyond their time because stops were late.
+  std::uint64_t reservations_extended = 0;
   std::uint64_t jobs_completed = 0;
   std::uint64_t jobs_failed = 0;
   std::uint64_t jobs_cancelled = 0;
@@ -266,6 +274,12 @@
     /// stopped; one element for each task.
     std::vector<NodeId> reserved_workers;
     TimePoint reserved_at;
+    /// Whether the reservation is kept beyond its time because stops are late.
+    bool awaits_late_stops = false;
+    /// What the preemptions for the step have cost others since it last started tasks.
+    double preemption_loss = 0;
+    /// Whether a preemption was declined, because the loss was larger than the gain, since then.
+    bool preemption_declined = false;
     /// Workers on which capacity is held back for the step, a waiting gang; one element for each
     /// task. The runs there are not stopped, but the capacity that they free is not given to other
     /// steps below the urgent tier.
@@ -333,30 +347,9 @@
     TimePoint last_active_at;
   };
 
-  /// A step with tasks that can start now.
-  struct ReadyStep {
-    Job* job = nullptr;
-    std::size_t step = 0;
-    /// One of the kTier constants.
-    std::int32_t tier = 0;
-    /// The latest start at which the job can still be on time or, if that has passed, can still be
-    /// of use to its caller.
-    TimePoint latest_start;
-    /// The predicted work of its waiting tasks, in weighted core-seconds (Resources::Weight()).
-    double own_work = 0;
-    /// Indices of the tasks to start.
-    std::vector<std::int32_t> waiting;
-  };
-
-  /// Preferences of placement that are given up for a step that has waited for long.
-  struct Relaxation {
-    /// The step need not be placed in the rack of its data or of its other tasks.
-    bool any_rack = false;
-    /// The step may use capacity that is held back for waiting gangs.
-    bool with_held_back = false;
-    /// The step may use workers on probation.
-    bool with_probation = false;
-  };
+  // Defined in fleet/scheduler_pass.h.
+  struct ReadyStep;
+  struct Relaxation;
   struct PlacementView;
   struct Pass;
 
@@ -471,7 +464,9 @@
   std::set<JobId> GuaranteedJobs() const;
   /// Returns the predicted length of the longest chain of dependent steps.
   Duration CriticalPath(const Job& job) const;
-  /// Sets the tier, the latest start and the predicted work.
+  /// Returns the value of `work` of the job, in weighted core-seconds.
+  JobValue ValueOf(const Job& job, Duration critical_path, double work) const;
+  /// Sets the tier, the latest start, the predicted work and the order index.
   void Rank(TimePoint now, const Pass& pass, ReadyStep& ready) const;
   /// Starts as many tasks as fit or, if permitted, preempts other runs and reserves their capacity.
   void TryStart(TimePoint now, Pass& pass, ReadyStep ready);
@@ -481,12 +476,6 @@
   /// other runs. Returns false if none fits.
   bool StartOnFreeCapacity(TimePoint now, Pass& pass, const ReadyStep& ready, std::int32_t count,
                            const PlacementView& view);
-  /// Starts tasks of the step on its reserved workers as their capacity becomes free; a gang starts
-  /// when all of it is. Returns false if tasks are left that have no reserved worker; `ready` then
-  /// contains only these.
-  bool TryStartReserved(TimePoint now, Pass& pass, ReadyStep& ready);
-  /// The same for a gang. Returns false if the reservation was given up.
-  bool TryStartReservedGang(TimePoint now, Pass& pass, const ReadyStep& ready);
   /// Gives the capacity that is held back for the step to others.
   void ReleaseHeldBack(Pass& pass, const Job& job, std::size_t step);
   void StartTasks(TimePoint now, Pass& pass, Job& job, std::size_t step,
@@ -495,6 +484,20 @@
   void StartTask(TimePoint now, Job& job, const TaskId& id, Worker& worker,
                  const std::string& checkpoint);
 
+  // Reservations, in scheduler_reservations.cc.
+  /// Starts tasks of the step on its reserved workers as their capacity becomes free; a gang starts
+  /// when all of it is. Returns false if tasks are left that have no reserved worker; `ready` then
+  /// contains only these.
+  bool TryStartReserved(TimePoint now, Pass& pass, ReadyStep& ready);
+  /// The same for a gang. Returns false if the reservation was given up.
+  bool TryStartReservedGang(TimePoint now, Pass& pass, const ReadyStep& ready);
+  /// Starts a gang on free capacity instead of waiting for its reserved workers. Its own reserved
+  /// capacity counts as free. Returns false if the gang does not fit.
+  bool StartReservedGangOnFreeCapacity(TimePoint now, Pass& pass, const ReadyStep& ready);
+  /// Returns whether a reservation whose stops are late is kept, because stopping other runs
+  /// instead would not make the step on time.
+  bool AwaitsLateStops(TimePoint now, const ReadyStep& ready);
+
   // Steps that are not started, in scheduler_waits.cc.
   BlockCause FindBlockCause(TimePoint now, const Job& job, std::size_t step) const;
   /// Counts the step if it is blocked, and logs the cause at intervals.
@@ -539,6 +542,19 @@
   // Preemption, in scheduler_preemption.cc.
   void AddVictims(TimePoint now, const Pass& pass, const ReadyStep& ready,
                   PlacementView& view) const;
+  struct VictimValue;
+  /// Returns the value of a step's runs to their caller, for each unit of work.
+  VictimValue ValueOfVictim(const Job& job, std::size_t step) const;
+  /// Returns the value that the caller of a run loses if the run is stopped now.
+  double ValueLost(TimePoint now, const VictimValue& victim, const RunKey& key,
+                   const Allocation& run, Duration occupied) const;
+  /// Returns the predicted wait of the step if no runs are stopped; std::nullopt if the running
+  /// work will not leave enough capacity.
+  std::optional<Duration> WaitWithoutStops(TimePoint now, const Pass& pass, const ReadyStep& ready,
+                                           const PlacementView& view) const;
+  /// Returns whether the step gains enough by stopping the placement's victims.
+  bool IsWorthPreempting(TimePoint now, const Pass& pass, const ReadyStep& ready,
+                         const PlacementView& view, const Placement& placement);
   void Preempt(TimePoint now, Pass& pass, const PlacementView& view,
                const std::vector<std::size_t>& victims);
   /// Returns the work, in weighted core-seconds, that is lost if the run is stopped now.
