--- a/tests/process/hostile_clients_test.cc
+++ b/tests/process/hostile_clients_test.cc
@@ -119,6 +119,19 @@
   Play(fleet_->entry(), fleet_->callers(), 4, EndlessTrailers());
 }
 
+// Guards against the end of a process by an assertion of the parser, which a last chunk at the
+// beginning of a body caused if a single byte followed it in a packet of its own.
+TEST_F(HostileClients, LastChunkFollowedByASingleByte) {
+  Start();
+  HostileCrowd crowd(fleet_->callers(), 4);
+  crowd.Send({kChunkedHead + "0\r\n", "", 0, ""});
+  crowd.AwaitConsumption();
+  crowd.Send({"\r", "", 0, ""});
+  crowd.AwaitConsumption();
+  CheckProcess(fleet_->entry(), 4 + kMaxOtherDescriptors);
+  CheckOrdinaryRequests();
+}
+
 TEST_F(HostileClients, EndlessTrailersToReadinessListener) {
   Start();
   Play(fleet_->entry(), fleet_->readiness(), 4, EndlessTrailers());
