Run the soak with the decisions under a capacity shortage

The soak's processes had the default settings, so the order by cost, the forecast of the headroom and the notices of stored jobs were not under fault. A handler that ends the entry's server no longer lets waiting calls start.

--- a/src/fleet/entry_store_calls.cc
+++ b/src/fleet/entry_store_calls.cc
@@ -33,7 +33,7 @@
         if (!*alive) return;
         --store_calls_;
         handler(reply);
-        StartWaitingCalls();
+        if (*alive) StartWaitingCalls();
       });
 }
 
--- a/standin/soak_fleet.cc
+++ b/standin/soak_fleet.cc
@@ -128,7 +128,8 @@
       "[process]\nrole = \"{}\"\nname = \"{}\"\ndata_centre = \"{}\"\n\n"
       "[network]\npeers = \"{}:{}\"\nadvertised = \"{}\"\nstore = \"{}\"\nseeds = [\"{}:{}\", "
       "\"{}:{}\"]\n{}\n"
-      "[limits]\nlongest_lease_ms = 10000\nstop_time_ms = 200\nstop_grace_s = 6\n",
+      "[limits]\nlongest_lease_ms = 10000\nstop_time_ms = 200\nstop_grace_s = 6\n\n"
+      "[scheduling]\nshortage = \"cost\"\nheadroom = \"forecast\"\ninbox_notices = \"yes\"\n",
       node.entry ? "entry" : "agent", node.name, ZoneOf(index), IpOf(node.entry, index), kPeerPort,
       node.peer_relay->address().ToString(), node.store_relay->address().ToString(), IpOf(true, 0),
       kPeerPort, IpOf(true, 1), kPeerPort, network);
