--- a/src/fleet/delay_cost.cc
+++ b/src/fleet/delay_cost.cc
@@ -7,7 +7,6 @@
 namespace {
 
 // Time constant of the urgency: work with this slack counts about a third of work without slack.
-// The value was confirmed in trials.
 constexpr double kUrgencyMs = 3000.0;
 
 /// Returns how urgent a start is that is possible for another `slack`, between 0 and 1.
--- a/src/fleet/urgent_headroom.cc
+++ b/src/fleet/urgent_headroom.cc
@@ -9,10 +9,10 @@
 namespace {
 
 // From this stop pressure on, the largest factor and time constant apply. Urgent jobs that find no
-// free capacity stop running work, whose loss costs more than the stop delays: on a fleet with a
-// pressure of 0.12 the forecast reduces the lost work by a quarter. Below it the two grow linearly.
+// free capacity stop running work, and its loss costs more than the delay by the stop. Below it the
+// two grow linearly.
 constexpr double kFullPressure = 0.1;
-// Raises the mean value of a day by 0.02 to 0.04; a factor of 1.7 gains nothing more.
+// Covers bursts that exceed the recent peak.
 constexpr double kMaxFactor = 1.3;
 // Lasts through a period of 13 s, in which 6 s let the ceiling decay to an eighth.
 constexpr double kMaxDecayTimeMs = 15000;
