Log what shows that a run began when its backend server crashes

The line about a crash said whether a poll had listed the run, which does not tell a start without an answer from an accepted one, nor an old list from a new one.

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -125,6 +125,8 @@
     TimePoint first_percent_at;
     TimePoint progressed_at;
     TimePoint working_since;
+    /// When the order to start the run was sent; std::nullopt if this scheduler has sent none.
+    std::optional<TimePoint> ordered_at;
     /// Whether the run time is a sample for the run time model: the run was started in this term,
     /// not from a checkpoint, and in the rack of its data.
     bool is_run_time_sample = false;
@@ -151,6 +153,8 @@
     /// Incarnation of the agent that last reported `backend`.
     std::uint64_t backend_reported_by = 0;
     Duration poll_age;
+    /// When `backend` last answered a poll of which a report is known.
+    std::optional<TimePoint> polled_at;
     /// When the draining backend server shuts down.
     TimePoint drain_deadline;
     std::map<RunKey, Allocation> runs;
--- a/src/fleet/scheduler_orders.cc
+++ b/src/fleet/scheduler_orders.cc
@@ -69,7 +69,7 @@
   for (auto& [node, orders] : by_worker) {
     const auto found = workers_.find(node);
     if (found == workers_.end() || !found->second.backend) continue;
-    const Worker& worker = found->second;
+    Worker& worker = found->second;
     OutgoingOrders outgoing;
     outgoing.batch = next_batch_++;
     outgoing.agent = worker.address;
@@ -85,7 +85,10 @@
     batch.backend = worker.backend->id;
     batch.started_unix_ms = worker.backend->started_unix_ms;
     for (const Order& order : orders) {
-      batch.orders.push_back({{order.task, order.run}, order.start});
+      const RunKey key{order.task, order.run};
+      batch.orders.push_back({key, order.start});
+      const auto run = worker.runs.find(key);
+      if (order.start && run != worker.runs.end()) run->second.ordered_at = now;
       LogDecision(fmt::format("task={} run={} worker={} batch={} report={} order={}",
                               order.task.ToString(), order.run.value(), node.value(),
                               outgoing.batch, worker.report_number,
--- a/src/fleet/scheduler_reports.cc
+++ b/src/fleet/scheduler_reports.cc
@@ -136,6 +136,7 @@
       CountCrash(now, worker, report);
       MarkWorkerLost(now, worker, "its backend server was restarted");
     }
+    worker.polled_at.reset();
     worker.failed_jobs.clear();
     worker.failed_starts = 0;
     worker.probation_until = TimePoint();
@@ -171,6 +172,7 @@
           worker.runs.size()));
     }
   }
+  if (report.poll != 0) worker.polled_at = now - report.poll_age;
   RecordEnds(now, worker, report);
   // A report that was made under an earlier term, and reaches this scheduler because an earlier one
   // had the same address, may lack runs that were started in between.
--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -212,6 +212,11 @@
 void SchedulerCore::CountCrash(TimePoint now, Worker& worker, const AgentReport& report) {
   // A worker that drains ends on purpose, and if its agent ended as well, the whole host failed.
   if (worker.backend->draining || worker.backend_reported_by != report.incarnation) return;
+  const std::int64_t next_born =
+      report.backend_gone || report.backend.empty() ? 0 : report.backend.front().started_unix_ms;
+  const auto age_ms = [now](const std::optional<TimePoint>& moment) {
+    return moment ? (now - *moment).milliseconds() : -1;
+  };
   // Runs that a poll has listed have worked beside each other without a crash, so the cause is
   // sought among the later ones first.
   const auto is_new = [&](const auto& row) {
@@ -236,11 +241,13 @@
     ++job->version;
     task.failed_on.insert(worker.node);
     task.not_before = now + kRetryDelay;
-    LogDecision(
-        fmt::format("task={} run={} worker={} ran_ms={} listed={} crashes={} the worker "
-                    "crashed during the run",
-                    key.task.ToString(), key.run.value(), worker.node.value(), ran.milliseconds(),
-                    run.first_percent.has_value(), task.crashed_runs.size()));
+    LogDecision(fmt::format(
+        "task={} run={} worker={} ran_ms={} listed={} confirmed={} poll_age_ms={} ordered_ms={} "
+        "born={} next_born={} crashes={} the worker crashed during the run",
+        key.task.ToString(), key.run.value(), worker.node.value(), ran.milliseconds(),
+        run.first_percent.has_value(), run.confirmed, age_ms(worker.polled_at),
+        age_ms(run.ordered_at), worker.backend->started_unix_ms, next_born,
+        task.crashed_runs.size()));
     FailIfWorkersCrashed(*job, step, static_cast<std::size_t>(key.task.index));
   }
 }
