Add a failing test: starts without an answer make a job fail

The test leaves starts without an answer and without effect and ends the worker each time.

The harness of the fleet tests can keep back the answers of an agent and lists the starts that were ordered.

--- a/tests/fleet/fleet_harness.cc
+++ b/tests/fleet/fleet_harness.cc
@@ -227,8 +227,18 @@
       core_->OnOrdersAnswered(TimePoint(now_ms_), orders.batch, std::nullopt);
       continue;
     }
-    core_->OnOrdersAnswered(TimePoint(now_ms_), orders.batch,
-                            ExecuteOrders(found->first, found->second, orders.message));
+    auto reply = ExecuteOrders(found->first, found->second, orders.message);
+    if (found->second.delays_answers) {
+      found->second.delayed_answers[orders.batch] = std::move(reply);
+    } else {
+      core_->OnOrdersAnswered(TimePoint(now_ms_), orders.batch, reply);
+    }
+  }
+}
+
+void FleetHarness::DeliverAnswers(const std::string& name) {
+  for (const auto& [batch, reply] : std::exchange(agents_.at(name).delayed_answers, {})) {
+    core_->OnOrdersAnswered(TimePoint(now_ms_), batch, reply);
   }
 }
 
@@ -258,6 +268,7 @@
                                 : specs_.at(order.task.job)
                                       .steps[static_cast<std::size_t>(order.task.step)]
                                       .estimate.milliseconds();
+      ordered_starts_.emplace_back(name, run);
       const bool begins = !agent.next_start_status || agent.starts_despite_status;
       status = agent.next_start_status.value_or(BackendStatus::kOk);
       // kStopped means that the agent got no answer to the start and has stopped the run.
--- a/tests/fleet/fleet_harness.h
+++ b/tests/fleet/fleet_harness.h
@@ -44,6 +44,10 @@
     bool starts_despite_status = false;
     /// If true, the next stop is carried out, but the answer to its batch is lost.
     bool loses_next_stop_answer = false;
+    /// If true, answers to batches are kept back until DeliverAnswers().
+    bool delays_answers = false;
+    /// The answers kept back, by the number of the batch.
+    std::map<std::uint64_t, std::optional<OrderBatchReply>> delayed_answers;
     /// The shortest time between two polls; 0 if each report contains a new poll.
     std::int64_t poll_interval_ms = 0;
     std::int64_t polled_at_ms = 0;
@@ -70,6 +74,9 @@
   void ReadJobsAgain();
   void Cancel(const JobId& job) { core_->CancelJob(job); }
 
+  /// Delivers the answers that the agent has kept back.
+  void DeliverAnswers(const std::string& name);
+
   /// Advances the clock in steps of 20 ms.
   void Advance(std::int64_t milliseconds);
   /// Advances the clock until the job is in this phase. Returns false if the limit passes first.
@@ -80,6 +87,8 @@
   std::optional<JobPhase> PhaseOf(const JobId& job) const { return core_->PhaseOf(job); }
   /// All started runs in the order of their starts, with the agent of each.
   const std::vector<std::pair<std::string, Run>>& starts() const { return starts_; }
+  /// All starts that reached an agent, also those that were not carried out.
+  const std::vector<std::pair<std::string, Run>>& ordered_starts() const { return ordered_starts_; }
   std::size_t StartsOf(const JobId& job) const;
   /// Returns the number of the job's active runs, without those that are being stopped.
   std::size_t RunningTasks(const JobId& job) const;
@@ -123,6 +132,7 @@
   std::map<JobId, JobProgress> stored_;
   std::set<JobId> removed_;
   std::vector<std::pair<std::string, Run>> starts_;
+  std::vector<std::pair<std::string, Run>> ordered_starts_;
   std::set<std::string> overlapping_tasks_;
   std::uint64_t next_job_ = 1;
 };
--- a/tests/fleet/scheduler_crash_test.cc
+++ b/tests/fleet/scheduler_crash_test.cc
@@ -8,13 +8,16 @@
 namespace {
 
 constexpr std::int64_t kSecond = 1000;
+// Time within which each agent reports once.
+constexpr std::int64_t kReportMs = 200;
+constexpr int kAgents = 6;
 
 class SchedulerCrashTest : public ::testing::Test {
  protected:
   SchedulerCrashTest() {
     fleet_.AddQueue("batch", 2, 3.0, 3000);
     fleet_.AddWorkspace("shop", 0);
-    for (int i = 0; i < 6; ++i) fleet_.AddAgent("a" + std::to_string(i), "rack");
+    for (int i = 0; i < kAgents; ++i) fleet_.AddAgent("a" + std::to_string(i), "rack");
     fleet_.Advance(kSecond);
   }
 
@@ -52,6 +55,32 @@
     return true;
   }
 
+  /// Leaves the next start without an answer, and without effect, and ends the worker that got it.
+  /// Returns the time until the start, or -1 if there was none.
+  std::int64_t LoseNextStart() {
+    SetStartStatus(BackendStatus::kUnknown);
+    const std::size_t before = fleet_.ordered_starts().size();
+    std::int64_t waited = 0;
+    for (; fleet_.ordered_starts().size() == before; waited += 20) {
+      if (waited > 10 * kSecond) return -1;
+      fleet_.Advance(20);
+    }
+    const std::string agent = fleet_.ordered_starts().back().first;
+    Exit(agent);
+    fleet_.Advance(kReportMs);
+    SetStartStatus(std::nullopt);
+    Restart(agent);
+    return waited;
+  }
+  /// Sets the status with which all agents answer starts without executing them.
+  void SetStartStatus(std::optional<BackendStatus> status) {
+    for (int i = 0; i < kAgents; ++i) {
+      FleetHarness::Agent& agent = fleet_.agent("a" + std::to_string(i));
+      agent.next_start_status = status;
+      agent.keeps_start_status = status.has_value();
+    }
+  }
+
   bool WaitForRun(const JobId& job) {
     for (std::int64_t waited = 0; waited < 10 * kSecond; waited += 20) {
       if (fleet_.RunningTasks(job) > 0) return true;
@@ -163,6 +192,16 @@
   EXPECT_EQ(fleet_.PhaseOf(job), JobPhase::kRunning);
 }
 
+// Guards against giving up a job because starts that were never carried out had no answer.
+TEST_F(SchedulerCrashTest, DoesNotCountCrashesAgainstStartsWithoutAnswer) {
+  const JobId job = fleet_.Submit("batch", "shop", MakeStep(1, 1, 5 * kSecond));
+  for (int i = 0; i < 8; ++i) {
+    ASSERT_GE(LoseNextStart(), 0);
+    ASSERT_NE(fleet_.PhaseOf(job), JobPhase::kFailed) << "after start " << i;
+  }
+  EXPECT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, 20 * kSecond));
+}
+
 // Guards against records of an earlier version that can't be read after an update.
 TEST(JobProgressTest, ARecordWithoutCrashesHasItsFormerForm) {
   JobProgress progress;
