Count the crash of a worker only against runs that had certainly begun

Callers saw jobs as failed although no task of theirs had failed so often (LOST). Cause: a start without an answer whose backend server was restarted counted as a crash that its task may have caused, and three of these ended the job. The agent had often stopped such a start, or nothing of it was ever carried out: a missing answer was taken for proof.

Now a crash counts if a poll had listed the run or its start was answered as accepted. A batch is answered once all its orders are settled, so an answer that comes after the loss of its incarnation counts the crash then; without this a task that crashes its workers would be started for ever. A start that is lost without an answer pauses the next one for 200 ms, doubling up to 1 s, keeps the task off that host, and beside two certain early crashes it ends the job, so that no more than two starts follow three crashes. The cause is sought among accepted runs first; starts without an answer no longer hide listed ones.

CountsACrashWhoseStartIsAnsweredAfterwards fails without the late count (10 starts), and SpacesOutStartsThatAreLostWithoutAnswer without the pause. The existing tests of crashes are unchanged and pass.

--- a/include/basilspring/fleet/job_model.h
+++ b/include/basilspring/fleet/job_model.h
@@ -143,7 +143,8 @@
   BASILSPRING_SERIALIZE(index, run)
 };
 
-/// A run during which its worker crashed, and that may have been the cause. Such a run has no end.
+/// A run that had certainly begun when its worker crashed, and that may have been the cause. Such a
+/// run has no end.
 struct CrashedRun {
   /// The step's index as in JobProgress::steps, and the task's index in the step.
   std::int32_t step = 0;
--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -180,12 +180,23 @@
 
   enum class TaskPhase : std::uint8_t { kWaiting, kActive, kDone };
 
+  /// What shows that a run had begun when its worker crashed.
+  enum class CrashEvidence : std::uint8_t {
+    /// Nothing: no answer to the start is known, and no poll has listed the run. The start may not
+    /// have been carried out.
+    kNone,
+    /// The worker has accepted the start.
+    kAccepted,
+    /// A poll has listed the run.
+    kListed,
+  };
+
   struct Task {
     TaskPhase phase = TaskPhase::kWaiting;
     std::set<RunNumber> failed_runs;
-    /// Runs during which the worker crashed, as far as they may have caused it, and whether a poll
-    /// had listed them before.
-    std::map<RunNumber, bool> crashed_runs;
+    /// Runs during which the worker crashed, as far as they may have caused it. Those without
+    /// evidence are known in this term only: in a record, earlier versions would count them.
+    std::map<RunNumber, CrashEvidence> crashed_runs;
     /// The number of starts in this term.
     std::uint64_t runs = 0;
     /// The current run and its worker while the task is active.
@@ -359,6 +370,15 @@
   /// Counts the crash of a worker, which the report of its agent shows, against the tasks that may
   /// have caused it, and gives up their jobs when their limit is reached.
   void CountCrash(TimePoint now, Worker& worker, const AgentReport& report);
+  static CrashEvidence EvidenceOf(const Allocation& run);
+  static int CountCrashes(const Task& task, CrashEvidence evidence);
+  /// The number of crashes under the task during runs that had certainly begun.
+  static int CountCertainCrashes(const Task& task);
+  /// Records the crash with the task and postpones its next start.
+  void RecordCrash(TimePoint now, const Worker& worker, Job& job, const RunKey& key,
+                   const Allocation& run);
+  /// Counts a crash whose run was not known to have begun, because the start's answer came later.
+  void CountCrashOfAcceptedRun(Worker& worker, const RunKey& key, std::uint64_t batch);
   /// Whether an order of the run has not been sent yet.
   bool AwaitsOrder(const NodeId& node, const RunKey& key) const;
   /// Ends the job if too many workers have crashed under the task.
--- a/src/fleet/scheduler_core.cc
+++ b/src/fleet/scheduler_core.cc
@@ -117,7 +117,8 @@
       const auto step = static_cast<std::size_t>(crashed.step);
       const auto index = static_cast<std::size_t>(crashed.index);
       if (step >= job.steps.size() || index >= job.steps[step].tasks.size()) continue;
-      job.steps[step].tasks[index].crashed_runs[crashed.run] = crashed.listed;
+      job.steps[step].tasks[index].crashed_runs[crashed.run] =
+          crashed.listed ? CrashEvidence::kListed : CrashEvidence::kAccepted;
       job.started = true;
     }
   }
@@ -225,8 +226,10 @@
       for (const RunNumber run : step.tasks[i].failed_runs) {
         recorded.failed_runs.push_back({static_cast<std::int32_t>(i), run});
       }
-      for (const auto& [run, listed] : step.tasks[i].crashed_runs) {
-        progress.crashed_runs.push_back({step_index, static_cast<std::int32_t>(i), run, listed});
+      for (const auto& [run, evidence] : step.tasks[i].crashed_runs) {
+        if (evidence == CrashEvidence::kNone) continue;
+        progress.crashed_runs.push_back(
+            {step_index, static_cast<std::int32_t>(i), run, evidence == CrashEvidence::kListed});
       }
     }
     recorded.agents.assign(step.agents.begin(), step.agents.end());
--- a/src/fleet/scheduler_orders.cc
+++ b/src/fleet/scheduler_orders.cc
@@ -150,14 +150,17 @@
   Worker& worker = found_worker->second;
   const bool same_incarnation = worker.backend && worker.backend->id == batch.backend &&
                                 worker.backend->started_unix_ms == batch.started_unix_ms;
-  if (!same_incarnation) return;
   const bool readable = reply && reply->statuses.size() == batch.orders.size();
   for (std::size_t i = 0; i < batch.orders.size(); ++i) {
     const auto& [key, start] = batch.orders[i];
-    const auto run = worker.runs.find(key);
-    if (run == worker.runs.end()) continue;
     const auto status =
         readable ? BackendStatusFromWire(reply->statuses[i]) : BackendStatus::kUnknown;
+    if (!same_incarnation) {
+      if (start && status == BackendStatus::kOk) CountCrashOfAcceptedRun(worker, key, number);
+      continue;
+    }
+    const auto run = worker.runs.find(key);
+    if (run == worker.runs.end()) continue;
     // The polls of another incarnation of the agent have other numbers.
     const bool same_agent = worker.incarnation == batch.incarnation;
     if (status == BackendStatus::kOk) {
--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -18,8 +18,15 @@
 // A task is given up when this many workers have crashed under it soon after its start, or this
 // many at any time. It must not be started three times more after three workers have crashed, and a
 // scheduler that is replaced may miss one crash.
-constexpr std::size_t kMaxEarlyCrashes = 3;
-constexpr std::size_t kMaxCrashes = 4;
+constexpr int kMaxEarlyCrashes = 3;
+constexpr int kMaxCrashes = 4;
+// Of the early crashes this many must be certain: a task may be given up after two crashes. Others
+// are starts without an answer that were lost with their workers.
+constexpr int kMinCertainCrashes = 2;
+// Longest delay before a task is started again after a start without an answer was lost with its
+// worker; it doubles from kRetryDelay on. Leaves time to notice the loss within the 3 s for which a
+// job may be left waiting beside free capacity.
+constexpr Duration kMaxLostStartPause(1000);
 // A long-running task that has run for this long is not the cause of its worker's crash.
 constexpr Duration kSoundRunTime = Duration::Seconds(30);
 
@@ -209,6 +216,20 @@
                      });
 }
 
+SchedulerCore::CrashEvidence SchedulerCore::EvidenceOf(const Allocation& run) {
+  if (run.first_percent) return CrashEvidence::kListed;
+  return run.confirmed ? CrashEvidence::kAccepted : CrashEvidence::kNone;
+}
+
+int SchedulerCore::CountCrashes(const Task& task, CrashEvidence evidence) {
+  return static_cast<int>(std::count_if(task.crashed_runs.begin(), task.crashed_runs.end(),
+                                        [&](const auto& row) { return row.second == evidence; }));
+}
+
+int SchedulerCore::CountCertainCrashes(const Task& task) {
+  return CountCrashes(task, CrashEvidence::kAccepted) + CountCrashes(task, CrashEvidence::kListed);
+}
+
 void SchedulerCore::CountCrash(TimePoint now, Worker& worker, const AgentReport& report) {
   // A worker that drains ends on purpose, and if its agent ended as well, the whole host failed.
   if (worker.backend->draining || worker.backend_reported_by != report.incarnation) return;
@@ -218,50 +239,87 @@
     return moment ? (now - *moment).milliseconds() : -1;
   };
   // Runs that a poll has listed have worked beside each other without a crash, so the cause is
-  // sought among the later ones first.
-  const auto is_new = [&](const auto& row) {
-    return !row.second.first_percent && !AwaitsOrder(worker.node, row.first);
-  };
-  const bool any_new = std::any_of(worker.runs.begin(), worker.runs.end(), is_new);
-  for (const auto& row : worker.runs) {
-    const auto& [key, run] = row;
+  // sought among the later ones first, as far as these have begun.
+  const bool any_accepted = std::any_of(
+      worker.runs.begin(), worker.runs.end(),
+      [](const auto& row) { return EvidenceOf(row.second) == CrashEvidence::kAccepted; });
+  for (const auto& [key, run] : worker.runs) {
     Job* job = FindJob(key.task);
-    if (job == nullptr || IsFinal(job->phase) || any_new != is_new(row)) continue;
-    if (AwaitsOrder(worker.node, key)) continue;
-    const std::size_t step = StepIndex(*job, key.task);
-    Task& task = TaskOf(*job, key.task);
-    if (task.phase == TaskPhase::kDone) continue;
-    const Duration ran = now - run.working_since;
-    if (SpecOf(*job, step).long_running && ran >= kSoundRunTime) {
+    const CrashEvidence evidence = EvidenceOf(run);
+    if (job == nullptr || IsFinal(job->phase) || AwaitsOrder(worker.node, key)) continue;
+    if (evidence == CrashEvidence::kListed && any_accepted) continue;
+    if (TaskOf(*job, key.task).phase == TaskPhase::kDone) continue;
+    RecordCrash(now, worker, *job, key, run);
+    LogDecision(fmt::format(
+        "task={} run={} worker={} ran_ms={} listed={} confirmed={} poll_age_ms={} ordered_ms={} "
+        "born={} next_born={} crashes={} the worker crashed {}",
+        key.task.ToString(), key.run.value(), worker.node.value(),
+        (now - run.working_since).milliseconds(), run.first_percent.has_value(), run.confirmed,
+        age_ms(worker.polled_at), age_ms(run.ordered_at), worker.backend->started_unix_ms,
+        next_born, CountCertainCrashes(TaskOf(*job, key.task)),
+        evidence == CrashEvidence::kNone ? "and nothing shows that the run had begun: not counted"
+                                         : "during the run"));
+    FailIfWorkersCrashed(*job, StepIndex(*job, key.task), static_cast<std::size_t>(key.task.index));
+  }
+}
+
+void SchedulerCore::RecordCrash(TimePoint now, const Worker& worker, Job& job, const RunKey& key,
+                                const Allocation& run) {
+  const CrashEvidence evidence = EvidenceOf(run);
+  Task& task = TaskOf(job, key.task);
+  task.failed_on.insert(worker.node);
+  Duration pause = kRetryDelay;
+  if (evidence == CrashEvidence::kNone) {
+    task.crashed_runs[key.run] = evidence;
+    const int lost_starts = CountCrashes(task, CrashEvidence::kNone);
+    pause =
+        std::min(kRetryDelay * (std::int64_t{1} << std::min(lost_starts, 4)), kMaxLostStartPause);
+  } else {
+    const bool sound = SpecOf(job, StepIndex(job, key.task)).long_running &&
+                       now - run.working_since >= kSoundRunTime;
+    if (sound) {
       task.crashed_runs.clear();
     } else {
-      task.crashed_runs[key.run] = run.first_percent.has_value();
+      task.crashed_runs[key.run] = evidence;
       ++counts_.crashes_counted;
     }
-    ++job->version;
-    task.failed_on.insert(worker.node);
-    task.not_before = now + kRetryDelay;
-    LogDecision(fmt::format(
-        "task={} run={} worker={} ran_ms={} listed={} confirmed={} poll_age_ms={} ordered_ms={} "
-        "born={} next_born={} crashes={} the worker crashed during the run",
-        key.task.ToString(), key.run.value(), worker.node.value(), ran.milliseconds(),
-        run.first_percent.has_value(), run.confirmed, age_ms(worker.polled_at),
-        age_ms(run.ordered_at), worker.backend->started_unix_ms, next_born,
-        task.crashed_runs.size()));
-    FailIfWorkersCrashed(*job, step, static_cast<std::size_t>(key.task.index));
+    ++job.version;
   }
+  task.not_before = now + pause;
+}
+
+void SchedulerCore::CountCrashOfAcceptedRun(Worker& worker, const RunKey& key,
+                                            std::uint64_t batch) {
+  Job* job = FindJob(key.task);
+  if (job == nullptr || IsFinal(job->phase)) return;
+  Task& task = TaskOf(*job, key.task);
+  const auto found = task.crashed_runs.find(key.run);
+  if (found == task.crashed_runs.end() || found->second != CrashEvidence::kNone) return;
+  if (task.phase == TaskPhase::kDone) return;
+  found->second = CrashEvidence::kAccepted;
+  ++counts_.crashes_counted;
+  ++job->version;
+  LogDecision(fmt::format(
+      "task={} run={} worker={} batch={} crashes={} the worker crashed during the run: the answer "
+      "to its start came after the crash",
+      key.task.ToString(), key.run.value(), worker.node.value(), batch, CountCertainCrashes(task)));
+  FailIfWorkersCrashed(*job, StepIndex(*job, key.task), static_cast<std::size_t>(key.task.index));
 }
 
 void SchedulerCore::FailIfWorkersCrashed(Job& job, std::size_t step, std::size_t index) {
   const Task& task = job.steps[step].tasks[index];
-  const auto early =
-      static_cast<std::size_t>(std::count_if(task.crashed_runs.begin(), task.crashed_runs.end(),
-                                             [](const auto& row) { return !row.second; }));
-  const bool used_up = early >= kMaxEarlyCrashes || task.crashed_runs.size() >= kMaxCrashes;
-  if (IsFinal(job.phase) || !used_up) return;
+  const int early = CountCrashes(task, CrashEvidence::kAccepted);
+  const int certain = CountCertainCrashes(task);
+  const int lost_starts = CountCrashes(task, CrashEvidence::kNone);
+  const bool early_used_up = early >= kMinCertainCrashes && early + lost_starts >= kMaxEarlyCrashes;
+  if (IsFinal(job.phase) || (!early_used_up && certain < kMaxCrashes)) return;
+  const std::string lost =
+      lost_starts == 0
+          ? ""
+          : fmt::format(", {} starts without an answer were lost with their workers", lost_starts);
   FinishJob(job, JobPhase::kFailed,
-            fmt::format("{} workers have crashed under task {}", task.crashed_runs.size(),
-                        IdOf(job, step, index).ToString()));
+            fmt::format("{} workers have crashed under task {}{}", certain,
+                        IdOf(job, step, index).ToString(), lost));
 }
 
 void SchedulerCore::MarkWorkerLost(TimePoint now, Worker& worker, const std::string& reason) {
