--- a/src/fleet/scheduler_orders.cc
+++ b/src/fleet/scheduler_orders.cc
@@ -69,7 +69,7 @@
   for (auto& [node, orders] : by_worker) {
     const auto found = workers_.find(node);
     if (found == workers_.end() || !found->second.backend) continue;
-    const Worker& worker = found->second;
+    Worker& worker = found->second;
     OutgoingOrders outgoing;
     outgoing.batch = next_batch_++;
     outgoing.agent = worker.address;
@@ -85,7 +85,10 @@
     batch.backend = worker.backend->id;
     batch.started_unix_ms = worker.backend->started_unix_ms;
     for (const Order& order : orders) {
-      batch.orders.push_back({{order.task, order.run}, order.start});
+      const RunKey key{order.task, order.run};
+      batch.orders.push_back({key, order.start});
+      const auto run = worker.runs.find(key);
+      if (order.start && run != worker.runs.end()) run->second.ordered_at = now;
       LogDecision(fmt::format("task={} run={} worker={} batch={} report={} order={}",
                               order.task.ToString(), order.run.value(), node.value(),
                               outgoing.batch, worker.report_number,
@@ -147,14 +150,17 @@
   Worker& worker = found_worker->second;
   const bool same_incarnation = worker.backend && worker.backend->id == batch.backend &&
                                 worker.backend->started_unix_ms == batch.started_unix_ms;
-  if (!same_incarnation) return;
   const bool readable = reply && reply->statuses.size() == batch.orders.size();
   for (std::size_t i = 0; i < batch.orders.size(); ++i) {
     const auto& [key, start] = batch.orders[i];
-    const auto run = worker.runs.find(key);
-    if (run == worker.runs.end()) continue;
     const auto status =
         readable ? BackendStatusFromWire(reply->statuses[i]) : BackendStatus::kUnknown;
+    if (!same_incarnation) {
+      if (start && status == BackendStatus::kOk) CountCrashOfAcceptedRun(worker, key, number);
+      continue;
+    }
+    const auto run = worker.runs.find(key);
+    if (run == worker.runs.end()) continue;
     // The polls of another incarnation of the agent have other numbers.
     const bool same_agent = worker.incarnation == batch.incarnation;
     if (status == BackendStatus::kOk) {
