--- a/include/basilspring/fleet/agent_core.h
+++ b/include/basilspring/fleet/agent_core.h
@@ -237,6 +237,8 @@
   /// The services of the operators' configuration, as last told by the scheduler; empty if unknown.
   std::vector<ServiceId> services_;
   Term term_;
+  /// See Fence::epoch.
+  std::uint32_t epoch_ = 0;
   Address scheduler_;
   TimePoint last_contact_;
   TimePoint lease_until_;
--- a/include/basilspring/fleet/backend.h
+++ b/include/basilspring/fleet/backend.h
@@ -108,12 +108,23 @@
   std::string message;
 };
 
+/// Position of a call in the order in which a backend server may carry calls out: it refuses one
+/// with a lower fence than the highest that its incarnation has seen. Ordered by term, then by
+/// epoch.
+struct Fence {
+  Term term;
+  /// Increases when calls that were sent before must not be carried out any more, although the term
+  /// is the same.
+  std::uint32_t epoch = 0;
+  auto operator<=>(const Fence&) const = default;
+};
+
 struct StartRun {
   TaskId task;
   RunNumber run;
   std::string payload;
   std::string checkpoint;
-  Term term;
+  Fence fence;
   /// End of the lease on the backend server's clock, at which it kills its runs unless the lease
   /// was extended.
   std::int64_t lease_until_ms = 0;
@@ -122,12 +133,12 @@
 struct StopRun {
   TaskId task;
   RunNumber run;
-  Term term;
+  Fence fence;
 };
 
 /// Lists the runs of a backend server and extends its lease.
 struct PollRuns {
-  Term term;
+  Fence fence;
   /// End of the lease on the backend server's clock; 0 leaves the lease unchanged.
   std::int64_t lease_until_ms = 0;
   /// Ends up to this number are acknowledged, and the backend server stops listing them.
--- a/src/fleet/agent_core.cc
+++ b/src/fleet/agent_core.cc
@@ -231,7 +231,7 @@
 
 PollRuns FleetAgentCore::MakePoll(TimePoint now) {
   PollRuns poll;
-  poll.term = term_;
+  poll.fence = {term_, epoch_};
   lease_granted_until_ = std::max(lease_granted_until_, poll_lease_until_);
   poll_lease_until_ = TimePoint();
   // Another incarnation has a clock of its own, by which the lease would last too long.
--- a/src/fleet/agent_orders.cc
+++ b/src/fleet/agent_orders.cc
@@ -76,9 +76,9 @@
     call.batch = token;
     call.index = i;
     call.order.start = order.start;
-    call.order.start_run = {order.task,       order.run, order.payload,
-                            order.checkpoint, term_,     ToBackendClock(lease_until_)};
-    call.order.stop_run = {order.task, order.run, term_};
+    call.order.start_run = {order.task,       order.run,       order.payload,
+                            order.checkpoint, {term_, epoch_}, ToBackendClock(lease_until_)};
+    call.order.stop_run = {order.task, order.run, {term_, epoch_}};
     ++row.open;
     IssueCall(std::move(call));
   }
--- a/src/fleet/agent_registration.cc
+++ b/src/fleet/agent_registration.cc
@@ -131,7 +131,7 @@
   BackendProbe probe;
   probe.number = ++probes_sent_;
   probe.backend = claims_.front().announcement;
-  probe.poll.term = term_;
+  probe.poll.fence = {term_, epoch_};
   probe_in_flight_ = true;
   probed_ = probe.backend;
   effects_.probe = std::move(probe);
