Fence the calls for a former incarnation of the backend server

Callers would see a task run twice: a start that was not answered is carried out seconds later by the next incarnation under the same id, when the task runs elsewhere or is done. An acknowledgement covers ends there that nobody has read, and a lease, whose end is a time on the former clock, holds for the longest time on the new one.

Cause: neither the id nor the connection tells incarnations apart, and the fencing token was the scheduler's term, so calls for the former incarnation and for the new one had the same token.

The token is now the term and, in its lower 32 bits, an epoch of the agent. The epoch rises when the registered incarnation can no longer be identified, so before the first poll that can reach the next one. Starts, leases and acknowledgements are only sent while it is identified, so all of them have a lower epoch than that poll: once the new incarnation has answered it, it refuses every late one. The scheduler already waits for the list of that poll before it starts the tasks elsewhere. A new process of the agent begins with the time of day in seconds; if the backend server has seen a higher token, the agent raises its epoch until it is accepted.

Two new ones: a start of a killed process of the agent (fails if processes begin with the same epoch), and an agent whose time of day was set back (fails without the raise).

--- a/include/basilspring/fleet/agent_core.h
+++ b/include/basilspring/fleet/agent_core.h
@@ -22,6 +22,9 @@
   Address address;
   /// Random number drawn when the agent's process starts; see AgentReport::incarnation.
   std::uint64_t incarnation = 0;
+  /// Epoch of the first calls. Higher than those of earlier processes of this agent, as far as the
+  /// time of day allows; see Fence.
+  std::uint32_t first_epoch = 0;
   /// Longest lease that a scheduler grants, and how long after its end runs have certainly ended;
   /// see SchedulerOptions.
   Duration lease = Duration(5000);
@@ -217,6 +220,10 @@
   bool IsForRegisteredIncarnation(const Call& call) const;
   /// Reports no rows until a poll is answered that is sent from now on.
   void RequireNewListing();
+  /// Begins a new epoch if another incarnation may have taken the place of the registered one.
+  void UpdateEpoch();
+  /// Raises the epoch after the backend server has seen a higher fence.
+  void CatchUpEpoch();
   /// Handles proof that another incarnation answers under the id of the registered one.
   void OnOtherIncarnation(std::string_view evidence);
   AgentReport MakeReport(TimePoint now);
@@ -237,8 +244,14 @@
   /// The services of the operators' configuration, as last told by the scheduler; empty if unknown.
   std::vector<ServiceId> services_;
   Term term_;
-  /// See Fence::epoch.
+  /// See Fence. Calls for one incarnation of the backend server have lower epochs than those for
+  /// the next one, so that this refuses them once it has answered a poll.
   std::uint32_t epoch_ = 0;
+  /// Whether the registered incarnation has been identified in this epoch, so that calls of the
+  /// epoch may be open that must not reach the next one.
+  bool epoch_used_ = false;
+  /// By how much the epoch rises if it turns out to be too low.
+  std::uint32_t epoch_step_ = 1;
   Address scheduler_;
   TimePoint last_contact_;
   TimePoint lease_until_;
--- a/src/fleet/agent_core.cc
+++ b/src/fleet/agent_core.cc
@@ -39,7 +39,8 @@
 
 }  // namespace
 
-FleetAgentCore::FleetAgentCore(FleetAgentOptions options) : options_(std::move(options)) {}
+FleetAgentCore::FleetAgentCore(FleetAgentOptions options)
+    : options_(std::move(options)), epoch_(options_.first_epoch) {}
 
 void FleetAgentCore::OnScheduler(TimePoint /*now*/, Term term, const Address& scheduler) {
   if (term < term_ || scheduler.empty()) return;
@@ -156,6 +157,7 @@
     return;
   }
   gone_since_.reset();
+  if (reply.status == BackendStatus::kStaleTerm) CatchUpEpoch();
   if (reply.status != BackendStatus::kOk) {
     open_connection_failed_ = open_connection_failed_ || poll_on_open_connection_;
     // The next poll opens a connection and shows which incarnation answers there.
@@ -179,6 +181,8 @@
   last_poll_status_ = BackendStatus::kOk;
   identified_ = !superseded_after_poll_;
   in_question_ = !identified_;
+  epoch_used_ = epoch_used_ || identified_;
+  epoch_step_ = 1;
   confirmed_acknowledgement_ = std::max(confirmed_acknowledgement_, poll_acknowledgement_);
   const bool first_listing = poll_answered_ < first_listing_poll_;
   poll_answered_ = polls_sent_;
@@ -262,6 +266,7 @@
 }
 
 AgentEffects FleetAgentCore::Tick(TimePoint now) {
+  UpdateEpoch();
   ProbeClaims(now);
   if (backend_ && !poll_in_flight_ && now >= poll_not_before_) {
     poll_in_flight_ = true;
--- a/src/fleet/agent_limits.cc
+++ b/src/fleet/agent_limits.cc
@@ -1,10 +1,12 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <limits>
 
 #include "basilspring/fleet/agent_core.h"
 
-// How far an agent may extend the lease of its backend server and acknowledge its ends.
+// How far an agent may extend the lease of its backend server and acknowledge its ends, and which
+// of its calls the backend server may still carry out.
 namespace basilspring::fleet {
 namespace {
 
@@ -20,8 +22,27 @@
 // waiting for a complete one.
 constexpr Duration kUnreadableEndHold = Duration::Seconds(30);
 
+// Largest rise of the epoch at once. Epochs are counted from a time of day in seconds, and a jump
+// of some days is caught up within 4 s.
+constexpr std::uint32_t kMaxEpochStep = 1U << 16U;
+
 }  // namespace
 
+void FleetAgentCore::UpdateEpoch() {
+  if (identified_ || !epoch_used_ || epoch_ == std::numeric_limits<std::uint32_t>::max()) return;
+  ++epoch_;
+  epoch_used_ = false;
+}
+
+void FleetAgentCore::CatchUpEpoch() {
+  // A former process of this agent has sent calls, and the time of day was set back since.
+  const std::uint32_t left = std::numeric_limits<std::uint32_t>::max() - epoch_;
+  epoch_ += std::min(epoch_step_, left);
+  epoch_step_ = std::min(epoch_step_ * 2, kMaxEpochStep);
+  LogDecision(
+      fmt::format("epoch={} raised: the backend server has seen a higher fencing token", epoch_));
+}
+
 bool FleetAgentCore::IsClockRecent(TimePoint now) const {
   return clock_known_ && now - clock_read_at_ <= kMaxClockAge;
 }
--- a/src/fleet/agent_orders.cc
+++ b/src/fleet/agent_orders.cc
@@ -92,6 +92,8 @@
   call.order.token = token;
   call.order.repeated = call.attempts > 0;
   ++call.attempts;
+  call.order.start_run.fence.epoch = epoch_;
+  call.order.stop_run.fence.epoch = epoch_;
   if (call.order.start) lease_granted_until_ = std::max(lease_granted_until_, lease_until_);
   effects_.orders.push_back(call.order);
   calls_[token] = std::move(call);
--- a/src/fleet/agent_registration.cc
+++ b/src/fleet/agent_registration.cc
@@ -140,6 +140,7 @@
 void FleetAgentCore::OnProbed(TimePoint now, std::uint64_t number, const BackendReply& reply) {
   if (!probe_in_flight_ || number != probes_sent_) return;
   probe_in_flight_ = false;
+  if (reply.status == BackendStatus::kStaleTerm) CatchUpEpoch();
   const auto found = std::find_if(claims_.begin(), claims_.end(), [&](const Claim& claim) {
     return claim.announcement.id == probed_.id &&
            claim.announcement.started_unix_ms == probed_.started_unix_ms;
--- a/src/fleet/node.cc
+++ b/src/fleet/node.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <atomic>
 #include <future>
+#include <limits>
 #include <random>
 #include <thread>
 #include <utility>
@@ -57,6 +58,13 @@
   return error ? std::filesystem::file_time_type::min() : written;
 }
 
+/// Returns the time of day in seconds, which tells successive processes of an agent apart.
+std::uint32_t FirstEpoch() {
+  constexpr std::int64_t kMax = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(Clock::WallMilliseconds() / 1000, 0, kMax));
+}
+
 /// Returns the limits of all accepted connections, within the process's limit of descriptors.
 ConnectionLimits LimitsOf(const NodeSettings& settings) {
   ConnectionLimits limits = settings.connections;
@@ -129,6 +137,7 @@
     agent.lease = settings_.scheduler.lease;
     agent.lease_expiry_margin = settings_.scheduler.LeaseExpiryMargin();
     agent.incarnation = (std::uint64_t{std::random_device()()} << 32U) | std::random_device()();
+    agent.first_epoch = FirstEpoch();
     agent_ = std::make_unique<AgentDriver>(
         AgentDriver::Context{*adapters_.backend, *peers_, executor,
                              [this] { leadership_->CheckHolderNow(); },
--- a/tests/fleet/late_call_test.cc
+++ b/tests/fleet/late_call_test.cc
@@ -111,13 +111,21 @@
     Advance(3000);
   }
 
-  static FleetAgentOptions MakeOptions() {
+  static FleetAgentOptions MakeOptions(std::uint32_t first_epoch = 1000) {
     FleetAgentOptions options;
+    options.first_epoch = first_epoch;
     options.node = NodeId("agent");
     options.incarnation = 7;
     return options;
   }
 
+  /// Another process of the agent starts.
+  void RestartAgent(std::uint32_t first_epoch) {
+    agent_ = std::make_unique<FleetAgentCore>(MakeOptions(first_epoch));
+    Announce();
+    Advance(3000);
+  }
+
   void Announce() {
     BackendAnnouncement backend;
     backend.id = BackendId("backend");
@@ -265,6 +273,26 @@
   EXPECT_EQ(server_->ended.size(), 1U);
 }
 
+// Guards against a start of a killed process of the agent that runs beside a later one of the task.
+TEST_F(LateCallTest, AStartOfAFormerProcessOfTheAgentIsRefused) {
+  loses_calls_ = true;
+  OrderStart(kTask);
+  CarryOut(agent_->Tick(now_));
+  loses_calls_ = false;
+  ASSERT_EQ(late_starts_.size(), 1U);
+  RestartAgent(1002);
+  server_->Start(now_, late_starts_.front());
+  EXPECT_TRUE(server_->running.empty());
+}
+
+// Guards against a host that is not used after its time of day was set back.
+TEST_F(LateCallTest, AnAgentWithALowerFirstEpochCatchesUp) {
+  RestartAgent(0);
+  OrderStart(kTask);
+  Advance(500);
+  EXPECT_EQ(server_->running.size(), 1U);
+}
+
 // Guards against runs that go on after the scheduler has taken their lease for expired.
 TEST_F(LateCallTest, ALeaseForAFormerIncarnationIsRefused) {
   loses_calls_ = true;
