Count on the longest lease of a backend server that was restarted

A start or a poll that was meant for the former incarnation, and that the new one with the same id carries out before it has refused such calls, names the end of the lease on the former clock. On the young clock that is far ahead, so the server grants its longest lease, 10 s, and its runs go on for up to 5 s after the scheduler has taken a silent server's lease for expired: tasks run twice.

The scheduler now waits for the longest lease, counted from when it learns of the restart, before it gives up the runs of such a server, and the agent does so before it takes it for ended. A backend server also counts as restarted if the former incarnation was given up before. Without the wait, the new test sees the task started a second time within the 10 s.

--- a/include/basilspring/fleet/agent_core.h
+++ b/include/basilspring/fleet/agent_core.h
@@ -28,6 +28,8 @@
   /// Longest lease that a scheduler grants, and how long after its end runs have certainly ended;
   /// see SchedulerOptions.
   Duration lease = Duration(5000);
+  /// See SchedulerOptions.
+  Duration longest_lease = Duration(10000);
   Duration lease_expiry_margin = Duration(1350);
   /// Longest time between two reports when nothing has changed; a fifth of the lease.
   Duration report_interval = Duration(800);
--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -147,6 +147,9 @@
     TimePoint last_report;
     /// The latest time at which the backend server may have extended the lease of its runs.
     TimePoint last_lease_extension;
+    /// When the runs of a restarted backend server have certainly ended, if calls for the former
+    /// incarnation with the same id have extended their lease.
+    TimePoint former_lease_bound;
     std::optional<BackendAnnouncement> backend;
     /// Incarnation of the agent that last reported `backend`.
     std::uint64_t backend_reported_by = 0;
@@ -331,6 +334,8 @@
   /// Returns the time by which runs whose lease was last extended at `extended_at` have certainly
   /// ended.
   TimePoint LeaseExpiryBound(TimePoint extended_at) const;
+  /// Returns the time by which the runs of the worker have certainly ended if it stays silent.
+  TimePoint LeaseExpiryBound(const Worker& worker) const;
   /// Returns whether runs that an earlier scheduler has stopped may still be active. They are no
   /// longer listed.
   bool MayHaveStoppingRuns(TimePoint now, const Worker& worker) const;
--- a/include/basilspring/fleet/scheduler_options.h
+++ b/include/basilspring/fleet/scheduler_options.h
@@ -29,6 +29,8 @@
   /// How long the runs of a backend server may continue after the last answered report of its
   /// agent. Longer than a failover of the scheduler takes, so that a failover loses no work.
   Duration lease = Duration(5000);
+  /// The longest lease that a backend server grants, however late the end that a call names.
+  Duration longest_lease = Duration(10000);
   /// The longest time that a backend server takes to stop a run.
   Duration stop_time = Duration(900);
   /// A worker is assigned no new work if its agent has not reported for this long.
--- a/src/fleet/agent_registration.cc
+++ b/src/fleet/agent_registration.cc
@@ -166,9 +166,12 @@
 }
 
 void FleetAgentCore::Register(TimePoint now, const BackendAnnouncement& announcement) {
+  // A call for a former incarnation with the same id names the end of the lease on a clock that is
+  // far ahead of the new one.
+  const bool same_id = backend_ && backend_->id == announcement.id;
   ResetBackendState();
-  // A former process of this agent may have granted it.
-  lease_granted_until_ = now + options_.lease;
+  // A former process of this agent may have granted a lease.
+  lease_granted_until_ = now + (same_id ? options_.longest_lease : options_.lease);
   LogDecision(fmt::format("backend={} born={} service={} accelerators={} registered",
                           announcement.id.value(), announcement.started_unix_ms,
                           announcement.service.value(), announcement.capacity.accelerators));
--- a/src/fleet/node.cc
+++ b/src/fleet/node.cc
@@ -135,6 +135,7 @@
     agent.node = settings_.name;
     agent.address = settings_.advertised;
     agent.lease = settings_.scheduler.lease;
+    agent.longest_lease = settings_.scheduler.longest_lease;
     agent.lease_expiry_margin = settings_.scheduler.LeaseExpiryMargin();
     agent.incarnation = (std::uint64_t{std::random_device()()} << 32U) | std::random_device()();
     agent.first_epoch = FirstEpoch();
--- a/src/fleet/node_settings.cc
+++ b/src/fleet/node_settings.cc
@@ -48,9 +48,10 @@
 
 void ReadLimits(SettingsReader& reader, NodeSettings& settings) {
   SchedulerOptions& options = settings.scheduler;
-  const Duration longest_lease =
-      ReadDuration(reader, "limits.longest_lease_ms", 2500, 600000, Duration(10000));
-  options.lease = std::max(kMinLease, std::min(options.lease, longest_lease - kLeaseMargin));
+  options.longest_lease =
+      ReadDuration(reader, "limits.longest_lease_ms", 2500, 600000, options.longest_lease);
+  options.lease =
+      std::max(kMinLease, std::min(options.lease, options.longest_lease - kLeaseMargin));
   options.stop_time = ReadDuration(reader, "limits.stop_time_ms", 1, 60000, options.stop_time);
   options.keep_finished =
       ReadDuration(reader, "limits.keep_finished_s", 1, 86400, options.keep_finished);
@@ -136,6 +137,7 @@
   apply("limits.open_requests", next.entry.open_requests, current.entry.open_requests);
   apply("limits.stop_grace_s", next.drain_limit, current.drain_limit);
   apply("limits.longest_lease_ms", next.scheduler.lease, current.scheduler.lease);
+  apply("limits.longest_lease_ms", next.scheduler.longest_lease, current.scheduler.longest_lease);
   apply("limits.stop_time_ms", next.scheduler.stop_time, current.scheduler.stop_time);
   apply("limits.keep_finished_s", next.scheduler.keep_finished, current.scheduler.keep_finished);
   apply("scheduling.shortage", next.scheduler.shortage, current.scheduler.shortage);
--- a/src/fleet/scheduler_checks.cc
+++ b/src/fleet/scheduler_checks.cc
@@ -58,15 +58,14 @@
     if (found == workers_.end()) return false;
     if (found->second.runs_listed_at) return MayHaveStoppingRuns(now, found->second);
     // The runs continue for as long as the agent may have extended their lease in this term.
-    return now <= LeaseExpiryBound(std::max(found->second.last_lease_extension, term_started_at_));
+    return now <= LeaseExpiryBound(found->second);
   });
 }
 
 void SchedulerCore::CheckSilentWorkers(TimePoint now) {
   for (auto it = workers_.begin(); it != workers_.end();) {
     Worker& worker = it->second;
-    const TimePoint alive = std::max(worker.last_lease_extension, term_started_at_);
-    if (now > LeaseExpiryBound(alive)) {
+    if (now > LeaseExpiryBound(worker)) {
       if (!worker.runs.empty()) MarkWorkerLost(now, worker, "its lease has expired");
       if (!worker.reported || now > LeaseExpiryBound(worker.last_report)) {
         it = workers_.erase(it);
--- a/src/fleet/scheduler_reports.cc
+++ b/src/fleet/scheduler_reports.cc
@@ -27,6 +27,11 @@
   return extended_at + options_.lease + options_.LeaseExpiryMargin();
 }
 
+TimePoint SchedulerCore::LeaseExpiryBound(const Worker& worker) const {
+  const TimePoint extended_at = std::max(worker.last_lease_extension, term_started_at_);
+  return std::max(LeaseExpiryBound(extended_at), worker.former_lease_bound);
+}
+
 bool SchedulerCore::MayHaveStoppingRuns(TimePoint now, const Worker& worker) const {
   const Duration longest_stop = options_.stop_time + options_.stop_time * kClockErrorPercent / 100;
   return worker.runs_listed_at && now < *worker.runs_listed_at + longest_stop;
@@ -130,8 +135,16 @@
   if (!same) {
     // The lease may have been extended until now, regardless of what polls have shown so far.
     worker.last_lease_extension = now;
+    worker.former_lease_bound = TimePoint();
     // Orders are addressed by id, so a start for the former incarnation may have reached this one.
-    if (worker.backend && worker.backend->id == backend.id) worker.runs_listed_at.reset();
+    // It names the end of the lease on the former clock, which is far ahead of the new one.
+    const bool restarted =
+        worker.ends_backend == backend.id && worker.ends_started_unix_ms != backend.started_unix_ms;
+    if (restarted) {
+      worker.runs_listed_at.reset();
+      worker.former_lease_bound = now + options_.longest_lease * (100 + kClockErrorPercent) / 100 +
+                                  options_.stop_time + kTransitTime;
+    }
     if (worker.backend) {
       CountCrash(now, worker, report);
       MarkWorkerLost(now, worker, "its backend server was restarted");
--- a/tests/fleet/scheduler_restart_test.cc
+++ b/tests/fleet/scheduler_restart_test.cc
@@ -34,6 +34,7 @@
   }
 
   FleetHarness fleet_;
+  SchedulerOptions options_;
 };
 
 // Guards against a task that runs twice: the new incarnation carries it out, but was not polled.
@@ -69,5 +70,20 @@
   EXPECT_EQ(fleet_.StartsOf(job), 2U);
 }
 
+// Guards against a task that runs twice: a lease for the former incarnation, on its clock, lets the
+// runs of the new one go on for longer than the scheduler allows.
+TEST_F(SchedulerRestartTest, ARestartedServerThatFallsSilentMayHoldTheLongestLease) {
+  const JobId job = fleet_.Submit("batch", "shop", MakeStep(1, 8, 30 * kSecond));
+  FleetHarness::Agent& agent = RestartUnderARun(job);
+  agent.reachable = true;
+  fleet_.Advance(500);
+  agent.reachable = false;
+  fleet_.Advance(options_.longest_lease.milliseconds() - 500);
+  EXPECT_EQ(fleet_.StartsOf(job), 1U);
+  agent.runs.clear();
+  fleet_.Advance(3 * kSecond);
+  EXPECT_EQ(fleet_.StartsOf(job), 2U);
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
