Merge the fence of calls for a former incarnation of a backend server

The fencing token rises before the first poll that can reach the next incarnation, and the scheduler counts on the longest lease of a server that was restarted under its id.

--- a/src/fleet/agent_orders.cc
+++ b/src/fleet/agent_orders.cc
@@ -76,9 +76,9 @@
     call.batch = token;
     call.index = i;
     call.order.start = order.start;
-    call.order.start_run = {order.task,       order.run, order.payload,
-                            order.checkpoint, term_,     ToBackendClock(lease_until_)};
-    call.order.stop_run = {order.task, order.run, term_};
+    call.order.start_run = {order.task,       order.run,       order.payload,
+                            order.checkpoint, {term_, epoch_}, ToBackendClock(lease_until_)};
+    call.order.stop_run = {order.task, order.run, {term_, epoch_}};
     ++row.open;
     IssueCall(std::move(call));
   }
@@ -92,6 +92,8 @@
   call.order.token = token;
   call.order.repeated = call.attempts > 0;
   ++call.attempts;
+  call.order.start_run.fence.epoch = epoch_;
+  call.order.stop_run.fence.epoch = epoch_;
   if (call.order.start) lease_granted_until_ = std::max(lease_granted_until_, lease_until_);
   effects_.orders.push_back(call.order);
   calls_[token] = std::move(call);
--- a/src/fleet/agent_registration.cc
+++ b/src/fleet/agent_registration.cc
@@ -131,7 +131,7 @@
   BackendProbe probe;
   probe.number = ++probes_sent_;
   probe.backend = claims_.front().announcement;
-  probe.poll.term = term_;
+  probe.poll.fence = {term_, epoch_};
   probe_in_flight_ = true;
   probed_ = probe.backend;
   effects_.probe = std::move(probe);
@@ -140,6 +140,7 @@
 void FleetAgentCore::OnProbed(TimePoint now, std::uint64_t number, const BackendReply& reply) {
   if (!probe_in_flight_ || number != probes_sent_) return;
   probe_in_flight_ = false;
+  if (reply.status == BackendStatus::kStaleTerm) CatchUpEpoch();
   const auto found = std::find_if(claims_.begin(), claims_.end(), [&](const Claim& claim) {
     return claim.announcement.id == probed_.id &&
            claim.announcement.started_unix_ms == probed_.started_unix_ms;
@@ -165,9 +166,12 @@
 }
 
 void FleetAgentCore::Register(TimePoint now, const BackendAnnouncement& announcement) {
+  // A call for a former incarnation with the same id names the end of the lease on a clock that is
+  // far ahead of the new one.
+  const bool same_id = backend_ && backend_->id == announcement.id;
   ResetBackendState();
-  // A former process of this agent may have granted it.
-  lease_granted_until_ = now + options_.lease;
+  // A former process of this agent may have granted a lease.
+  lease_granted_until_ = now + (same_id ? options_.longest_lease : options_.lease);
   LogDecision(fmt::format("backend={} born={} service={} accelerators={} registered",
                           announcement.id.value(), announcement.started_unix_ms,
                           announcement.service.value(), announcement.capacity.accelerators));
