Keep a record whose job is first seen after the first read of the jobs

The scheduler dropped all records that it had read once the jobs were loaded. A record is now kept until its job is read or its keys are removed. It needs another fault first: an entry that the first read of the jobs lacks, or a record without a job.

SchedulerRemovalTest.AJobThatIsFirstSeenLaterKeepsTheRecordThatWasReadBefore failed before (2 runs started instead of 1). SchedulerRemovalTest.ARemovedRecordIsNotThatOfAJobThatIsAcceptedLater bounds the change; it passed before.

--- a/include/basilspring/fleet/scheduler_driver.h
+++ b/include/basilspring/fleet/scheduler_driver.h
@@ -165,8 +165,8 @@
   std::int64_t leader_revision_;
   SchedulerCore core_;
   std::unique_ptr<PrefixWatch> inbox_;
-  /// Progress records that were read at the start of the term. They are dropped once all jobs are
-  /// loaded.
+  /// Progress records that were read at the start of the term. Once all jobs are loaded, only those
+  /// are kept whose jobs have not been read.
   std::map<JobId, JobProgress> loaded_progress_;
   /// Jobs whose record can't be read.
   std::set<JobId> unreadable_records_;
--- a/src/fleet/scheduler_driver.cc
+++ b/src/fleet/scheduler_driver.cc
@@ -130,7 +130,8 @@
       }
     }
   }
-  loaded_progress_.clear();
+  std::erase_if(loaded_progress_,
+                [this](const auto& row) { return job_revisions_.count(row.first) != 0; });
   Log(EventId::kFleetScheduler, "term={} ready members={} jobs_revision={} config={}",
       term_.value(), agents_.size(), inbox_->revision(), config_version_);
   // Once agents know the new scheduler, they report to it at once and refuse the orders of older
--- a/src/fleet/scheduler_records.cc
+++ b/src/fleet/scheduler_records.cc
@@ -155,6 +155,7 @@
   if (JobRevision(job) >= revision) return;
   job_revisions_.erase(job);
   progress_revisions_.erase(job);
+  loaded_progress_.erase(job);
   unreadable_records_.erase(job);
   unreadable_jobs_.erase(job);
   removal_revisions_[job] = revision;
--- a/tests/fleet/scheduler_removal_test.cc
+++ b/tests/fleet/scheduler_removal_test.cc
@@ -35,6 +35,13 @@
     ReportWorker(scheduler, {DoneRow(1, 0), DoneRow(2, 1)});
     EXPECT_EQ(scheduler.core().counts().jobs_completed, 1U);
   }
+  /// Stores a record of the job in which its first task is done, without the job itself.
+  void StoreRecordOfFirstTask() {
+    JobProgress progress;
+    progress.phase = static_cast<std::uint8_t>(JobPhase::kRunning);
+    progress.steps.emplace_back().done = {1, 0};
+    store_.Apply(StoreCall::Transaction().Set(record_key_, EncodeJobProgress(progress)));
+  }
   /// Runs passes until the condition holds. The pause after an unanswered write is real time.
   bool PassUntil(SchedulerDriver& scheduler, const std::function<bool()>& condition) {
     return Eventually([&] {
@@ -189,5 +196,28 @@
   EXPECT_LE(largest, kMaxEntries);
 }
 
+// Guards against running finished tasks again: a job that the first read of the jobs lacked was
+// added without the record that had been read before.
+TEST_F(SchedulerRemovalTest, AJobThatIsFirstSeenLaterKeepsTheRecordThatWasReadBefore) {
+  StoreRecordOfFirstTask();
+  const auto scheduler = MakeScheduler();
+  EXPECT_EQ(SubmitTwoTasks(*a_)->status, 200);
+  Deliver(*scheduler);
+  EXPECT_EQ(scheduler->core().counts().runs_started, 1U);
+}
+
+// Guards against taking such a record for that of a job that is accepted after its removal.
+TEST_F(SchedulerRemovalTest, ARemovedRecordIsNotThatOfAJobThatIsAcceptedLater) {
+  StoreRecordOfFirstTask();
+  const auto scheduler = MakeScheduler();
+  EXPECT_EQ(Cancel(*a_)->status, 410);
+  Deliver(*scheduler);
+  EXPECT_TRUE(PassUntil(*scheduler, [this] { return !IsCancelled(); }));
+  ASSERT_FALSE(store_.Has(record_key_));
+  EXPECT_EQ(SubmitTwoTasks(*a_)->status, 200);
+  Deliver(*scheduler);
+  EXPECT_EQ(scheduler->core().counts().runs_started, 2U);
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
