Start nothing beside a run of unknown size if the server does not enforce its capacity

A run that is listed and whose job is not known, or can't be read, counted with no needs.

SchedulerRestartTest.StartsNothingBesideARunOfUnknownSize failed before (2 runs on the worker instead of 1).

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -106,6 +106,8 @@
   /// A run that may be active on a worker and occupies capacity there.
   struct Allocation {
     Resources needs;
+    /// False if the run was listed and its job is not known, or can't be read.
+    bool needs_known = true;
     /// Whether the worker has accepted or listed the run.
     bool confirmed = false;
     bool stopping = false;
@@ -473,6 +475,9 @@
   /// Returns the workers on which the step may be placed.
   PlacementView BuildView(const Pass& pass, const ReadyStep& ready, Relaxation relaxation) const;
   Resources FreeCapacity(const Worker& worker) const;
+  /// Returns whether only the backend server knows how much of its capacity is free, because it
+  /// may have runs of an earlier scheduler that still stop, or runs of unknown jobs.
+  bool IsOccupationUnknown(TimePoint now, const Worker& worker) const;
   /// Returns the number of processed ends that the worker has not been told to forget.
   static std::int64_t UnacknowledgedEnds(const Worker& worker);
   /// Returns whether new work of the service may be started on the worker.
--- a/src/fleet/scheduler_core.cc
+++ b/src/fleet/scheduler_core.cc
@@ -146,6 +146,7 @@
       if (key.task.job != job.spec.id || FindJob(key.task) == nullptr) continue;
       const std::size_t step = StepIndex(job, key.task);
       run.needs = SpecOf(job, step).needs;
+      run.needs_known = true;
       ++TaskOf(job, key.task).live_runs;
       job.steps[step].agents.insert(node);
     }
--- a/src/fleet/scheduler_reports.cc
+++ b/src/fleet/scheduler_reports.cc
@@ -220,6 +220,7 @@
     run.working_since = now;
     run.progressed_at = now;
     run.visible_from_poll = poll;
+    run.needs_known = job != nullptr;
     if (job != nullptr) {
       run.needs = SpecOf(*job, StepIndex(*job, row.task)).needs;
       Task& task = TaskOf(*job, row.task);
--- a/src/fleet/scheduler_room.cc
+++ b/src/fleet/scheduler_room.cc
@@ -37,9 +37,15 @@
   return run.stopping && now - run.stopping_since <= options_.stop_time + options_.stop_grace;
 }
 
+bool SchedulerCore::IsOccupationUnknown(TimePoint now, const Worker& worker) const {
+  return MayHaveStoppingRuns(now, worker) ||
+         std::any_of(worker.runs.begin(), worker.runs.end(),
+                     [](const auto& row) { return !row.second.needs_known; });
+}
+
 bool SchedulerCore::IsUsable(TimePoint now, const Worker& worker, const ServiceId& service) const {
-  if (MayHaveStoppingRuns(now, worker)) {
-    // Only a backend server that enforces its capacity knows what these runs still occupy.
+  if (IsOccupationUnknown(now, worker)) {
+    // A backend server that enforces its capacity refuses what does not fit.
     const Service* settings = operator_state_->config.FindService(service);
     if (settings != nullptr && !settings->enforces_capacity) return false;
   }
--- a/tests/fleet/scheduler_restart_test.cc
+++ b/tests/fleet/scheduler_restart_test.cc
@@ -69,5 +69,25 @@
   EXPECT_EQ(fleet_.StartsOf(job), 2U);
 }
 
+// Guards against a worker whose capacity is exceeded: a run whose job is not known occupies room.
+TEST_F(SchedulerRestartTest, StartsNothingBesideARunOfUnknownSize) {
+  fleet_.SetEnforcesCapacity(false);
+  FleetHarness::Agent& agent = fleet_.AddAgent("large", "rack", 16);
+  fleet_.Advance(kSecond);
+  FleetHarness::Run unknown;
+  unknown.task = {JobId("00000000000000ff"), 0, 0, 0};
+  unknown.run = RunNumber(1);
+  unknown.stalled = true;
+  agent.runs.push_back(unknown);
+  fleet_.Advance(200);
+  const JobId job = fleet_.Submit("batch", "shop", MakeStep(1, 16, kSecond));
+  while (fleet_.StartsOf(job) == 0) {
+    ASSERT_LT(fleet_.now_ms(), 1020 * kSecond);
+    fleet_.Advance(20);
+  }
+  EXPECT_EQ(agent.runs.size(), 1U);
+  EXPECT_EQ(agent.runs.front().task.job, job);
+}
+
 }  // namespace
 }  // namespace basilspring::fleet
