Give up a task of a cell only when two reports of its agent lack it

Reports name the worker and not the process of its agent. The last report of a killed agent that arrives after its successor has started tasks lacks these, and the cell scheduler took them for lost: a non-idempotent job ended with an unknown outcome, another one ran again beside the task that went on. A task that a report lacks is now given up when a later report, a quarter of the heartbeat interval after the first one or more, lacks it too; it is requested at once within the limit on requests, half a heartbeat interval.

CellRecovery.ALateReportOfAFormerAgentDoesNotEndRunningTasks failed before (1 of 2 tasks running, no answer). CellRecovery.ATaskThatARestartedAgentDoesNotHaveIsGivenUp bounds the change; it passed before.

--- a/src/process/cell_core_internal.h
+++ b/src/process/cell_core_internal.h
@@ -189,6 +189,9 @@
   std::uint32_t RunningTasksOn(const WorkerId& id) const;
   /// Fails the attempts with tasks that the agent should have but did not report.
   void FailMissingTasks(const AgentReport& report);
+  /// Returns whether reports that are some time apart lack the member's task. A single one may be a
+  /// late one of a former process of the agent, because reports name the worker only.
+  bool IsMissingConfirmed(Member& member);
   void UpdateAccepting(const WorkerId& id, Worker& worker, bool accepting);
   void TickWorkers();
   /// Removes a worker that counts as lost, and fails the attempts with tasks on it.
--- a/src/process/cell_model.h
+++ b/src/process/cell_model.h
@@ -111,6 +111,8 @@
   TimePoint last_command;
   /// Whether the agent has reported that the backend server accepted the task.
   bool started = false;
+  /// When a report first lacked the task; std::nullopt if the last one had it.
+  std::optional<TimePoint> missing_since;
   ErrorKind error = ErrorKind::kNone;
   std::string output;
   std::string message;
@@ -244,6 +246,8 @@
   TimePoint last_heard;
   /// When the agent's report was last requested; empty if never.
   std::optional<TimePoint> hello_sent;
+  /// Whether the last report lacked a task that an earlier one had, which another one must confirm.
+  bool awaits_confirmation = false;
   /// Sequence number of the last heartbeat.
   std::uint64_t last_sequence = 0;
 };
--- a/src/process/cell_workers.cc
+++ b/src/process/cell_workers.cc
@@ -71,6 +71,7 @@
 }
 
 void CellCore::Impl::FailMissingTasks(const AgentReport& report) {
+  workers_[report.worker].awaits_confirmation = false;
   for (const AttemptId& id : AttemptIds()) {
     Attempt* const attempt = FindAttempt(id);
     if (attempt == nullptr) continue;
@@ -85,9 +86,10 @@
           [&](const TaskReport& task) { return task.attempt == id && task.rank == member.rank; });
       // A task can be missing because the report crossed a command on the way, unless the agent has
       // reported the task as running.
+      if (reported) member.missing_since.reset();
       const bool settled = member.state == MemberState::kRunning ||
                            now_ - member.last_command > timings_.heartbeat_interval;
-      if (reported || !settled) continue;
+      if (reported || !settled || !IsMissingConfirmed(member)) continue;
       member.state = attempt->start_sent ? MemberState::kLost : MemberState::kStopped;
       ReleaseMember(*attempt, member);
       missing = true;
@@ -102,6 +104,14 @@
   }
 }
 
+bool CellCore::Impl::IsMissingConfirmed(Member& member) {
+  if (!member.missing_since) member.missing_since = now_;
+  // The reports that a former process of the agent has sent before it ended arrive together.
+  if (now_ - *member.missing_since >= timings_.heartbeat_interval / 4) return true;
+  workers_[member.worker].awaits_confirmation = true;
+  return false;
+}
+
 void CellCore::Impl::UpdateAccepting(const WorkerId& id, Worker& worker, bool accepting) {
   if (worker.accepting == accepting) return;
   worker.accepting = accepting;
@@ -116,6 +126,7 @@
   std::vector<WorkerId> silent;
   for (const auto& [id, worker] : workers_) {
     if (now_ - worker.last_heard > timings_.worker_silence_timeout) silent.push_back(id);
+    if (worker.awaits_confirmation) RequestReport(id);
   }
   for (const WorkerId& id : silent) RemoveSilentWorker(id);
   std::erase_if(lost_workers_, [this](const auto& lost) {
--- a/tests/process/cell_recovery_test.cc
+++ b/tests/process/cell_recovery_test.cc
@@ -194,6 +194,36 @@
   EXPECT_EQ(cell.Result("j")->answer.outputs, std::vector<std::string>{"j/0"});
 }
 
+// Guards against giving up a running task: the last report of a killed agent arrived after its
+// successor had started the task.
+TEST_F(CellRecovery, ALateReportOfAFormerAgentDoesNotEndRunningTasks) {
+  AgentReport late{WorkerId("a"),
+                   RackId("rack"),
+                   CellId("dc/0"),
+                   cell.agent("a").epoch,
+                   cell.agent("a").address,
+                   cell.agent("a").capacity,
+                   true};
+  cell.Submit("j", 2, 8, false);
+  ASSERT_EQ(cell.Running("j"), 2U);
+  cell.FromAgent(cell.agent("a"), late);
+  cell.Run(3000);
+  EXPECT_EQ(cell.Running("j"), 2U);
+  cell.FinishTasks("j");
+  EXPECT_EQ(cell.Outcome("j"), ErrorKind::kNone);
+}
+
+// Guards against waiting for ever for a task that was lost with its agent.
+TEST_F(CellRecovery, ATaskThatARestartedAgentDoesNotHaveIsGivenUp) {
+  cell.Submit("j", 2, 8, false);
+  FakeAgent& agent = cell.agent("a");
+  agent.tasks.clear();
+  agent.sequence = 0;
+  cell.Run(5000);
+  EXPECT_EQ(cell.Running("j"), 0U);
+  EXPECT_EQ(cell.Outcome("j"), ErrorKind::kOutcomeUnknown);
+}
+
 // Guards against the answer "not run" for a job that a previous scheduler may have run.
 TEST_F(CellRecovery, CancelAfterAChangeDoesNotClaimNotRun) {
   cell.Submit("j", 2, 8, true, JobClass::kBatch);
