Take the answer of the next incarnation for no confirmation of a start

A start that reaches the next incarnation of the backend server under the same id is answered as accepted. The agent noticed by the clock that another incarnation had answered, and passed the answer on all the same: the scheduler then counted the crash of the former incarnation against a task that had never run there (LOST if it was the last of three). Found by the model of restarts. The agent now says that the outcome is unknown; the run is adopted once the incarnation that carries it out lists it.

LateCallTest.TheAnswerOfTheNextIncarnationDoesNotConfirmAStart failed before (status ok) and passes now.

--- a/src/fleet/agent_orders.cc
+++ b/src/fleet/agent_orders.cc
@@ -106,15 +106,19 @@
   calls_.erase(found);
   const bool registered = IsForRegisteredIncarnation(call);
   if (!registered || call.term < term_) RequireNewListing();
-  if (registered && reply.clock_ms != 0 && reply.clock_ms < call.clock_ms) {
-    OnOtherIncarnation("its clock is behind an earlier reading");
-  }
+  const bool other_answered = reply.clock_ms != 0 && reply.clock_ms < call.clock_ms;
+  if (registered && other_answered) OnOtherIncarnation("its clock is behind an earlier reading");
   const bool unknown = reply.status == BackendStatus::kUnknown;
   if (call.order.start) {
     LogDecision(fmt::format("task={} run={} attempt={} order=start status={} {}",
                             call.order.start_run.task.ToString(), call.order.start_run.run.value(),
                             call.attempts, BackendStatusName(reply.status), reply.message));
     call.in_doubt = call.in_doubt || unknown;
+    if (other_answered) {
+      // Says nothing of the incarnation that the order names. The other one lists what it runs.
+      RecordStatus(call, BackendStatus::kUnknown);
+      return;
+    }
     // The scheduler starts the tasks of an exited incarnation elsewhere, so the next one only gets
     // a stop, which makes it refuse a start that arrives late.
     if (unknown && registered && identified_ && call.attempts < kStartAttempts) {
--- a/tests/fleet/late_call_test.cc
+++ b/tests/fleet/late_call_test.cc
@@ -172,6 +172,7 @@
   }
 
   void CarryOut(const AgentEffects& effects) {
+    for (const auto& [token, reply] : effects.answers) statuses_.push_back(reply.statuses.front());
     for (const BackendOrder& order : effects.orders) {
       BackendReply reply;
       if (server_ && !loses_calls_) {
@@ -218,6 +219,8 @@
   bool loses_acknowledgements_ = false;
   std::vector<StartRun> late_starts_;
   std::vector<PollRuns> late_polls_;
+  /// Status of each start, in the order of the answers to their batches.
+  std::vector<std::uint8_t> statuses_;
 
  private:
   std::int64_t sequence_ = 0;
@@ -293,6 +296,17 @@
   EXPECT_EQ(server_->running.size(), 1U);
 }
 
+// Guards against a job that fails: a start that the next incarnation carries out counts as a run that
+// the former one had when it crashed.
+TEST_F(LateCallTest, TheAnswerOfTheNextIncarnationDoesNotConfirmAStart) {
+  server_.emplace(started_unix_ms_ + 1, TimePoint(now_.milliseconds() - 100));
+  OrderStart(kTask);
+  Advance(500);
+  ASSERT_EQ(server_->running.size(), 1U);
+  ASSERT_EQ(statuses_.size(), 1U);
+  EXPECT_EQ(BackendStatusFromWire(statuses_.front()), BackendStatus::kUnknown);
+}
+
 // Guards against runs that go on after the scheduler has taken their lease for expired.
 TEST_F(LateCallTest, ALeaseForAFormerIncarnationIsRefused) {
   loses_calls_ = true;
