Confirm no run by the answer to its start while it is being stopped

An attempt of a start that was not answered and not carried out can be overtaken by the stop of its run; the next attempt is then refused as old, which the agent reports as accepted, because it takes the run for ended. If the backend server restarted then, the run counted as one that it had crashed under. Found by the model of restarts.

SchedulerOvertakenStartTest.AStartThatIsBeingStoppedIsNotConfirmedByItsAnswer failed before (1 crash counted).

--- a/src/fleet/scheduler_orders.cc
+++ b/src/fleet/scheduler_orders.cc
@@ -173,7 +173,9 @@
             std::max(run->second.visible_from_poll, reply->visible_from_poll);
       }
       worker.failed_starts = 0;
-      run->second.confirmed = true;
+      // The stop may have overtaken the start, whose repetition the agent then took for a run that
+      // has ended.
+      if (!run->second.stopping) run->second.confirmed = true;
       run->second.working_since = now;
       run->second.progressed_at = now;
       continue;
--- a/tests/fleet/scheduler_crash_test.cc
+++ b/tests/fleet/scheduler_crash_test.cc
@@ -267,6 +267,30 @@
   EXPECT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, 20 * kSecond));
 }
 
+// Guards against counting a start that a stop has overtaken: its repetition is refused as old, which
+// the agent takes for a run that has ended.
+TEST(SchedulerOvertakenStartTest, AStartThatIsBeingStoppedIsNotConfirmedByItsAnswer) {
+  FleetHarness fleet;
+  fleet.AddQueue("batch", 2, 3.0, 3000);
+  fleet.AddQueue("urgent", 0, 2.0, 1000);
+  fleet.AddWorkspace("shop", 0);
+  FleetHarness::Agent& agent = fleet.AddAgent("a0", "rack");
+  fleet.Advance(kSecond);
+  agent.delays_answers = true;
+  agent.next_start_status = BackendStatus::kOk;
+  const JobId victim = fleet.Submit("batch", "shop", MakeStep(1, 8, 20 * kSecond));
+  fleet.Advance(200);
+  ASSERT_EQ(fleet.ordered_starts().size(), 1U);
+  ASSERT_EQ(fleet.StartsOf(victim), 0U);
+  fleet.Submit("urgent", "shop", MakeStep(1, 8, kSecond));
+  fleet.Advance(400);
+  fleet.DeliverAnswers("a0");
+  agent.report.backend_gone = true;
+  fleet.Advance(400);
+  EXPECT_EQ(fleet.core().counts().runs_preempted, 1U);
+  EXPECT_EQ(fleet.core().counts().crashes_counted, 0U);
+}
+
 // Guards against records of an earlier version that can't be read after an update.
 TEST(JobProgressTest, ARecordWithoutCrashesHasItsFormerForm) {
   JobProgress progress;
