Take a notice of leaving only as the end of a drain that the incarnation announced

The notice names an id only. A backend server announces that it drains, with the time that it stays at least, before it leaves. A notice without such an announcement of the registered incarnation, or before this time is over less 0.3 s for the transit, is now ignored; its end is then shown by the lease of its runs, as after a crash.

LeaveNoticeTest.ALateNoticeDoesNotShowThatTheRunsOfTheNextIncarnationHaveEnded, .ALateNoticeDoesNotMakeTheNext- IncarnationDrain and .ANoticeBeforeTheEndOfTheDrainIsALateOne failed before; .ANoticeAfterTheDrainShowsThatTheRunsHaveEnded bounds the change and passed before.

--- a/include/basilspring/fleet/agent_core.h
+++ b/include/basilspring/fleet/agent_core.h
@@ -92,7 +92,9 @@
   /// started earlier than the registered backend server is probed only if that one may have ended.
   /// Returns false if the announcement is ignored.
   bool OnAnnouncement(TimePoint now, const BackendAnnouncement& announcement);
-  /// Handles the backend server's notice that it leaves permanently.
+  /// Handles the backend server's notice that it leaves permanently. The notice names an id, so it
+  /// may be a late one of a former incarnation. It counts only if the registered incarnation has
+  /// announced that it drains, and the time that it stays at least is over.
   void OnLeave(TimePoint now, const BackendId& id);
   /// Handles news of the scheduler; ignored if `term` is older than the known one.
   void OnScheduler(TimePoint now, Term term, const Address& scheduler);
@@ -176,14 +178,16 @@
   /// Returns false if the scheduler has said which services there are, and this is none of them.
   bool IsServiceKnown(const ServiceId& service) const;
   /// Applies a newer announcement of the registered backend server. Returns false if it is ignored.
-  bool UpdateBackend(const BackendAnnouncement& announcement);
+  bool UpdateBackend(TimePoint now, const BackendAnnouncement& announcement);
+  /// Sets the registered announcement, and until when its backend server stays if it drains.
+  void SetBackend(TimePoint announced_at, const BackendAnnouncement& announcement);
   void AddClaim(TimePoint now, const BackendAnnouncement& announcement);
   /// Whether `other` started before the registered backend server, by the time of day.
   bool StartedEarlier(const BackendAnnouncement& other) const;
   /// Probes the next claim if no probe is in flight, and drops claims that are not repeated.
   void ProbeClaims(TimePoint now);
   /// Replaces the registered backend server.
-  void Register(TimePoint now, const BackendAnnouncement& announcement);
+  void Register(TimePoint now, const Claim& claim);
   /// Returns whether nothing runs on the registered backend server any more, given that it refuses
   /// connections: it has left, or the lease of its runs has certainly expired. A refused connection
   /// alone is no proof, because the network may refuse it for a host that works on.
@@ -259,6 +263,8 @@
   bool gone_ = false;
   /// Whether the backend server has said that it leaves and has not announced itself since.
   bool left_ = false;
+  /// Until when the draining backend server stays at least; std::nullopt if it does not drain.
+  std::optional<TimePoint> drains_until_;
   /// The latest end of the lease that an earlier call may have set at the backend server, and that
   /// of the last poll, which it has not got if it refused the connection.
   TimePoint lease_granted_until_;
--- a/src/fleet/agent_registration.cc
+++ b/src/fleet/agent_registration.cc
@@ -15,6 +15,9 @@
 constexpr Duration kClaimLifetime = Duration::Seconds(5);
 // Delay before the next probe after one that was not answered.
 constexpr Duration kProbeRetry(150);
+// Longest transit time of an announcement. A notice of leaving may arrive earlier by as much than
+// the announcement of the drain said.
+constexpr Duration kTransitTime(300);
 
 }  // namespace
 
@@ -42,6 +45,7 @@
   gone_since_.reset();
   gone_ = false;
   left_ = false;
+  drains_until_.reset();
   lease_granted_until_ = TimePoint();
   poll_lease_until_ = TimePoint();
 }
@@ -67,7 +71,7 @@
 
 bool FleetAgentCore::OnAnnouncement(TimePoint now, const BackendAnnouncement& announcement) {
   // The service of the registered backend server may have been removed from the configuration.
-  if (SameBackendIncarnation(announcement)) return UpdateBackend(announcement);
+  if (SameBackendIncarnation(announcement)) return UpdateBackend(now, announcement);
   if (!IsServiceKnown(announcement.service)) {
     LogIgnored(announcement, "the configuration does not contain its service");
     return false;
@@ -82,7 +86,7 @@
   return true;
 }
 
-bool FleetAgentCore::UpdateBackend(const BackendAnnouncement& announcement) {
+bool FleetAgentCore::UpdateBackend(TimePoint now, const BackendAnnouncement& announcement) {
   const bool contradicts = announcement.service != backend_->service ||
                            announcement.address != backend_->address ||
                            announcement.data_centre != backend_->data_centre;
@@ -104,11 +108,22 @@
                             announcement.draining, announcement.drain_remaining.milliseconds()));
     report_due_ = true;
   }
-  backend_ = announcement;
+  SetBackend(now, announcement);
   left_ = false;
   return true;
 }
 
+void FleetAgentCore::SetBackend(TimePoint announced_at, const BackendAnnouncement& announcement) {
+  backend_ = announcement;
+  if (!announcement.draining) {
+    drains_until_.reset();
+    return;
+  }
+  // A delayed announcement shows a later time than the server meant.
+  const TimePoint until = announced_at + announcement.drain_remaining;
+  drains_until_ = std::min(drains_until_.value_or(until), until);
+}
+
 void FleetAgentCore::AddClaim(TimePoint now, const BackendAnnouncement& announcement) {
   const auto found = std::find_if(claims_.begin(), claims_.end(), [&](const Claim& claim) {
     return claim.announcement.id == announcement.id &&
@@ -154,7 +169,7 @@
                           (reply.started_unix_ms == 0 && !earlier);
   const bool may_register = same_start && (!earlier || in_question_);
   if (reply.status == BackendStatus::kOk && may_register) {
-    Register(now, claim.announcement);
+    Register(now, claim);
   } else if (reply.status == BackendStatus::kOk ||
              reply.status == BackendStatus::kOtherIncarnation) {
     LogIgnored(claim.announcement, "another backend server listens at its address");
@@ -164,23 +179,30 @@
   }
 }
 
-void FleetAgentCore::Register(TimePoint now, const BackendAnnouncement& announcement) {
+void FleetAgentCore::Register(TimePoint now, const Claim& claim) {
+  const BackendAnnouncement& announcement = claim.announcement;
   ResetBackendState();
   // A former process of this agent may have granted it.
   lease_granted_until_ = now + options_.lease;
   LogDecision(fmt::format("backend={} born={} service={} accelerators={} registered",
                           announcement.id.value(), announcement.started_unix_ms,
                           announcement.service.value(), announcement.capacity.accelerators));
-  backend_ = announcement;
+  SetBackend(claim.announced_at, announcement);
   report_due_ = true;
 }
 
-void FleetAgentCore::OnLeave(TimePoint /*now*/, const BackendId& id) {
+void FleetAgentCore::OnLeave(TimePoint now, const BackendId& id) {
   if (!backend_ || backend_->id != id) return;
+  if (!drains_until_ || now + kTransitTime < *drains_until_) {
+    LogDecision(
+        fmt::format("backend={} born={} draining={} notice of leaving ignored: {}", id.value(),
+                    backend_->started_unix_ms, backend_->draining,
+                    drains_until_ ? "it stays longer" : "it has not announced that it drains"));
+    return;
+  }
   LogDecision(fmt::format("backend={} has left", id.value()));
   // The backend server stays registered as draining until another incarnation announces itself, so
   // that a late announcement does not register it again as available.
-  backend_->draining = true;
   backend_->drain_remaining = Duration(0);
   left_ = true;
   report_due_ = true;
