Record the agent of a run that the scheduler finds listed

An adopted run added its agent to those of the step in memory only. The agent is now added with a new version of the record, as for a start.

SchedulerRestartTest.ASuccessorWaitsForTheAgentOfARunThatWasAdopted failed before (two runs at the same time). 389 tests of scheduler, agent, entries, nodes and cells pass.

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -307,6 +307,9 @@
   /// Counts the runs of a new job that agents have listed before it was known. They are being
   /// stopped.
   void CountListedRuns(Job& job);
+  /// Adds the agent to those that may have runs of the step, also in the record of a job that has
+  /// not ended: a later scheduler waits for the agents that the record names.
+  static void NameAgent(Job& job, std::size_t step, const NodeId& node);
   /// Whether the job has priority 0, as far as the settings of its queue are known.
   static bool IsUrgent(const Job& job) { return job.queue_known && job.queue.priority == 0; }
   /// Gives up the capacity that is reserved or held back for the step.
--- a/src/fleet/scheduler_core.cc
+++ b/src/fleet/scheduler_core.cc
@@ -148,11 +148,16 @@
       run.needs = SpecOf(job, step).needs;
       run.needs_known = true;
       ++TaskOf(job, key.task).live_runs;
-      job.steps[step].agents.insert(node);
+      NameAgent(job, step, node);
     }
   }
 }
 
+void SchedulerCore::NameAgent(Job& job, std::size_t step, const NodeId& node) {
+  const bool added = job.steps[step].agents.insert(node).second;
+  if (added && !IsFinal(job.phase)) ++job.version;
+}
+
 void SchedulerCore::AddUnreadableJob(TimePoint now, std::int64_t wall_ms, JobSpec spec,
                                      std::int64_t record_revision) {
   const JobId id = spec.id;
--- a/src/fleet/scheduler_queue.cc
+++ b/src/fleet/scheduler_queue.cc
@@ -273,8 +273,7 @@
       checkpoint.empty() && (spec.data_rack.empty() || spec.data_rack == worker.backend->rack);
   // The record must name the agent before the start is sent, so that the next scheduler knows where
   // the run may be.
-  Step& step = job.steps[StepIndex(job, id)];
-  if (step.agents.insert(worker.node).second) ++job.version;
+  NameAgent(job, StepIndex(job, id), worker.node);
   pending_orders_.push_back({worker.node, std::move(order), job.version});
   ++counts_.runs_started;
 }
--- a/src/fleet/scheduler_reports.cc
+++ b/src/fleet/scheduler_reports.cc
@@ -225,7 +225,7 @@
       run.needs = SpecOf(*job, StepIndex(*job, row.task)).needs;
       Task& task = TaskOf(*job, row.task);
       ++task.live_runs;
-      job->steps[StepIndex(*job, row.task)].agents.insert(worker.node);
+      NameAgent(*job, StepIndex(*job, row.task), worker.node);
       // The last run was given up with a former incarnation of this worker if it is listed again.
       const bool is_last_run = row.run == task.run && task.worker == worker.node;
       const bool wanted = task.phase == TaskPhase::kWaiting && !IsFinal(job->phase) &&
--- a/tests/fleet/scheduler_restart_test.cc
+++ b/tests/fleet/scheduler_restart_test.cc
@@ -69,6 +69,39 @@
   EXPECT_EQ(fleet_.StartsOf(job), 2U);
 }
 
+// Guards against a task that runs twice: a scheduler found a run that it had given up, and its
+// successor was not told that the agent may have runs of the step.
+TEST_F(SchedulerRestartTest, ASuccessorWaitsForTheAgentOfARunThatWasAdopted) {
+  fleet_.AddAgent("large", "rack", 16);
+  fleet_.Advance(kSecond);
+  const StepSpec large = MakeStep(1, 16, 10 * kSecond);
+  const StepSpec small = MakeStep(1, 1, 60);
+  fleet_.outcome_of = [&](const std::string&, const TaskId&) {
+    return fleet_.starts().size() <= 2 ? RunEnd::kFailed : RunEnd::kDone;
+  };
+  FleetHarness::Agent& agent = fleet_.agent("large");
+  agent.next_start_status = BackendStatus::kRefused;
+  agent.starts_despite_status = true;
+  const JobId job = fleet_.Submit("batch", "shop", {large, small});
+  fleet_.Advance(40);
+  ASSERT_EQ(fleet_.StartsOf(job), 2U);
+  ASSERT_EQ(agent.runs.size(), 1U);
+  // The failure of the other task is recorded before the refused run is listed.
+  agent.reachable = false;
+  fleet_.Advance(300);
+  agent.reachable = true;
+  fleet_.Advance(300);
+  ASSERT_EQ(agent.runs.size(), 1U);
+  agent.reachable = false;
+  fleet_.AddAgent("spare", "rack", 16);
+  fleet_.ChangeScheduler(2);
+  fleet_.Advance(2 * kSecond);
+  EXPECT_TRUE(fleet_.overlapping_tasks().empty());
+  agent.reachable = true;
+  EXPECT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, 20 * kSecond));
+  EXPECT_TRUE(fleet_.overlapping_tasks().empty());
+}
+
 // Guards against a worker whose capacity is exceeded: a run whose job is not known occupies room.
 TEST_F(SchedulerRestartTest, StartsNothingBesideARunOfUnknownSize) {
   fleet_.SetEnforcesCapacity(false);
