Don't count a crash against a run that was stopped before it

An agent takes a repeated start that is refused as old (stale-run) for an accepted one whose run has ended, and answers it as accepted. It is refused likewise if a stop came in between, so that a run which never began had a confirmed start, and the crash of its worker counted against its task.

--- a/tests/fleet/scheduler_crash_test.cc
+++ b/tests/fleet/scheduler_crash_test.cc
@@ -203,6 +203,36 @@
   EXPECT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, 20 * kSecond));
 }
 
+// Guards against giving up a job because a start is answered as accepted that was refused after a
+// stop.
+TEST_F(SchedulerCrashTest, DoesNotCountCrashesAgainstRunsThatWereStoppedBeforeTheirStart) {
+  LeaveStartsUnanswered(true);
+  for (int i = 0; i < kAgents; ++i) fleet_.agent("a" + std::to_string(i)).delays_answers = true;
+  StepSpec gang = MakeStep(2, 8, 5 * kSecond);
+  gang.gang = true;
+  const JobId job = fleet_.Submit("batch", "shop", gang);
+  for (std::size_t i = 1; i <= 5; ++i) {
+    for (int waited = 0; fleet_.ordered_starts().size() < 2 * i; waited += 20) {
+      ASSERT_LT(waited, 10 * kSecond) << "start " << i;
+      fleet_.Advance(20);
+    }
+    const std::string first = fleet_.ordered_starts()[2 * i - 2].first;
+    const std::string second = fleet_.ordered_starts()[2 * i - 1].first;
+    // Because the second member has no answer, the first one is stopped.
+    fleet_.DeliverAnswers(second);
+    fleet_.Advance(40);
+    auto& answers = fleet_.agent(first).delayed_answers;
+    ASSERT_EQ(answers.size(), 2U);
+    answers.begin()->second->statuses[0] = static_cast<std::uint8_t>(BackendStatus::kOk);
+    fleet_.DeliverAnswers(first);
+    Exit(first);
+    fleet_.Advance(kReportMs);
+    ASSERT_NE(fleet_.PhaseOf(job), JobPhase::kFailed) << "start " << i;
+    Restart(first);
+    fleet_.DeliverAnswers(second);
+  }
+}
+
 // Guards against losing a worker with each start as fast as starts can be ordered.
 TEST_F(SchedulerCrashTest, SpacesOutStartsThatAreLostWithoutAnswer) {
   LeaveStartsUnanswered(true);
