Take unknown statuses of a backend server of the cells as no answer

Any status that the protocol does not name counted as a refused start, so that nothing was done: after a 502 on the way or a 408 the task started again while the first run may have gone on, also that of a non-idempotent job. For a poll it ended the task. Only other statuses of 4xx count as refusals now; the rest leaves the outcome to the next poll, as for a lost answer.

ToBackendResult.AFaultOnTheWayDoesNotShowThatNothingWasDone failed before.

--- a/src/connection/backend_client.cc
+++ b/src/connection/backend_client.cc
@@ -55,7 +55,9 @@
       // A poll may be repeated, while a refused start is not.
       return start ? BackendStatus::kRefused : BackendStatus::kUnreachable;
     default:
-      return BackendStatus::kRefused;
+      // A timeout (408) or a fault on the way, like 502, does not show that nothing was done.
+      return response.status / 100 == 4 && response.status != 408 ? BackendStatus::kRefused
+                                                                  : BackendStatus::kNoAnswer;
   }
 }
 
--- a/tests/connection/backend_client_test.cc
+++ b/tests/connection/backend_client_test.cc
@@ -151,6 +151,21 @@
   EXPECT_LT(result.text.size(), 100U);
 }
 
+// Guards against a task that runs twice: a fault on the way was taken for a refused start.
+TEST(ToBackendResult, AFaultOnTheWayDoesNotShowThatNothingWasDone) {
+  BackendCall call;
+  call.kind = BackendCallKind::kStart;
+  HttpResult answer;
+  for (const int status : {408, 502, 504, 599}) {
+    answer.status = status;
+    EXPECT_EQ(ToBackendResult(call, answer).status, BackendStatus::kNoAnswer) << status;
+  }
+  for (const int status : {400, 404, 409, 413, 429, 503}) {
+    answer.status = status;
+    EXPECT_EQ(ToBackendResult(call, answer).status, BackendStatus::kRefused) << status;
+  }
+}
+
 TEST(ParseAnnouncement, NamesTheInvalidField) {
   const std::string valid =
       R"({"address":"127.0.0.1:9","cores":1,"memory_mb":2,"accelerators":3,"slots":4,"connections":5,"leaving":true})";
