--- a/src/process/cell_store.cc
+++ b/src/process/cell_store.cc
@@ -1,5 +1,7 @@
 #include "process/cell_store.h"
 
+#include <fmt/format.h>
+
 #include <utility>
 #include <vector>
 
@@ -62,7 +64,11 @@
         Log(EventId::kInternalError, "record={} cause=\"{}\"", pair.key, error.what());
       }
     }
-    if (!page.more || page.pairs.empty()) return listed;
+    if (!page.more) return listed;
+    if (page.pairs.empty()) {
+      throw Error(ErrorKind::kStoreUnavailable,
+                  fmt::format("a page of {} is empty although more follow", prefix));
+    }
     from = page.pairs.back().key + '\0';
   }
 }
--- a/tests/process/cell_store_test.cc
+++ b/tests/process/cell_store_test.cc
@@ -1,11 +1,14 @@
 #include "process/cell_store.h"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include "basilspring/connection/http_client.h"
+#include "basilspring/error.h"
 #include "basilspring/process/io_thread.h"
 #include "basilspring/request/request_record.h"
 #include "standin/store_server.h"
+#include "tests/connection/scripted_server.h"
 
 namespace basilspring::internal {
 namespace {
@@ -69,5 +72,17 @@
   EXPECT_EQ(cell_.Fence(fence).outcome, StoreOutcome::kDone);
 }
 
+// Guards against accepted jobs that are lost with their scheduler: an empty page was taken for the
+// last one although more follow.
+TEST_F(CellStoreTest, AnEmptyPageIsNotTheLastOneIfMoreFollow) {
+  const std::string body = R"({"header":{"revision":"5"},"more":true})";
+  const ScriptedServer server(
+      {{fmt::format("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{}", body.size(), body)}});
+  StoreOptions options;
+  options.servers = {server.address()};
+  StoreClient store(io_, http_, options);
+  EXPECT_THROW(CellStore(store, CellId("a/1"), Duration(10000)).List(), Error);
+}
+
 }  // namespace
 }  // namespace basilspring::internal
