Continue a watch of the own store after the last event that was received

A watch that broke went on after the revision in the header of the last message. The API sends a long history in several messages whose headers name the revision of the whole store, so the events of the messages that did not arrive were never delivered: an entry missed changes of holders of cells and of the configuration. The watch now goes on after the last event.

ParseWatchMessageTest.EventsAreCompleteUpToTheLastOneOnly failed before.

--- a/src/connection/store_json.cc
+++ b/src/connection/store_json.cc
@@ -242,6 +242,7 @@
     parsed.pair = ParsePair(*kv);
     message.events.push_back(std::move(parsed));
   }
+  if (!message.events.empty()) message.revision = message.events.back().pair.mod_revision;
   return message;
 }
 
--- a/src/connection/store_json.h
+++ b/src/connection/store_json.h
@@ -35,6 +35,9 @@
 
 /// One message of a watch stream.
 struct WatchMessage {
+  /// Revision up to which the stream has shown all events: that of the last event, or without
+  /// events that of the store. With events, the store's revision may be ahead, because a long
+  /// history is sent in several messages.
   std::int64_t revision = 0;
   bool canceled = false;
   std::vector<StoreEvent> events;
--- a/tests/connection/store_client_test.cc
+++ b/tests/connection/store_client_test.cc
@@ -12,6 +12,7 @@
 #include "basilspring/error.h"
 #include "basilspring/process/io_thread.h"
 #include "basilspring/version/config_change.h"
+#include "connection/store_json.h"
 #include "standin/store_server.h"
 
 namespace basilspring {
@@ -129,6 +130,15 @@
   EXPECT_EQ(seen, (std::vector<std::string>{"1", "2", "3"}));
 }
 
+// Guards against events that are lost when a watch breaks: the store sends a long history in
+// several messages, and the header of each names the revision of the whole store.
+TEST(ParseWatchMessageTest, EventsAreCompleteUpToTheLastOneOnly) {
+  const auto message = internal::ParseWatchMessage(
+      R"({"result":{"header":{"revision":"90"},"events":[{"kv":{"key":"YQ==","mod_revision":"7"}}]}})");
+  ASSERT_EQ(message.events.size(), 1U);
+  EXPECT_EQ(message.revision, 7);
+}
+
 ConfigChange Change(const std::string& path, const std::string& key, SettingValue value,
                     const std::string& token) {
   return {{{path, key, std::move(value)}}, "operator", token};
