Take an unreadable answer of the own store as an unknown outcome

An answer 200 that could not be parsed had an error kind that callers took for "certainly had no effect", also for writes: a claim that was stored counted as refused, and its job was given up. An answer without a header and so without any member, like {}, showed a transaction whose conditions failed, or a key that does not exist. Such an answer now leaves the outcome of a write unknown, and makes a read fail; answers to reads and transactions must have a revision.

StoreClientTest.AnAnswerThatCannotBeReadShowsNothing failed before. 262 tests of the store, connections, agents, entries and cells pass.

--- a/src/connection/store_client.cc
+++ b/src/connection/store_client.cc
@@ -31,6 +31,19 @@
   bool retried_after_unknown = false;
 };
 
+/// Parses the answer to a call that the store has answered. An answer that can't be read does not
+/// show what the store has done.
+template <typename Result>
+Result ParseAnswer(Result (*parse)(const std::string&), const CallOutcome& outcome, CallKind kind) {
+  try {
+    return parse(outcome.body);
+  } catch (const Error& error) {
+    throw Error(
+        kind == CallKind::kWrite ? ErrorKind::kStoreOutcomeUnknown : ErrorKind::kStoreUnavailable,
+        error.what());
+  }
+}
+
 }  // namespace
 
 class StoreClient::Impl {
@@ -148,16 +161,16 @@
 
 RangeResult StoreClient::Get(const std::string& key) {
   const std::string body = internal::RangeRequestJson(key, "", 0);
-  return internal::ParseRangeResponse(
-      impl_->Call("/v3/kv/range", body, CallKind::kRead, true).body);
+  return ParseAnswer(internal::ParseRangeResponse,
+                     impl_->Call("/v3/kv/range", body, CallKind::kRead, true), CallKind::kRead);
 }
 
 RangeResult StoreClient::List(const std::string& prefix, std::size_t limit,
                               const std::string& from) {
   const std::string body =
       internal::RangeRequestJson(from.empty() ? prefix : from, internal::PrefixEnd(prefix), limit);
-  return internal::ParseRangeResponse(
-      impl_->Call("/v3/kv/range", body, CallKind::kRead, true).body);
+  return ParseAnswer(internal::ParseRangeResponse,
+                     impl_->Call("/v3/kv/range", body, CallKind::kRead, true), CallKind::kRead);
 }
 
 TxnResult StoreClient::Txn(const std::vector<StoreCondition>& conditions,
@@ -172,7 +185,7 @@
   if (first_put != nullptr) reads.push_back(first_put->key);
   const CallOutcome outcome = impl_->Call(
       "/v3/kv/txn", internal::TxnRequestJson(conditions, writes, reads), CallKind::kWrite, true);
-  TxnResult result = internal::ParseTxnResponse(outcome.body);
+  TxnResult result = ParseAnswer(internal::ParseTxnResponse, outcome, CallKind::kWrite);
   if (result.succeeded || first_put == nullptr) return result;
   if (!result.found.empty() && result.found.back().key == first_put->key) {
     const StoreKeyValue stored = std::move(result.found.back());
@@ -193,15 +206,17 @@
       std::max<std::int64_t>(1, (time_to_live.milliseconds() + 999) / 1000);
   // If the response to a grant is lost, the store keeps a lease that nothing refers to; it expires
   // by itself.
-  return internal::ParseLeaseGrant(
-      impl_->Call("/v3/lease/grant", internal::LeaseGrantJson(seconds), CallKind::kWrite, true)
-          .body);
+  return ParseAnswer(
+      internal::ParseLeaseGrant,
+      impl_->Call("/v3/lease/grant", internal::LeaseGrantJson(seconds), CallKind::kWrite, true),
+      CallKind::kWrite);
 }
 
 bool StoreClient::KeepAlive(std::int64_t lease) {
   const std::string body = internal::LeaseIdJson(lease);
-  return internal::ParseKeepAlive(
-             impl_->Call("/v3/lease/keepalive", body, CallKind::kWrite, false).body) > 0;
+  return ParseAnswer(internal::ParseKeepAlive,
+                     impl_->Call("/v3/lease/keepalive", body, CallKind::kWrite, false),
+                     CallKind::kWrite) > 0;
 }
 
 void StoreClient::RevokeLease(std::int64_t lease) {
--- a/src/connection/store_json.cc
+++ b/src/connection/store_json.cc
@@ -77,6 +77,14 @@
   return header == nullptr ? 0 : GetInt64(*header, "revision");
 }
 
+/// Returns the revision that an answer with keys must have. Without it, members that are missing
+/// don't have their default values.
+std::int64_t RequiredRevision(const json::object& object) {
+  const std::int64_t revision = HeaderRevision(object);
+  if (revision <= 0) ThrowBadResponse("an answer has no revision");
+  return revision;
+}
+
 StoreKeyValue ParsePair(const json::object& object) {
   StoreKeyValue pair;
   pair.key = GetBytes(object, "key");
@@ -156,7 +164,7 @@
 RangeResult ParseRangeResponse(const std::string& body) {
   const json::object object = ParseObject(body);
   RangeResult result;
-  result.revision = HeaderRevision(object);
+  result.revision = RequiredRevision(object);
   result.pairs = ParsePairs(object);
   result.more = GetBool(object, "more");
   return result;
@@ -184,7 +192,7 @@
   const json::object object = ParseObject(body);
   TxnResult result;
   result.succeeded = GetBool(object, "succeeded");
-  result.revision = HeaderRevision(object);
+  result.revision = RequiredRevision(object);
   if (const json::array* const responses = GetArray(object, "responses"); responses != nullptr) {
     for (const json::value& response : *responses) {
       const json::object* const range = GetObject(AsObject(response), "response_range");
--- a/tests/connection/store_client_test.cc
+++ b/tests/connection/store_client_test.cc
@@ -1,5 +1,6 @@
 #include "basilspring/connection/store_client.h"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include <atomic>
@@ -14,6 +15,7 @@
 #include "basilspring/version/config_change.h"
 #include "connection/store_json.h"
 #include "standin/store_server.h"
+#include "tests/connection/scripted_server.h"
 
 namespace basilspring {
 namespace {
@@ -139,6 +141,25 @@
   EXPECT_EQ(message.revision, 7);
 }
 
+// Guards against a write that took effect and is reported as if it had none, and against a key that
+// is taken for absent, when the answer can't be read.
+TEST_F(StoreClientTest, AnAnswerThatCannotBeReadShowsNothing) {
+  for (const std::string body : {"", "{", "[]", "{}", R"({"succeeded":true})"}) {
+    const std::string answer =
+        fmt::format("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{}", body.size(), body);
+    const ScriptedServer server({{answer}, {answer}, {answer}});
+    StoreOptions options = Options();
+    options.servers = {server.address()};
+    StoreClient store(io_, http_, options);
+    EXPECT_EQ(KindOf([&] {
+                store.Txn({KeyAbsent{"/u"}}, {PutKey{"/u", "1"}});
+              }),
+              ErrorKind::kStoreOutcomeUnknown)
+        << body;
+    EXPECT_EQ(KindOf([&] { store.Get("/u"); }), ErrorKind::kStoreUnavailable) << body;
+  }
+}
+
 ConfigChange Change(const std::string& path, const std::string& key, SettingValue value,
                     const std::string& token) {
   return {{{path, key, std::move(value)}}, "operator", token};
