Model restarts of a backend server under its id and late calls

spec/restart.pml models scheduler, agent and backend server of src/fleet: start, stop, poll with acknowledgement and list, leases, restarts under the same id, calls that the next incarnation carries out late, and a new term. It asserts that no task runs twice, that no end as done is acknowledged unrecorded, and that a crash counts only for a run that was lost.

--- a/scripts/model-check.sh
+++ b/scripts/model-check.sh
@@ -59,6 +59,8 @@
 holds permit
 holds guarantee
 holds request
+holds restart
+holds restart -DTERMS=2 -DINCARNATIONS=3 -DRUNS=1
 MODELS
 }
 
@@ -66,7 +68,7 @@
 # unreachable; the violation shows that the model does not hold vacuously.
 list_mutations() {
   local model flag
-  for model in permit gang request guarantee; do
+  for model in permit gang request guarantee restart; do
     grep -ohE '(MUTATION|REACH)_[A-Z0-9_]+' "spec/$model.pml" | sort -u | while read -r flag; do
       if [ "$model" = gang ]; then echo "violated gang -DWITH_CRASH -D$flag"; else echo "violated $model -D$flag"; fi
     done
