--- a/spec/restart.pml
+++ b/spec/restart.pml
@@ -87,6 +87,7 @@
 bool began; /* the start was answered, or the run was listed */
 bool is_stopping, stop_confirmed, awaits_answer;
 byte last_end;
+byte suspect; /* a run that was lost before anything showed that it began */
 
 /* Observers. */
 bool lost[RUNS + 1]; /* the run began and was lost with its server */
@@ -428,7 +429,7 @@
 }
 
 #define FORGET_WORKER(except_list)                                                            \
-  release(); known = 0; last_end = 0;                                                         \
+  release(); known = 0; last_end = 0; suspect = 0;                                            \
   listed = listed && except_list; settled = settled && except_list
 
 /* Without runs, the record names no agent that has listed them. */
@@ -448,6 +449,9 @@
       :: stage == NOT_STARTED -> RELEASE                                                      \
       :: else -> is_stopping = true; stop_confirmed = stop_confirmed || stage == FENCED       \
       fi                                                                                      \
+    :: stage == STARTED && suspect != 0 && suspect == order_run ->                            \
+      assert(lost[suspect]); /* LOST: the answer counts the crash afterwards */               \
+      suspect = 0                                                                             \
     :: else                                                                                   \
     fi;                                                                                       \
     FORGET_ORDER                                                                              \
@@ -490,6 +494,7 @@
   if
   :: row != 0 && row == last_run && current == 0 && !done_recorded && !elsewhere ->
     CHECK_ADOPTION;
+    suspect = 0;
     current = row;
     named = true
   :: else
@@ -511,6 +516,7 @@
       listed = false; settled = false;
       if
       :: current != 0 && COUNTS_AS_CRASH -> CHECK_CRASH; assert(lost[current]) /* LOST */
+      :: current != 0 && !COUNTS_AS_CRASH && !is_stopping -> suspect = current
       :: else
       fi;
       release()
