--- a/tests/fleet/late_call_test.cc
+++ b/tests/fleet/late_call_test.cc
@@ -73,6 +73,8 @@
   std::int64_t lease_until_ms = 0;
 
   std::int64_t ClockMs(TimePoint now) const { return (now - started_).milliseconds(); }
+  /// The highest fence that this incarnation has seen.
+  const Fence& fence() const { return fence_; }
 
  private:
   BackendReply MakeReply(TimePoint now) const {
@@ -126,14 +128,18 @@
     Advance(3000);
   }
 
-  void Announce() {
+  BackendAnnouncement MakeAnnouncement() {
     BackendAnnouncement backend;
     backend.id = BackendId("backend");
     backend.started_unix_ms = started_unix_ms_;
     backend.sequence = ++sequence_;
     backend.service = ServiceId("service");
     backend.capacity = {8000, 8000, 8};
-    agent_->OnAnnouncement(now_, backend);
+    return backend;
+  }
+
+  void Announce() {
+    agent_->OnAnnouncement(now_, MakeAnnouncement());
     agent_->OnScheduler(now_, Term(1), kScheduler);
   }
 
@@ -288,6 +294,20 @@
   EXPECT_TRUE(server_->running.empty());
 }
 
+// Guards against epochs that run out: those of a term that the agent has not heard of yet don't
+// show that its own is too low.
+TEST_F(LateCallTest, AnAgentWithoutASchedulerKeepsItsEpoch) {
+  agent_ = std::make_unique<FleetAgentCore>(MakeOptions(1002));
+  agent_->OnAnnouncement(now_, MakeAnnouncement());
+  Advance(10000);
+  Announce();
+  Advance(3000);
+  OrderStart(kTask);
+  Advance(500);
+  EXPECT_EQ(server_->running.size(), 1U);
+  EXPECT_LE(server_->fence().epoch, 1004U);
+}
+
 // Guards against a host that is not used after its time of day was set back.
 TEST_F(LateCallTest, AnAgentWithALowerFirstEpochCatchesUp) {
   RestartAgent(0);
@@ -296,8 +316,8 @@
   EXPECT_EQ(server_->running.size(), 1U);
 }
 
-// Guards against a job that fails: a start that the next incarnation carries out counts as a run that
-// the former one had when it crashed.
+// Guards against a job that fails: a start that the next incarnation carries out counts as a run
+// that the former one had when it crashed.
 TEST_F(LateCallTest, TheAnswerOfTheNextIncarnationDoesNotConfirmAStart) {
   server_.emplace(started_unix_ms_ + 1, TimePoint(now_.milliseconds() - 100));
   OrderStart(kTask);
