Share no epoch with a former process of the agent

Epochs begin with the time of day in seconds, and a former process may have raised its own to the same value. A late start of that process was then carried out. The epoch now rises once it has been accepted for the first time, before anything but polls is sent with it.

LateCallTest.AStartOfAFormerProcessWithTheSameEpochIsRefused failed before.

--- a/include/basilspring/fleet/agent_core.h
+++ b/include/basilspring/fleet/agent_core.h
@@ -256,6 +256,8 @@
   /// Whether the registered incarnation has been identified in this epoch, so that calls of the
   /// epoch may be open that must not reach the next one.
   bool epoch_used_ = false;
+  /// Whether a former process of this agent may have sent calls with this epoch.
+  bool epoch_shared_ = true;
   /// By how much the epoch rises if it turns out to be too low.
   std::uint32_t epoch_step_ = 1;
   Address scheduler_;
--- a/src/fleet/agent_core.cc
+++ b/src/fleet/agent_core.cc
@@ -182,6 +182,7 @@
   identified_ = !superseded_after_poll_;
   in_question_ = !identified_;
   epoch_used_ = epoch_used_ || identified_;
+  if (std::exchange(epoch_shared_, false)) ++epoch_;
   epoch_step_ = 1;
   confirmed_acknowledgement_ = std::max(confirmed_acknowledgement_, poll_acknowledgement_);
   const bool first_listing = poll_answered_ < first_listing_poll_;
--- a/src/fleet/agent_limits.cc
+++ b/src/fleet/agent_limits.cc
@@ -38,6 +38,7 @@
   // Until the agent knows a scheduler, its term is the lowest one, whatever its epoch.
   if (term_ == Term()) return;
   // A former process of this agent has sent calls, and the time of day was set back since.
+  epoch_shared_ = true;
   const std::uint32_t left = std::numeric_limits<std::uint32_t>::max() - epoch_;
   epoch_ += std::min(epoch_step_, left);
   epoch_step_ = std::min(epoch_step_ * 2, kMaxEpochStep);
--- a/tests/fleet/late_call_test.cc
+++ b/tests/fleet/late_call_test.cc
@@ -294,6 +294,18 @@
   EXPECT_TRUE(server_->running.empty());
 }
 
+// Guards against a start of a killed process of the agent that has reached the same epoch.
+TEST_F(LateCallTest, AStartOfAFormerProcessWithTheSameEpochIsRefused) {
+  loses_calls_ = true;
+  OrderStart(kTask);
+  CarryOut(agent_->Tick(now_));
+  loses_calls_ = false;
+  ASSERT_EQ(late_starts_.size(), 1U);
+  RestartAgent(late_starts_.front().fence.epoch);
+  server_->Start(now_, late_starts_.front());
+  EXPECT_TRUE(server_->running.empty());
+}
+
 // Guards against epochs that run out: those of a term that the agent has not heard of yet don't
 // show that its own is too low.
 TEST_F(LateCallTest, AnAgentWithoutASchedulerKeepsItsEpoch) {
