Compare a start's answer with what the clock must show by then

Whether another incarnation has answered a start was judged by the last reading of the clock. A poll may wait for a second, so a server that restarted meanwhile, soon after its former start, counted as the former incarnation, and the start as confirmed. The comparison now uses the least that the clock must show when the order arrives.

LateCallTest.TheAnswerOfAnIncarnationWithANearlyEqualClockDoesNotConfirmAStart failed before.

--- a/include/basilspring/fleet/agent_core.h
+++ b/include/basilspring/fleet/agent_core.h
@@ -159,7 +159,7 @@
     /// Incarnation of the backend server that the order is meant for.
     BackendId backend;
     std::int64_t started_unix_ms = 0;
-    /// The last reading of its clock when the call was issued; 0 if there was none.
+    /// What its clock showed at least when the order arrived; 0 if it had not been read.
     std::int64_t clock_ms = 0;
   };
 
@@ -209,6 +209,8 @@
   bool IsClockRecent(TimePoint now) const;
   /// Converts a time to milliseconds on the backend server's clock.
   std::int64_t ToBackendClock(TimePoint moment) const;
+  /// Returns the least that the backend server's clock shows now, in milliseconds.
+  std::int64_t LeastBackendClock(TimePoint now) const;
   /// Sends the order of a call, for the first time or again, under a new token.
   void IssueCall(Call call);
   /// Stores the outcome of an order in its batch, and answers the batch if it was the last one.
--- a/src/fleet/agent_core.cc
+++ b/src/fleet/agent_core.cc
@@ -20,6 +20,8 @@
 // A backend server whose runs have ended is considered to have ended too once connections to it
 // have been refused for this long.
 constexpr Duration kGoneAfter(400);
+// Clocks of backend servers may run slow by this much.
+constexpr std::int64_t kClockErrorPercent = 3;
 // Number of ends that the line about an acknowledgement names. A longer list would not fit into
 // one write to a pipe.
 constexpr std::size_t kMaxNamedEnds = 40;
@@ -138,6 +140,11 @@
   return clock_ms_ + (moment - clock_read_at_).milliseconds();
 }
 
+std::int64_t FleetAgentCore::LeastBackendClock(TimePoint now) const {
+  const Duration since_reading = now - clock_read_at_;
+  return clock_ms_ + (since_reading * (100 - kClockErrorPercent) / 100).milliseconds();
+}
+
 void FleetAgentCore::OnPolled(TimePoint now, std::uint64_t number, const BackendReply& reply) {
   if (number != polls_sent_) return;
   poll_in_flight_ = false;
--- a/src/fleet/agent_orders.cc
+++ b/src/fleet/agent_orders.cc
@@ -72,7 +72,7 @@
     call.term = term_;
     call.backend = batch.backend;
     call.started_unix_ms = batch.started_unix_ms;
-    call.clock_ms = clock_known_ ? clock_ms_ : 0;
+    call.clock_ms = clock_known_ ? LeastBackendClock(now) : 0;
     call.batch = token;
     call.index = i;
     call.order.start = order.start;
--- a/tests/fleet/late_call_test.cc
+++ b/tests/fleet/late_call_test.cc
@@ -189,7 +189,7 @@
       }
       agent_->OnOrderDone(now_, order.token, reply);
     }
-    if (effects.poll) {
+    if (effects.poll && !holds_polls_) {
       const bool lost = loses_calls_ || (loses_acknowledgements_ && effects.poll->acknowledged > 0);
       BackendReply reply;
       if (server_ && !lost) {
@@ -223,6 +223,8 @@
   /// Calls that were not answered.
   bool loses_calls_ = false;
   bool loses_acknowledgements_ = false;
+  /// Whether polls wait for an end, so that they are not answered for now.
+  bool holds_polls_ = false;
   std::vector<StartRun> late_starts_;
   std::vector<PollRuns> late_polls_;
   /// Status of each start, in the order of the answers to their batches.
@@ -339,6 +341,20 @@
   EXPECT_EQ(BackendStatusFromWire(statuses_.front()), BackendStatus::kUnknown);
 }
 
+// The same if the clock of the next incarnation has passed the last reading of the former one.
+TEST_F(LateCallTest, TheAnswerOfAnIncarnationWithANearlyEqualClockDoesNotConfirmAStart) {
+  Restart(400);
+  holds_polls_ = true;
+  Advance(900);
+  server_.emplace(started_unix_ms_ + 1,
+                  TimePoint(now_.milliseconds() - server_->ClockMs(now_) + 500));
+  OrderStart(kTask);
+  Advance(100);
+  ASSERT_EQ(server_->running.size(), 1U);
+  ASSERT_EQ(statuses_.size(), 1U);
+  EXPECT_EQ(BackendStatusFromWire(statuses_.front()), BackendStatus::kUnknown);
+}
+
 // Guards against runs that go on after the scheduler has taken their lease for expired.
 TEST_F(LateCallTest, ALeaseForAFormerIncarnationIsRefused) {
   loses_calls_ = true;
