Name the bound of a restarted server's lease by what it is

No change of behaviour: a clearer name, and a comment without a claim that did not always hold (the scheduler may stop the run before the incarnation that carries it out is registered).

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -153,7 +153,7 @@
     TimePoint last_lease_extension;
     /// When the runs of a restarted backend server have certainly ended, if calls for the former
     /// incarnation with the same id have extended their lease.
-    TimePoint former_lease_bound;
+    TimePoint longest_lease_until;
     std::optional<BackendAnnouncement> backend;
     /// Incarnation of the agent that last reported `backend`.
     std::uint64_t backend_reported_by = 0;
--- a/src/fleet/agent_orders.cc
+++ b/src/fleet/agent_orders.cc
@@ -115,7 +115,7 @@
                             call.attempts, BackendStatusName(reply.status), reply.message));
     call.in_doubt = call.in_doubt || unknown;
     if (other_answered) {
-      // Says nothing of the incarnation that the order names. The other one lists what it runs.
+      // Says nothing of the incarnation that the order names.
       RecordStatus(call, BackendStatus::kUnknown);
       return;
     }
--- a/src/fleet/scheduler_reports.cc
+++ b/src/fleet/scheduler_reports.cc
@@ -29,7 +29,7 @@
 
 TimePoint SchedulerCore::LeaseExpiryBound(const Worker& worker) const {
   const TimePoint extended_at = std::max(worker.last_lease_extension, term_started_at_);
-  return std::max(LeaseExpiryBound(extended_at), worker.former_lease_bound);
+  return std::max(LeaseExpiryBound(extended_at), worker.longest_lease_until);
 }
 
 bool SchedulerCore::MayHaveStoppingRuns(TimePoint now, const Worker& worker) const {
@@ -135,14 +135,14 @@
   if (!same) {
     // The lease may have been extended until now, regardless of what polls have shown so far.
     worker.last_lease_extension = now;
-    worker.former_lease_bound = TimePoint();
+    worker.longest_lease_until = TimePoint();
     // Orders are addressed by id, so a start for the former incarnation may have reached this one.
     // It names the end of the lease on the former clock, which is far ahead of the new one.
     const bool restarted =
         worker.ends_backend == backend.id && worker.ends_started_unix_ms != backend.started_unix_ms;
     if (restarted) {
       worker.runs_listed_at.reset();
-      worker.former_lease_bound = now + options_.longest_lease * (100 + kClockErrorPercent) / 100 +
+      worker.longest_lease_until = now + options_.longest_lease * (100 + kClockErrorPercent) / 100 +
                                   options_.stop_time + kTransitTime;
     }
     if (worker.backend) {
