Repeat a stop that a poll of a later epoch has overtaken

A stop that is on its way when the agent begins a new epoch arrives after a poll with a higher fencing token and is refused. The run would go on until the scheduler sends the stop again, and a fencing stop would count as unanswered. The agent now sends it again in its own epoch. The new test fails without the repetition: the run is still active.

--- a/src/fleet/agent_orders.cc
+++ b/src/fleet/agent_orders.cc
@@ -134,7 +134,9 @@
     }
     return;
   }
-  if (unknown && call.attempts < kStopAttempts) {
+  const bool overtaken =
+      reply.status == BackendStatus::kStaleTerm && call.order.stop_run.fence.epoch < epoch_;
+  if ((unknown || overtaken) && call.attempts < kStopAttempts) {
     IssueCall(std::move(call));
     return;
   }
--- a/tests/fleet/late_call_test.cc
+++ b/tests/fleet/late_call_test.cc
@@ -137,8 +137,9 @@
     agent_->OnScheduler(now_, Term(1), kScheduler);
   }
 
-  /// Orders a run as the scheduler does on the agent's last report.
-  void OrderStart(const TaskId& task) {
+  /// Sends an order as the scheduler does on the agent's last report.
+  void OrderStart(const TaskId& task) { SendOrder(task, true); }
+  void SendOrder(const TaskId& task, bool start) {
     OrderBatch batch;
     batch.term = Term(1);
     batch.scheduler = kScheduler;
@@ -147,7 +148,7 @@
     batch.backend = BackendId("backend");
     batch.started_unix_ms = started_unix_ms_;
     Order order;
-    order.start = true;
+    order.start = start;
     order.task = task;
     order.run = RunNumber(1);
     batch.orders.push_back(order);
@@ -293,6 +294,25 @@
   EXPECT_EQ(server_->running.size(), 1U);
 }
 
+// Guards against a run that goes on because a poll of a later epoch has overtaken its stop.
+TEST_F(LateCallTest, AStopThatALaterEpochOvertakesIsRepeated) {
+  OrderStart(kTask);
+  Advance(500);
+  ASSERT_EQ(server_->running.size(), 1U);
+  SendOrder(kTask, false);
+  AgentEffects effects = agent_->Tick(now_);
+  AgentEffects stop;
+  std::swap(stop.orders, effects.orders);
+  ASSERT_EQ(stop.orders.size(), 1U);
+  loses_calls_ = true;
+  CarryOut(effects);
+  loses_calls_ = false;
+  Advance(500);
+  CarryOut(stop);
+  Advance(100);
+  EXPECT_TRUE(server_->running.empty());
+}
+
 // Guards against runs that go on after the scheduler has taken their lease for expired.
 TEST_F(LateCallTest, ALeaseForAFormerIncarnationIsRefused) {
   loses_calls_ = true;
