Take a refusal as final only if no later submission is unanswered

An entry identifies the scheduler that refuses a job by its address. When the same process holds the cell again in a new term, the refusal of a submission to the earlier term could arrive after the entry had submitted the job again: the caller was told "not run", and the new term accepted the job. The entry now counts the submissions to a scheduler that it has not answered, in whose order the answers arrive, and ignores a "not run" as long as there is a later one. A report that answers a query shows that none is on its way.

Left: a refusal that the earlier term sends after it had accepted the job can't be told from the answer to the later submission, because results name neither a term nor a submission.

EntryCoreTest.ARefusalIsFinalOnlyIfNoLaterSubmissionIsUnanswered failed before.

--- a/src/process/entry_core_internal.h
+++ b/src/process/entry_core_internal.h
@@ -61,6 +61,9 @@
   bool sent = false;
   /// Whether the scheduler has confirmed that it has the job.
   bool accepted = false;
+  /// Submissions to `scheduler` that it has not answered. It answers them in order, so a refusal is
+  /// not final as long as there is a later one.
+  std::uint32_t unanswered_submissions = 0;
   /// Whether the cell has returned the job, and no other cell has been found yet.
   bool returned = false;
   /// Cells in service that have returned the job; other cells are preferred.
--- a/src/process/entry_core_messages.cc
+++ b/src/process/entry_core_messages.cc
@@ -48,6 +48,7 @@
   EntryRequest* const request = FindRequest(message.job);
   if (request == nullptr || request->phase != RequestPhase::kSubmitted) return;
   if (from != request->scheduler) return;
+  if (request->unanswered_submissions > 0) --request->unanswered_submissions;
   request->accepted = true;
   request->next_poll = now + kAcceptedPollInterval;
   UpdateState(*request, message.state, request->attempts);
@@ -74,6 +75,8 @@
   EntryRequest* const request = FindRequest(message.job);
   if (request == nullptr || request->phase == RequestPhase::kFinished) return;
   request->attempts = std::max(request->attempts, message.attempts);
+  const bool answers = from == request->scheduler && request->unanswered_submissions > 0;
+  if (answers) --request->unanswered_submissions;
   if (message.result.error == ErrorKind::kNone) {
     const std::size_t outputs = message.result.answer.outputs.size();
     // The shape of a job that another entry submitted is unknown to this entry.
@@ -94,6 +97,9 @@
   // A superseded scheduler, or one whose cell the job was moved away from, does not know the
   // outcome of the job.
   if (request->phase != RequestPhase::kSubmitted || from != request->scheduler) return;
+  // The scheduler may accept a later submission that it has not answered.
+  const bool not_run = ErrorInfo(message.result.error).outcome == RunOutcome::kNotRun;
+  if (not_run && request->unanswered_submissions > 0) return;
   HandleRefusal(*request, message.result);
 }
 
@@ -130,6 +136,8 @@
   EntryRequest* const request = FindRequest(message.job);
   if (request == nullptr) return;
   if (request->phase == RequestPhase::kSubmitted && from == request->scheduler) {
+    // The scheduler has received the submissions that came before the query, or never will.
+    request->unanswered_submissions = 0;
     if (message.known && !HasEnded(message.state)) {
       UpdateState(*request, message.state, message.attempts);
       request->next_poll = now + kAcceptedPollInterval;
@@ -166,6 +174,7 @@
   EntryRequest* const request = FindRequest(message.job);
   if (request == nullptr || request->phase != RequestPhase::kSubmitted) return;
   if (from != request->scheduler) return;
+  if (request->unanswered_submissions > 0) --request->unanswered_submissions;
   request->returned = true;
   request->ran = request->ran || message.ran;
   // Otherwise the cell returned the job because its data centre is out of service, and is a good
--- a/src/process/entry_core_submit.cc
+++ b/src/process/entry_core_submit.cc
@@ -193,11 +193,13 @@
   request.phase = RequestPhase::kSubmitted;
   request.accepted = false;
   request.returned = false;
+  if (request.scheduler != cell.holder) request.unanswered_submissions = 0;
   request.scheduler = cell.holder;
   request.next_poll = now + kAcceptTimeout;
   // If the cell is vacant, OnSchedulerChanged submits the job again.
   if (cell.holder.empty()) return;
   request.sent = true;
+  ++request.unanswered_submissions;
   cell.tasks_sent += request.spec.shape.tasks;
   SubmitJob message{request.spec};
   message.spec.deadline = TimeToDeadline(request);
--- a/tests/process/entry_core_test.cc
+++ b/tests/process/entry_core_test.cc
@@ -62,6 +62,33 @@
   EXPECT_EQ(OutputOf(4), "one");
 }
 
+// Guards against the answer "not run" for a job that runs: the refusal of a submission to an
+// earlier term of a scheduler arrived while the one to the next term, at the same address, was
+// accepted.
+TEST_F(EntryCoreTest, ARefusalIsFinalOnlyIfNoLaterSubmissionIsUnanswered) {
+  ReceiveSummary(1);
+  Submit(1, Spec("j1"));
+  const auto again = Handle(CellChanged{CellId("a/1"), SchedulerAddress(1), Epoch(2)});
+  ASSERT_EQ(Sent<SubmitJob>(again).size(), 1U);
+  ReceiveFinished(SchedulerAddress(1), "j1", Failure(ErrorKind::kOverloaded));
+  EXPECT_TRUE(replies_[1].empty());
+  ReceiveFinished(SchedulerAddress(1), "j1", Failure(ErrorKind::kOverloaded));
+  EXPECT_EQ(ErrorOf(1), ErrorKind::kOverloaded);
+}
+
+// Guards against waiting for the answer to a submission that the scheduler never received.
+TEST_F(EntryCoreTest, AReportShowsThatEarlierSubmissionsAreNotAnsweredAnyMore) {
+  ReceiveSummary(1);
+  Submit(1, Spec("j1"));
+  Handle(CellChanged{CellId("a/1"), SchedulerAddress(1), Epoch(2)});
+  JobReport unknown;
+  unknown.job = JobId("j1");
+  const auto again = Handle(ProcessMessage{SchedulerAddress(1), unknown});
+  ASSERT_EQ(Sent<SubmitJob>(again).size(), 1U);
+  ReceiveFinished(SchedulerAddress(1), "j1", Failure(ErrorKind::kOverloaded));
+  EXPECT_EQ(ErrorOf(1), ErrorKind::kOverloaded);
+}
+
 // Guards against losing jobs in flight when their scheduler fails, and against accepting the
 // refusal of a superseded scheduler after its successor got the job.
 TEST_F(EntryCoreTest, ANewSchedulerGetsTheJobsAndTheSupersededOneIsIgnored) {
