Let the soak's backend servers carry out lost calls at their next incarnation

The present soak closes the connections of a backend server that restarts, so no call for the former incarnation reached the next one. The fault "late calls to a restarted backend server" now loses the calls of the 1.5 s before the restart and carries each out 2 to 12 s after it was sent, by the incarnation that then runs. The kinds of faults and their order are unchanged.

--- a/standin/soak_fault_kinds.cc
+++ b/standin/soak_fault_kinds.cc
@@ -14,6 +14,8 @@
 constexpr const char* kEvacuatePrefix = "op/evacuate/";
 // The users' backend servers announce themselves up to this time after their start.
 constexpr std::uint64_t kMaxFirstAnnouncementMs = 1500;
+// Longer than an agent takes to send a start three times.
+constexpr std::int64_t kLostCallsMs = 1500;
 
 std::int64_t NowMs() { return Clock::Now().milliseconds(); }
 
@@ -151,12 +153,16 @@
   return undo;
 }
 
-/// Restarts a backend server and holds back calls that its agent sends to the new incarnation
-/// before the first announcement. They arrive when the fault ends, after newer calls.
+/// Restarts a backend server that has lost the last calls, so that the new incarnation
+/// carries them out late, and holds back calls that its agent sends to this one before the first
+/// announcement. They arrive when the fault ends, after newer calls.
 SoakFaults::Undo SoakFaults::DelayCallsToRestartedWorker() {
   const std::size_t index = RandomAgentIndex();
   Relay& relay = *fleet_.nodes()[index].worker_relay;
-  RestartWorkerUnderItsId(index - (fleet_.nodes().size() - fleet_.workers()), 0);
+  const std::size_t worker = index - (fleet_.nodes().size() - fleet_.workers());
+  fleet_.LoseCalls(worker, Duration(kLostCallsMs));
+  RunLoadFor(kLostCallsMs);
+  RestartWorkerUnderItsId(worker, 0);
   RunLoadFor(RandomMsBelow(500));
   relay.HoldOpenConnections();
   return [&relay] { relay.ReleaseHeldConnections(); };
--- a/standin/soak_fleet.cc
+++ b/standin/soak_fleet.cc
@@ -36,6 +36,10 @@
 constexpr std::int64_t kSlowestClockPermille = 980;
 constexpr std::int64_t kAccurateClockPermille = 1000;
 
+// Calls that are not answered may be carried out 2 to 12 s later on the users' platform.
+constexpr Duration kMinLateness(2000);
+constexpr std::int64_t kMaxExtraLatenessMs = 10000;
+
 void Sleep(Duration duration) {
   std::this_thread::sleep_for(std::chrono::milliseconds(duration.milliseconds()));
 }
@@ -60,12 +64,31 @@
       io_, workers_[index].address,
       [this, index](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
         Worker& worker = workers_[index];
-        const std::int64_t now_ms = Clock::Now().milliseconds();
-        worker.incarnation->Handle(request, responder, worker.ClockAt(now_ms));
-        worker.KeepTimes(now_ms);
+        if (Clock::Now().milliseconds() >= worker.loses_calls_until_ms) {
+          CarryOut(worker, request, responder);
+          return;
+        }
+        const Duration delay =
+            kMinLateness + Duration(static_cast<std::int64_t>(late_calls_()) % kMaxExtraLatenessMs);
+        io_.PostAfter(delay, [this, &worker, request, responder] {
+          if (running_) CarryOut(worker, request, responder);
+        });
       });
 }
 
+void SoakFleet::CarryOut(Worker& worker, const HttpRequest& request,
+                         const std::shared_ptr<HttpResponder>& responder) {
+  const std::int64_t now_ms = Clock::Now().milliseconds();
+  worker.incarnation->Handle(request, responder, worker.ClockAt(now_ms));
+  worker.KeepTimes(now_ms);
+}
+
+void SoakFleet::LoseCalls(std::size_t index, Duration time) {
+  RunOnIo([&] {
+    workers_[index].loses_calls_until_ms = Clock::Now().milliseconds() + time.milliseconds();
+  });
+}
+
 SoakFleet::SoakFleet(const SoakFleetOptions& options) : options_(options), store_(options.seed) {
   std::mt19937_64 random(options.seed);
   store_address_ = Address{fmt::format("127.{}.3.1", options.network), kPeerPort};
--- a/standin/soak_fleet.h
+++ b/standin/soak_fleet.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -103,6 +104,9 @@
   /// time and a clock that begins at 0. Its connections are closed, so that no call to the former
   /// incarnation reaches the new one. Its first announcement follows after the given time.
   void RestartWorkerUnderItsId(std::size_t index, Duration first_announcement);
+  /// Makes a backend server lose all calls for this time. Each is carried out 2 to 12 s later, by
+  /// the incarnation that then runs, and its answer reaches nobody.
+  void LoseCalls(std::size_t index, Duration time);
   std::size_t workers() const { return workers_.size(); }
   /// Returns the number of ends of runs on all backend servers since their last restart, and how
   /// many of these are acknowledged.
@@ -119,6 +123,7 @@
     std::optional<std::int64_t> first_announcement_ms;
     std::unique_ptr<HttpServer> server;
     Address address;
+    std::int64_t loses_calls_until_ms = 0;
     /// The clock of the backend server reads `clock_offset_ms` plus `clock_permille` thousandths of
     /// this process's clock.
     std::int64_t clock_permille = 1000;
@@ -142,6 +147,8 @@
   void ScheduleTick();
   void Announce();
   std::unique_ptr<HttpServer> MakeWorkerServer(std::size_t index);
+  static void CarryOut(Worker& worker, const HttpRequest& request,
+                       const std::shared_ptr<HttpResponder>& responder);
   void AnnounceWorker(std::size_t index);
   /// Moves the runs of the incarnation that has crashed to the past ones.
   void KeepCrashedRuns(std::size_t index);
@@ -155,6 +162,8 @@
   std::vector<SoakNode> nodes_;
   Address store_address_;
   std::int64_t ticks_ = 0;
+  /// Draws how late lost calls are carried out. Used on the I/O thread only.
+  std::minstd_rand late_calls_;
   std::atomic<bool> running_{true};
   IoThread io_;
   HttpClient http_{io_};
