Don't count a crash against a run that was stopped before it

An agent takes a repeated start that is refused as old (stale-run) for an accepted one whose run has ended, and answers it as accepted. It is refused likewise if a stop came in between, so that a run which never began had a confirmed start, and the crash of its worker counted against its task.

A run whose stop is confirmed, or whose start was confirmed after a stop was ordered, now counts as one of which nothing shows that it was active; a later answer does not change that. The line of the crash says when a stop was ordered and whether it was confirmed. DoesNotCountCrashesAgainstRunsThatWereStoppedBeforeTheirStart fails without this: the job is failed at the third start.

--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -180,11 +180,15 @@
 
   enum class TaskPhase : std::uint8_t { kWaiting, kActive, kDone };
 
-  /// What shows that a run had begun when its worker crashed.
+  /// What shows that a run was active when its worker crashed.
   enum class CrashEvidence : std::uint8_t {
     /// Nothing: no answer to the start is known, and no poll has listed the run. The start may not
     /// have been carried out.
     kNone,
+    /// Nothing, and a stop was ordered: the run may have been stopped before the crash, or before
+    /// it began. A start that is repeated after a stop is refused like one whose run has ended,
+    /// which the agent answers as accepted, so that a later answer shows nothing either.
+    kStopped,
     /// The worker has accepted the start.
     kAccepted,
     /// A poll has listed the run.
@@ -371,13 +375,15 @@
   /// have caused it, and gives up their jobs when their limit is reached.
   void CountCrash(TimePoint now, Worker& worker, const AgentReport& report);
   static CrashEvidence EvidenceOf(const Allocation& run);
+  static bool IsCertain(CrashEvidence evidence) { return evidence >= CrashEvidence::kAccepted; }
   static int CountCrashes(const Task& task, CrashEvidence evidence);
-  /// The number of crashes under the task during runs that had certainly begun.
+  static int CountUncertainCrashes(const Task& task);
+  /// The number of crashes under the task during runs that were certainly active.
   static int CountCertainCrashes(const Task& task);
   /// Records the crash with the task and postpones its next start.
   void RecordCrash(TimePoint now, const Worker& worker, Job& job, const RunKey& key,
                    const Allocation& run);
-  /// Counts a crash whose run was not known to have begun, because the start's answer came later.
+  /// Counts a crash whose run was not known to be active, because the start's answer came later.
   void CountCrashOfAcceptedRun(Worker& worker, const RunKey& key, std::uint64_t batch);
   /// Whether an order of the run has not been sent yet.
   bool AwaitsOrder(const NodeId& node, const RunKey& key) const;
--- a/src/fleet/scheduler_core.cc
+++ b/src/fleet/scheduler_core.cc
@@ -227,7 +227,7 @@
         recorded.failed_runs.push_back({static_cast<std::int32_t>(i), run});
       }
       for (const auto& [run, evidence] : step.tasks[i].crashed_runs) {
-        if (evidence == CrashEvidence::kNone) continue;
+        if (!IsCertain(evidence)) continue;
         progress.crashed_runs.push_back(
             {step_index, static_cast<std::int32_t>(i), run, evidence == CrashEvidence::kListed});
       }
--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -20,12 +20,12 @@
 // scheduler that is replaced may miss one crash.
 constexpr int kMaxEarlyCrashes = 3;
 constexpr int kMaxCrashes = 4;
-// Of the early crashes this many must be certain: a task may be given up after two crashes. Others
-// are starts without an answer that were lost with their workers.
+// Of the early crashes this many must be certain: a task may be given up after two crashes. The
+// others are starts of which nothing shows that they were carried out.
 constexpr int kMinCertainCrashes = 2;
-// Longest delay before a task is started again after a start without an answer was lost with its
-// worker; it doubles from kRetryDelay on. Leaves time to notice the loss within the 3 s for which a
-// job may be left waiting beside free capacity.
+// Longest delay before a task is started again after such a start was lost with its worker; it
+// doubles from kRetryDelay on. Leaves time to notice the loss within the 3 s for which a job may be
+// left waiting beside free capacity.
 constexpr Duration kMaxLostStartPause(1000);
 // A long-running task that has run for this long is not the cause of its worker's crash.
 constexpr Duration kSoundRunTime = Duration::Seconds(30);
@@ -217,7 +217,11 @@
 }
 
 SchedulerCore::CrashEvidence SchedulerCore::EvidenceOf(const Allocation& run) {
+  const bool accepted_before_stop =
+      run.confirmed && (!run.stopping || run.working_since <= run.stopping_since);
+  if (run.stop_confirmed_at) return CrashEvidence::kStopped;
   if (run.first_percent) return CrashEvidence::kListed;
+  if (run.stopping && !accepted_before_stop) return CrashEvidence::kStopped;
   return run.confirmed ? CrashEvidence::kAccepted : CrashEvidence::kNone;
 }
 
@@ -226,6 +230,10 @@
                                         [&](const auto& row) { return row.second == evidence; }));
 }
 
+int SchedulerCore::CountUncertainCrashes(const Task& task) {
+  return CountCrashes(task, CrashEvidence::kNone) + CountCrashes(task, CrashEvidence::kStopped);
+}
+
 int SchedulerCore::CountCertainCrashes(const Task& task) {
   return CountCrashes(task, CrashEvidence::kAccepted) + CountCrashes(task, CrashEvidence::kListed);
 }
@@ -239,7 +247,7 @@
     return moment ? (now - *moment).milliseconds() : -1;
   };
   // Runs that a poll has listed have worked beside each other without a crash, so the cause is
-  // sought among the later ones first, as far as these have begun.
+  // sought among the later ones first, as far as these were active.
   const bool any_accepted = std::any_of(
       worker.runs.begin(), worker.runs.end(),
       [](const auto& row) { return EvidenceOf(row.second) == CrashEvidence::kAccepted; });
@@ -251,14 +259,16 @@
     if (TaskOf(*job, key.task).phase == TaskPhase::kDone) continue;
     RecordCrash(now, worker, *job, key, run);
     LogDecision(fmt::format(
-        "task={} run={} worker={} ran_ms={} listed={} confirmed={} poll_age_ms={} ordered_ms={} "
-        "born={} next_born={} crashes={} the worker crashed {}",
+        "task={} run={} worker={} ran_ms={} listed={} confirmed={} stop_ms={} "
+        "stop_confirmed={} poll_age_ms={} ordered_ms={} born={} next_born={} crashes={} the worker "
+        "crashed {}",
         key.task.ToString(), key.run.value(), worker.node.value(),
         (now - run.working_since).milliseconds(), run.first_percent.has_value(), run.confirmed,
-        age_ms(worker.polled_at), age_ms(run.ordered_at), worker.backend->started_unix_ms,
-        next_born, CountCertainCrashes(TaskOf(*job, key.task)),
-        evidence == CrashEvidence::kNone ? "and nothing shows that the run had begun: not counted"
-                                         : "during the run"));
+        run.stopping ? (now - run.stopping_since).milliseconds() : -1,
+        run.stop_confirmed_at.has_value(), age_ms(worker.polled_at), age_ms(run.ordered_at),
+        worker.backend->started_unix_ms, next_born, CountCertainCrashes(TaskOf(*job, key.task)),
+        IsCertain(evidence) ? "during the run"
+                            : "and nothing shows that the run was active: not counted"));
     FailIfWorkersCrashed(*job, StepIndex(*job, key.task), static_cast<std::size_t>(key.task.index));
   }
 }
@@ -269,9 +279,9 @@
   Task& task = TaskOf(job, key.task);
   task.failed_on.insert(worker.node);
   Duration pause = kRetryDelay;
-  if (evidence == CrashEvidence::kNone) {
+  if (!IsCertain(evidence)) {
     task.crashed_runs[key.run] = evidence;
-    const int lost_starts = CountCrashes(task, CrashEvidence::kNone);
+    const int lost_starts = CountUncertainCrashes(task);
     pause =
         std::min(kRetryDelay * (std::int64_t{1} << std::min(lost_starts, 4)), kMaxLostStartPause);
   } else {
@@ -310,13 +320,12 @@
   const Task& task = job.steps[step].tasks[index];
   const int early = CountCrashes(task, CrashEvidence::kAccepted);
   const int certain = CountCertainCrashes(task);
-  const int lost_starts = CountCrashes(task, CrashEvidence::kNone);
+  const int lost_starts = CountUncertainCrashes(task);
   const bool early_used_up = early >= kMinCertainCrashes && early + lost_starts >= kMaxEarlyCrashes;
   if (IsFinal(job.phase) || (!early_used_up && certain < kMaxCrashes)) return;
   const std::string lost =
-      lost_starts == 0
-          ? ""
-          : fmt::format(", {} starts without an answer were lost with their workers", lost_starts);
+      lost_starts == 0 ? ""
+                       : fmt::format(", {} more starts were lost with their workers", lost_starts);
   FinishJob(job, JobPhase::kFailed,
             fmt::format("{} workers have crashed under task {}{}", certain,
                         IdOf(job, step, index).ToString(), lost));
--- a/tests/fleet/scheduler_crash_test.cc
+++ b/tests/fleet/scheduler_crash_test.cc
@@ -203,6 +203,35 @@
   EXPECT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, 20 * kSecond));
 }
 
+// Guards against taking a start that is refused after a stop, and answered as accepted, for a run.
+TEST_F(SchedulerCrashTest, DoesNotCountCrashesAgainstRunsThatWereStoppedBeforeTheirStart) {
+  LeaveStartsUnanswered(true);
+  for (int i = 0; i < kAgents; ++i) fleet_.agent("a" + std::to_string(i)).delays_answers = true;
+  StepSpec gang = MakeStep(2, 8, 5 * kSecond);
+  gang.gang = true;
+  const JobId job = fleet_.Submit("batch", "shop", gang);
+  for (std::size_t i = 1; i <= 5; ++i) {
+    for (int waited = 0; fleet_.ordered_starts().size() < 2 * i; waited += 20) {
+      ASSERT_LT(waited, 10 * kSecond) << "start " << i;
+      fleet_.Advance(20);
+    }
+    const std::string first = fleet_.ordered_starts()[2 * i - 2].first;
+    const std::string second = fleet_.ordered_starts()[2 * i - 1].first;
+    // Because the second member has no answer, the first one is stopped.
+    fleet_.DeliverAnswers(second);
+    fleet_.Advance(40);
+    auto& answers = fleet_.agent(first).delayed_answers;
+    ASSERT_EQ(answers.size(), 2U);
+    answers.begin()->second->statuses[0] = static_cast<std::uint8_t>(BackendStatus::kOk);
+    fleet_.DeliverAnswers(first);
+    Exit(first);
+    fleet_.Advance(kReportMs);
+    ASSERT_NE(fleet_.PhaseOf(job), JobPhase::kFailed) << "start " << i;
+    Restart(first);
+    fleet_.DeliverAnswers(second);
+  }
+}
+
 // Guards against losing a worker with each start as fast as starts can be ordered.
 TEST_F(SchedulerCrashTest, SpacesOutStartsThatAreLostWithoutAnswer) {
   LeaveStartsUnanswered(true);
@@ -219,8 +248,7 @@
   EXPECT_GE(waits.back(), kSecond - kReportMs);
 }
 
-// Guards against a task that crashes its workers and is started for ever, because each answer comes
-// after the crash.
+// Guards against starting a task for ever that crashes its workers before their answers come.
 TEST_F(SchedulerCrashTest, CountsACrashWhoseStartIsAnsweredAfterwards) {
   const JobId job = fleet_.Submit("batch", "shop", MakeStep(1, 1, 5 * kSecond));
   for (int i = 0; i < kAgents; ++i) fleet_.agent("a" + std::to_string(i)).delays_answers = true;
@@ -242,8 +270,7 @@
   EXPECT_EQ(fleet_.PhaseOf(job), JobPhase::kFailed);
 }
 
-// Guards against counting a start without an answer again in the next term or version, where its
-// record would look like a crash.
+// Guards against a record in which a start without an answer looks like a crash.
 TEST_F(SchedulerCrashTest, DoesNotRecordLostStarts) {
   LeaveStartsUnanswered(true);
   const JobId job = fleet_.Submit("batch", "shop", MakeStep(1, 1, 5 * kSecond));
@@ -256,8 +283,7 @@
   EXPECT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, 20 * kSecond));
 }
 
-// Guards against giving up a job beside which starts without an answer were lost, if it has a crash
-// of its own.
+// Guards against giving up a job after a single crash because other starts had no answer.
 TEST_F(SchedulerCrashTest, OneCertainCrashBesideLostStartsIsNotEnough) {
   LeaveStartsUnanswered(true);
   const JobId job = fleet_.Submit("batch", "shop", MakeStep(1, 1, 5 * kSecond));
