--- a/tests/fleet/scheduler_crash_test.cc
+++ b/tests/fleet/scheduler_crash_test.cc
@@ -203,8 +203,7 @@
   EXPECT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, 20 * kSecond));
 }
 
-// Guards against giving up a job because a start is answered as accepted that was refused after a
-// stop.
+// Guards against taking a start that is refused after a stop, and answered as accepted, for a run.
 TEST_F(SchedulerCrashTest, DoesNotCountCrashesAgainstRunsThatWereStoppedBeforeTheirStart) {
   LeaveStartsUnanswered(true);
   for (int i = 0; i < kAgents; ++i) fleet_.agent("a" + std::to_string(i)).delays_answers = true;
@@ -249,8 +248,7 @@
   EXPECT_GE(waits.back(), kSecond - kReportMs);
 }
 
-// Guards against a task that crashes its workers and is started for ever, because each answer comes
-// after the crash.
+// Guards against starting a task for ever that crashes its workers before their answers come.
 TEST_F(SchedulerCrashTest, CountsACrashWhoseStartIsAnsweredAfterwards) {
   const JobId job = fleet_.Submit("batch", "shop", MakeStep(1, 1, 5 * kSecond));
   for (int i = 0; i < kAgents; ++i) fleet_.agent("a" + std::to_string(i)).delays_answers = true;
@@ -272,8 +270,7 @@
   EXPECT_EQ(fleet_.PhaseOf(job), JobPhase::kFailed);
 }
 
-// Guards against counting a start without an answer again in the next term or version, where its
-// record would look like a crash.
+// Guards against a record in which a start without an answer looks like a crash.
 TEST_F(SchedulerCrashTest, DoesNotRecordLostStarts) {
   LeaveStartsUnanswered(true);
   const JobId job = fleet_.Submit("batch", "shop", MakeStep(1, 1, 5 * kSecond));
@@ -286,8 +283,7 @@
   EXPECT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, 20 * kSecond));
 }
 
-// Guards against giving up a job beside which starts without an answer were lost, if it has a crash
-// of its own.
+// Guards against giving up a job after a single crash because other starts had no answer.
 TEST_F(SchedulerCrashTest, OneCertainCrashBesideLostStartsIsNotEnough) {
   LeaveStartsUnanswered(true);
   const JobId job = fleet_.Submit("batch", "shop", MakeStep(1, 1, 5 * kSecond));
