--- a/include/basilspring/fleet/agent_core.h
+++ b/include/basilspring/fleet/agent_core.h
@@ -238,6 +238,11 @@
   /// Returns the next poll. It carries a lease or an acknowledgement only if the registered
   /// incarnation has answered the last one.
   PollRuns MakePoll(TimePoint now);
+  /// Whether a poll or probe is brief after this many in a row that were not answered; see
+  /// StartRun::brief. Some are not, because the backend server may be slow.
+  static bool IsBriefAfter(int unanswered);
+  /// Whether the lease that the backend server has confirmed ends soon and can be extended.
+  bool IsLeaseUrgent(TimePoint now) const;
   void LogDecision(std::string text) { effects_.decisions.push_back(std::move(text)); }
 
   FleetAgentOptions options_;
@@ -246,6 +251,10 @@
   std::deque<Claim> claims_;
   std::uint64_t probes_sent_ = 0;
   bool probe_in_flight_ = false;
+  TimePoint probe_sent_at_;
+  /// Number of probes and of polls in a row that were not answered.
+  int unanswered_probes_ = 0;
+  int unanswered_polls_ = 0;
   /// The announcement that the last probe was sent for.
   BackendAnnouncement probed_;
   TimePoint probe_not_before_;
@@ -290,6 +299,12 @@
   /// of the last poll, which it has not got if it refused the connection.
   TimePoint lease_granted_until_;
   TimePoint poll_lease_until_;
+  /// End of the lease that the backend server has confirmed by its answers to polls.
+  TimePoint lease_confirmed_until_;
+  /// Whether the last poll waits for an end, and whether the last one that did not was answered
+  /// soon.
+  bool poll_waits_ = false;
+  bool answers_soon_ = false;
   TimePoint poll_not_before_;
   /// When the backend server last answered a poll.
   TimePoint last_polled_;
