--- a/src/fleet/scheduler_reports.cc
+++ b/src/fleet/scheduler_reports.cc
@@ -143,7 +143,7 @@
     if (restarted) {
       worker.runs_listed_at.reset();
       worker.longest_lease_until = now + options_.longest_lease * (100 + kClockErrorPercent) / 100 +
-                                  options_.stop_time + kTransitTime;
+                                   options_.stop_time + kTransitTime;
     }
     if (worker.backend) {
       CountCrash(now, worker, report);
