--- a/tests/fleet/fleet_harness.cc
+++ b/tests/fleet/fleet_harness.cc
@@ -208,7 +208,7 @@
                 [&](const EndedRow& row) { return row.number <= reply.acknowledged; });
 }
 
-void FleetHarness::ApplyOutput(SchedulerOutput output) {
+void FleetHarness::ApplyOutput(const SchedulerOutput& output) {
   for (const ProgressSave& save : output.saves) {
     if (!store_available) continue;
     if (save.remove) {
--- a/tests/fleet/fleet_harness.h
+++ b/tests/fleet/fleet_harness.h
@@ -114,7 +114,7 @@
   void StepAgents();
   void Report(Agent& agent);
   void RecordEnd(const std::string& name, Agent& agent, const Run& run, RunEnd end);
-  void ApplyOutput(SchedulerOutput output);
+  void ApplyOutput(const SchedulerOutput& output);
   /// Returns std::nullopt if the answer is lost.
   std::optional<OrderBatchReply> ExecuteOrders(const std::string& name, Agent& agent,
                                                const OrderBatch& batch);
