--- a/tests/connection/store_client_test.cc
+++ b/tests/connection/store_client_test.cc
@@ -132,8 +132,7 @@
   EXPECT_EQ(seen, (std::vector<std::string>{"1", "2", "3"}));
 }
 
-// Guards against events that are lost when a watch breaks: the store sends a long history in
-// several messages, and the header of each names the revision of the whole store.
+// Guards against events that are lost when a watch breaks in the middle of a long history.
 TEST(ParseWatchMessageTest, EventsAreCompleteUpToTheLastOneOnly) {
   const auto message = internal::ParseWatchMessage(
       R"({"result":{"header":{"revision":"90"},"events":[{"kv":{"key":"YQ==","mod_revision":"7"}}]}})");
@@ -141,8 +140,7 @@
   EXPECT_EQ(message.revision, 7);
 }
 
-// Guards against a write that took effect and is reported as if it had none, and against a key that
-// is taken for absent, when the answer can't be read.
+// Guards against taking an unreadable answer for a write without effect or an absent key.
 TEST_F(StoreClientTest, AnAnswerThatCannotBeReadShowsNothing) {
   for (const std::string body : {"", "{", "[]", "{}", R"({"succeeded":true})"}) {
     const std::string answer =
--- a/tests/fleet/late_call_test.cc
+++ b/tests/fleet/late_call_test.cc
@@ -309,8 +309,7 @@
   EXPECT_TRUE(server_->running.empty());
 }
 
-// Guards against epochs that run out: those of a term that the agent has not heard of yet don't
-// show that its own is too low.
+// Guards against epochs that run out while an agent has not heard of the term.
 TEST_F(LateCallTest, AnAgentWithoutASchedulerKeepsItsEpoch) {
   agent_ = std::make_unique<FleetAgentCore>(MakeOptions(1002));
   agent_->OnAnnouncement(now_, MakeAnnouncement());
@@ -331,8 +330,7 @@
   EXPECT_EQ(server_->running.size(), 1U);
 }
 
-// Guards against a job that fails: a start that the next incarnation carries out counts as a run
-// that the former one had when it crashed.
+// Guards against counting a start as a run of the incarnation that crashed before it.
 TEST_F(LateCallTest, TheAnswerOfTheNextIncarnationDoesNotConfirmAStart) {
   server_.emplace(started_unix_ms_ + 1, TimePoint(now_.milliseconds() - 100));
   OrderStart(kTask);
--- a/tests/fleet/leave_notice_test.cc
+++ b/tests/fleet/leave_notice_test.cc
@@ -69,8 +69,7 @@
   AgentReport report_;
 };
 
-// Guards against a task that runs twice: the late notice of a former incarnation with the same id
-// made refused connections count as the end of runs that went on.
+// Guards against a task that runs twice after the late notice of a former incarnation.
 TEST_F(LeaveNoticeTest, ALateNoticeDoesNotShowThatTheRunsOfTheNextIncarnationHaveEnded) {
   core_.OnLeave(now_, kBackend);
   refused_ = true;
--- a/tests/fleet/scheduler_crash_test.cc
+++ b/tests/fleet/scheduler_crash_test.cc
@@ -293,8 +293,7 @@
   EXPECT_TRUE(fleet_.RunUntil(job, JobPhase::kCompleted, 20 * kSecond));
 }
 
-// Guards against counting a start that a stop has overtaken: its repetition is refused as old,
-// which the agent takes for a run that has ended.
+// Guards against taking a start that a stop has overtaken for a run that has ended.
 TEST(SchedulerOvertakenStartTest, AStartThatIsBeingStoppedIsNotConfirmedByItsAnswer) {
   FleetHarness fleet;
   fleet.AddQueue("batch", 2, 3.0, 3000);
--- a/tests/fleet/scheduler_removal_test.cc
+++ b/tests/fleet/scheduler_removal_test.cc
@@ -196,8 +196,7 @@
   EXPECT_LE(largest, kMaxEntries);
 }
 
-// Guards against running finished tasks again: a job that the first read of the jobs lacked was
-// added without the record that had been read before.
+// Guards against running finished tasks again because the record of a job was dropped.
 TEST_F(SchedulerRemovalTest, AJobThatIsFirstSeenLaterKeepsTheRecordThatWasReadBefore) {
   StoreRecordOfFirstTask();
   const auto scheduler = MakeScheduler();
--- a/tests/fleet/scheduler_restart_test.cc
+++ b/tests/fleet/scheduler_restart_test.cc
@@ -70,8 +70,7 @@
   EXPECT_EQ(fleet_.StartsOf(job), 2U);
 }
 
-// Guards against a task that runs twice: a lease for the former incarnation, on its clock, lets the
-// runs of the new one go on for longer than the scheduler allows.
+// Guards against a task that runs twice because of a lease on the former clock.
 TEST_F(SchedulerRestartTest, ARestartedServerThatFallsSilentMayHoldTheLongestLease) {
   const JobId job = fleet_.Submit("batch", "shop", MakeStep(1, 8, 30 * kSecond));
   FleetHarness::Agent& agent = RestartUnderARun(job);
@@ -85,8 +84,7 @@
   EXPECT_EQ(fleet_.StartsOf(job), 2U);
 }
 
-// Guards against a task that runs twice: a scheduler found a run that it had given up, and its
-// successor was not told that the agent may have runs of the step.
+// Guards against a task that runs twice because the record lacks an adopted run's agent.
 TEST_F(SchedulerRestartTest, ASuccessorWaitsForTheAgentOfARunThatWasAdopted) {
   fleet_.AddAgent("large", "rack", 16);
   fleet_.Advance(kSecond);
--- a/tests/fleet/unanswered_calls_test.cc
+++ b/tests/fleet/unanswered_calls_test.cc
@@ -236,8 +236,7 @@
   }
 }
 
-// Guards against a backend server that is never used because it answers no call within a short
-// time.
+// Guards against never using a backend server that answers no call within a short time.
 TEST(UnansweredCallsTest, AGangCompletesOnASlowBackendServer) {
   EXPECT_TRUE(Cluster(1, 0, 250).CompletesGang(3, 10000));
 }
--- a/tests/process/cell_recovery_test.cc
+++ b/tests/process/cell_recovery_test.cc
@@ -194,8 +194,7 @@
   EXPECT_EQ(cell.Result("j")->answer.outputs, std::vector<std::string>{"j/0"});
 }
 
-// Guards against giving up a running task: the last report of a killed agent arrived after its
-// successor had started the task.
+// Guards against giving up a running task on the last report of a killed agent.
 TEST_F(CellRecovery, ALateReportOfAFormerAgentDoesNotEndRunningTasks) {
   AgentReport late{WorkerId("a"),
                    RackId("rack"),
