--- a/review/tools-2/lib.sh
+++ b/review/tools-2/lib.sh
@@ -69,7 +69,8 @@
 # start_worker K ID [LABEL]: starts the worker beside agent K.
 start_worker() {
   "$standin" worker --address "$net.$((20 + $1)):8527" --control "$net.$((20 + $1)):8526" --id "$2" \
-    --zone "$(zone_of "$1")" --rack "r1-$(($1 / 3))" --label "${3:-a}" >>"$run_dir/worker-$1.seen" 2>&1 &
+    --zone "$(zone_of "$1")" --rack "r1-$(($1 / 3))" --label "${3:-a}" --late "$run_dir/late-$1" \
+    >>"$run_dir/worker-$1.seen" 2>&1 &
   process_ids[worker-$1]=$!
 }
 
--- a/review/tools-2/standin_main.cc
+++ b/review/tools-2/standin_main.cc
@@ -2,15 +2,19 @@
 //
 //   review-standin store --address IP:PORT
 //   review-standin worker --address IP:PORT --control IP:PORT --id ID --zone ZONE --rack LABEL [--label LABEL]
+//     [--late FILE]
 //
 // Both are the classes that the project's own tests use. Added here: the store refuses values above its limit, and a
 // worker can be told to answer orders as an unhealthy one (POST /health with the status in the body, "200" for
-// healthy), and prints what it was told, starts and ends, one line each, with the time of day in milliseconds.
+// healthy), and prints what it was told, starts and ends, one line each, with the time of day in milliseconds. Its clock
+// starts anew with each process. After POST /delay with a job's ID in the body, the next start for that job gets no
+// answer and is written to FILE; the next process that is started with that FILE carries it out as its first call.
 
 #include <fmt/format.h>
 
 #include <boost/json.hpp>
 #include <cstdio>
+#include <fstream>
 #include <future>
 #include <map>
 #include <memory>
@@ -71,8 +75,9 @@
           OnCall(request, responder);
         });
     Print("worker starts");
+    CarryOutLateCall();
     Every([this] {
-      worker_->Tick(Clock::Now().milliseconds());
+      worker_->Tick(OwnClock());
       PrintHistory();
       const TimePoint now = Clock::Now();
       if (now < announce_at_) return;
@@ -101,6 +106,13 @@
       responder->Respond(std::move(response));
       return;
     }
+    if (request.path == "/delay") {
+      delayed_job_ = request.body;
+      HttpResponse response;
+      response.body = "{}";
+      responder->Respond(std::move(response));
+      return;
+    }
     const bool order = request.path == "/run-start" || request.path == "/run-stop";
     if (order) {
       const json::value body = json::parse(request.body);
@@ -109,6 +121,14 @@
                         body.as_object().at("run").to_number<std::int64_t>(),
                         status_ == 200 ? "" : fmt::format(" answered with {}", status_)));
     }
+    if (request.path == "/run-start" && !delayed_job_.empty() &&
+        request.body.find(delayed_job_ + ".") != std::string::npos) {
+      delayed_job_.clear();
+      std::ofstream(options_.at("late"), std::ios::binary) << request.body;
+      unanswered_.push_back(responder);
+      Print("this start is delayed and gets no answer");
+      return;
+    }
     if (order && status_ != 200) {
       HttpResponse response;
       response.status = status_;
@@ -116,10 +136,31 @@
       responder->Respond(std::move(response));
       return;
     }
-    worker_->Handle(request, responder, Clock::Now().milliseconds());
+    worker_->Handle(request, responder, OwnClock());
     PrintHistory();
   }
 
+  std::int64_t OwnClock() const { return (Clock::Now() - started_at_).milliseconds() + 1; }
+
+  void CarryOutLateCall() {
+    const auto file = options_.find("late");
+    if (file == options_.end()) return;
+    std::ifstream input(file->second, std::ios::binary);
+    std::string body((std::istreambuf_iterator<char>(input)), std::istreambuf_iterator<char>());
+    if (body.empty()) return;
+    std::remove(file->second.c_str());
+    Print("the delayed start arrives");
+    HttpClientRequest request;
+    request.server = Address::Parse(options_.at("address"));
+    request.method = "POST";
+    request.target = "/run-start";
+    request.headers["content-type"] = "application/json";
+    request.headers["target-instance"] = worker_->id();
+    request.body = std::move(body);
+    request.timeout = Duration(1000);
+    http_.Send(std::move(request), [](const HttpResult&) {});
+  }
+
   void Announce() {
     json::object body =
         json::parse(worker_->Announcement(options_.at("address"))).as_object();
@@ -168,6 +209,9 @@
   std::unique_ptr<standin::PlatformWorkerStandin> worker_;
   std::size_t printed_ = 0;
   int status_ = 200;
+  std::string delayed_job_;
+  std::vector<Responder> unanswered_;
+  TimePoint started_at_ = Clock::Now();
   TimePoint announce_at_;
   IoThread io_;
   HttpClient http_{io_};
