--- a/review/tools-2/lib.sh
+++ b/review/tools-2/lib.sh
@@ -1,3 +1,4 @@
+# shellcheck shell=bash
 # Functions of the scripts of the cases 6 to 10: a small deployment of separate processes on loopback addresses.
 # Sourced from review/N/run.sh, which sets TROUBLE and `record`.
 set -eEuo pipefail
@@ -12,7 +13,6 @@
 # A network of its own below 127.0.0.0/8, so that all ports are free. Every process has an address of its own.
 net=127.$((20 + RANDOM % 200)).$((RANDOM % 200))
 store=$net.1:8524
-routes=()
 
 note() { printf '%s %s\n' "$(date +%s%3N)" "$*" >>"$record"; }
 
--- a/review/tools-2/standin_main.cc
+++ b/review/tools-2/standin_main.cc
@@ -1,14 +1,15 @@
 // Stand-ins that the scripts of the cases 6 to 10 start as separate processes:
 //
 //   review-standin store --address IP:PORT
-//   review-standin worker --address IP:PORT --control IP:PORT --id ID --zone ZONE --rack LABEL [--label LABEL]
-//     [--late FILE]
+//   review-standin worker --address IP:PORT --control IP:PORT --id ID --zone ZONE --rack LABEL
+//     [--label LABEL] [--late FILE]
 //
-// Both are the classes that the project's own tests use. Added here: the store refuses values above its limit, and a
-// worker can be told to answer orders as an unhealthy one (POST /health with the status in the body, "200" for
-// healthy), and prints what it was told, starts and ends, one line each, with the time of day in milliseconds. Its clock
-// starts anew with each process. After POST /delay with a job's ID in the body, the next start for that job gets no
-// answer and is written to FILE; the next process that is started with that FILE carries it out as its first call.
+// Both are the classes that the project's own tests use. Added here: the store refuses values above
+// its limit, and a worker can be told to answer orders as an unhealthy one (POST /health with the
+// status in the body, "200" for healthy), and prints what it was told, starts and ends, one line
+// each, with the time of day in milliseconds. Its clock starts anew with each process. After POST
+// /delay with a job's ID in the body, the next start for that job gets no answer and is written to
+// FILE; the next process that is started with that FILE carries it out as its first call.
 
 #include <fmt/format.h>
 
@@ -162,8 +163,7 @@
   }
 
   void Announce() {
-    json::object body =
-        json::parse(worker_->Announcement(options_.at("address"))).as_object();
+    json::object body = json::parse(worker_->Announcement(options_.at("address"))).as_object();
     json::array labels{options_.count("label") == 0 ? std::string("a") : options_.at("label")};
     labels.push_back(json::string(options_.at("rack")));
     body["labels"] = std::move(labels);
@@ -186,8 +186,8 @@
 
   void Print(const std::string& text) {
     const auto id = options_.find("id");
-    fmt::print("{} {} {}\n", Clock::WallMilliseconds(),
-               id == options_.end() ? "store" : id->second, text);
+    fmt::print("{} {} {}\n", Clock::WallMilliseconds(), id == options_.end() ? "store" : id->second,
+               text);
     std::fflush(stdout);
   }
 
