--- a/review/tools-2/standin_main.cc
+++ b/review/tools-2/standin_main.cc
@@ -182,6 +182,10 @@
     for (; printed_ < lines.size(); ++printed_) {
       Print(lines[printed_].substr(lines[printed_].find(' ') + 1));
     }
+    const std::vector<std::string>& ends = worker_->acknowledged();
+    for (; printed_ends_ < ends.size(); ++printed_ends_) {
+      Print("taken note of: " + ends[printed_ends_].substr(ends[printed_ends_].find(' ') + 1));
+    }
   }
 
   void Print(const std::string& text) {
@@ -208,6 +212,7 @@
   standin::PlatformStoreStandin store_;
   std::unique_ptr<standin::PlatformWorkerStandin> worker_;
   std::size_t printed_ = 0;
+  std::size_t printed_ends_ = 0;
   int status_ = 200;
   std::string delayed_job_;
   std::vector<Responder> unanswered_;
