Log the pending count that callers get, and what a refused start leaves the job as

The logs did not show which process the count comes from, how old it is, or what the scheduler holds of a job whose start was refused, so a stale view of an entry, an answer taken for an acceptance, and a wrong count of the scheduler looked the same.

The line of an answered count has the count, its age and the term of the scheduler that gave it. The line of an order that was not carried out has the phase that callers see. basilspring_jobs_pending is the scheduler's own count.

--- a/include/basilspring/fleet/caller_format.h
+++ b/include/basilspring/fleet/caller_format.h
@@ -41,6 +41,8 @@
 /// Number of a queue's jobs that have not started any task.
 struct PendingAnswer {
   std::int64_t pending = 0;
+  /// How old the count is. Not sent to the caller.
+  Duration age;
 };
 /// The request was refused, or it is unknown whether it was carried out; `kind` says which, and
 /// determines the HTTP status.
--- a/src/fleet/entry_queries.cc
+++ b/src/fleet/entry_queries.cc
@@ -113,7 +113,7 @@
   for (const QueueSummary& row : summary_.queues) {
     if (row.queue == exchange->queue) pending = row.pending;
   }
-  Answer(exchange, PendingAnswer{pending});
+  Answer(exchange, PendingAnswer{pending, Clock::Now() - summary_at_});
 }
 
 }  // namespace basilspring::fleet
--- a/src/fleet/entry_server.cc
+++ b/src/fleet/entry_server.cc
@@ -127,13 +127,17 @@
   const Duration elapsed = Clock::Now() - exchange->received_at;
   const auto* refusal = std::get_if<RefusalAnswer>(&answer);
   const auto* phase = std::get_if<JobPhaseAnswer>(&answer);
+  const auto* count = std::get_if<PendingAnswer>(&answer);
   Log(EventId::kFleetRequest,
       "job={} action={} queue={} workspace={} config={} status={} phase={} attempts={} took_ms={} "
-      "reason=\"{}\"",
+      "reason=\"{}\"{}",
       exchange->job.value(), static_cast<int>(exchange->request.action), exchange->queue.value(),
       exchange->workspace.value(), exchange->config_version, response.status,
       phase == nullptr ? std::string_view("-") : JobPhaseName(phase->phase), exchange->attempts,
-      elapsed.milliseconds(), refusal == nullptr ? "" : refusal->message);
+      elapsed.milliseconds(), refusal == nullptr ? "" : refusal->message,
+      count == nullptr ? ""
+                       : fmt::format(" pending={} age_ms={} summary_term={}", count->pending,
+                                     count->age.milliseconds(), summary_.term.value()));
   context_.metrics
       .GetCounter("basilspring_caller_requests_total",
                   fmt::format("action=\"{}\",status=\"{}\"",
--- a/src/fleet/node_requests.cc
+++ b/src/fleet/node_requests.cc
@@ -242,6 +242,9 @@
             0, (Clock::Now() - operator_watch_->current_at()).milliseconds())));
   }
   if (!scheduler_) return;
+  std::int64_t pending = 0;
+  for (const QueueSummary& queue : scheduler_->core().Summaries()) pending += queue.pending;
+  metrics_.GetGauge("basilspring_jobs_pending").Set(pending);
   const SchedulerCounts& counts = scheduler_->core().counts();
   set("basilspring_runs_started", counts.runs_started);
   set("basilspring_starts_refused", counts.starts_refused);
--- a/src/fleet/scheduler_orders.cc
+++ b/src/fleet/scheduler_orders.cc
@@ -180,9 +180,11 @@
       run->second.progressed_at = now;
       continue;
     }
-    LogDecision(fmt::format("task={} run={} worker={} batch={} order={} status={}",
+    const std::optional<JobPhase> phase = PhaseOf(key.task.job);
+    LogDecision(fmt::format("task={} run={} worker={} batch={} order={} status={} job_phase={}",
                             key.task.ToString(), key.run.value(), batch.node.value(), number,
-                            start ? "start" : "stop", BackendStatusName(status)));
+                            start ? "start" : "stop", BackendStatusName(status),
+                            phase ? JobPhaseName(*phase) : std::string_view("-")));
     if (!start) continue;
     if (status == BackendStatus::kAlreadyDone) {
       OnStartContradicted(now, worker, key, number);
