Take a job for begun only when one of its runs certainly is

Cause: StartTasks marked the job when it planned a start, AddJob also when the record only named agents, which it does before a start is sent, and nothing took the mark back. Evidence: "order=start status=refused job_phase=running" and, from the scheduling process itself, "pending=0 age_ms=0".

Change: a job has begun with the first run of which an accepted start, a listed row or an end shows that it has. This is the evidence that was held per run for crashes, now RunEvidence. The mark is never taken back, so a job is not pending again after its runs were lost, preempted or refused. The record holds it as the phase kRunning, written with the next other change or within 0.5 s, and before an end that shows it is acknowledged. Entries without a scheduler answer by the phase in the record. Records of earlier versions show it by ends and crashes. Pending jobs are counted as they are added, begin and end, not by a loop over all jobs for each query. Gangs of which only some tasks are active are looked for in jobs with live runs, which the job now counts, as the mark no longer covers planned starts. basilspring_runs_started counts runs that have begun; planned starts are basilspring_starts_planned.

--- a/include/basilspring/fleet/job_model.h
+++ b/include/basilspring/fleet/job_model.h
@@ -170,7 +170,7 @@
 /// The part of a job's state that must survive a change of the scheduler. Written to the store
 /// before an end is acknowledged to the backend server that lists it.
 struct JobProgress {
-  /// A JobPhase.
+  /// A JobPhase; see PhaseIn().
   std::uint8_t phase = 0;
   /// When the job reached its final phase, in milliseconds since the Unix epoch; 0 before that.
   std::int64_t finished_unix_ms = 0;
@@ -183,6 +183,10 @@
   BASILSPRING_SERIALIZE(phase, finished_unix_ms, steps)
 };
 
+/// Returns the phase of the job as far as the record shows it. A record that only names agents is
+/// written before a start is sent, and does not show that the job has begun. Earlier versions
+/// record a job that has begun as kQueued; its ends and crashes show that it has.
+JobPhase PhaseIn(const JobProgress& progress);
 /// Returns the number of tasks that the record holds as done. The record of a finished job holds
 /// its phase only.
 std::int64_t CountDoneTasks(const JobProgress& progress);
--- a/include/basilspring/fleet/scheduler_core.h
+++ b/include/basilspring/fleet/scheduler_core.h
@@ -185,10 +185,10 @@
 
   enum class TaskPhase : std::uint8_t { kWaiting, kActive, kDone };
 
-  /// What shows that a run was active when its worker crashed.
-  enum class CrashEvidence : std::uint8_t {
+  /// What shows that a run has begun, and that it was active when its worker crashed.
+  enum class RunEvidence : std::uint8_t {
     /// Nothing: no answer to the start is known, and no poll has listed the run. The start may not
-    /// have been carried out.
+    /// have been sent or carried out.
     kNone,
     /// Nothing, and a stop was ordered: the run may have been stopped before the crash, or before
     /// it began. A start that is repeated after a stop is refused like one whose run has ended,
@@ -205,7 +205,7 @@
     std::set<RunNumber> failed_runs;
     /// Runs during which the worker crashed, as far as they may have caused it. Those without
     /// evidence are known in this term only: in a record, earlier versions would count them.
-    std::map<RunNumber, CrashEvidence> crashed_runs;
+    std::map<RunNumber, RunEvidence> crashed_runs;
     /// The number of starts in this term.
     std::uint64_t runs = 0;
     /// The current run and its worker while the task is active.
@@ -286,6 +286,7 @@
     /// Whether a configuration of this term contained the queue. If false, its limits are unknown.
     bool queue_known = false;
     TimePoint accepted_at;
+    /// The final phase, or kQueued while the job has not ended; see PhaseOf().
     JobPhase phase = JobPhase::kQueued;
     bool phase_stored = false;
     /// Whether the deletion of the job's keys has been requested.
@@ -306,8 +307,12 @@
     /// the two.
     TimePoint save_not_before;
     Duration save_retry_delay;
-    /// Whether a task has been started, also in an earlier term.
-    bool started = false;
+    /// Whether a run of the job is known to have begun, also in an earlier term. A start that was
+    /// planned or sent is no evidence: it may be refused, or never be carried out. Set by
+    /// RecordBegin() and never reset.
+    bool begun = false;
+    /// The number of runs that still occupy capacity.
+    std::int32_t live_runs = 0;
     /// When the job last had a live run.
     TimePoint last_active_at;
   };
@@ -328,7 +333,7 @@
   void RefreshQueue(Job& job);
   /// Counts the runs of a new job that agents have listed before it was known. They are being
   /// stopped.
-  void CountListedRuns(Job& job);
+  void CountListedRuns(TimePoint now, Job& job);
   /// Adds the agent to those that may have runs of the step, also in the record of a job that has
   /// not ended: a later scheduler waits for the agents that the record names.
   static void NameAgent(Job& job, std::size_t step, const NodeId& node);
@@ -336,8 +341,6 @@
   static bool IsUrgent(const Job& job) { return job.queue_known && job.queue.priority == 0; }
   /// Gives up the capacity that is reserved or held back for the step.
   static void ReleaseClaims(Step& step);
-  /// Whether the job has active runs.
-  static bool HasLiveRuns(const Job& job);
   void FinishJob(Job& job, JobPhase phase, const std::string& reason);
   static JobProgress ProgressOf(Job& job);
   void CollectSaves(TimePoint now, SchedulerOutput& out);
@@ -364,6 +367,24 @@
   /// longer listed.
   bool MayHaveStoppingRuns(TimePoint now, const Worker& worker) const;
 
+  // What is known to have begun, in scheduler_begins.cc.
+  static RunEvidence EvidenceOf(const Allocation& run);
+  static bool IsCertain(RunEvidence evidence) { return evidence >= RunEvidence::kAccepted; }
+  /// Records that the worker has accepted, listed or ended the run.
+  void ConfirmRun(Allocation& run);
+  /// Records that a run of the job has certainly begun. `evidence` is for the log.
+  void RecordBegin(TimePoint now, const Worker& worker, Job& job, const RunKey& key,
+                   std::string_view evidence);
+  /// The phase of a job whose record can be read; a final one may not be stored yet.
+  static JobPhase CurrentPhase(const Job& job);
+  /// Whether callers see the job in the count of pending jobs. Scheduled jobs wait for their time.
+  static bool IsPending(const Job& job);
+  /// Takes the job out of the count of pending jobs, if it is in it. Called before a change that
+  /// makes the job begin or end.
+  void StopCountingAsPending(const Job& job);
+  /// Makes the records of jobs that have begun due to be written, once their delay is over.
+  void CollectBegunJobs(TimePoint now);
+
   // Ends and losses of runs, in scheduler_runs.cc.
   /// Processes the ends that the report lists. An end is final, so this does not depend on the term
   /// in which the agent has read it, nor on whether the backend server still exists.
@@ -384,9 +405,7 @@
   /// Counts the crash of a worker, which the report of its agent shows, against the tasks that may
   /// have caused it, and gives up their jobs when their limit is reached.
   void CountCrash(TimePoint now, Worker& worker, const AgentReport& report);
-  static CrashEvidence EvidenceOf(const Allocation& run);
-  static bool IsCertain(CrashEvidence evidence) { return evidence >= CrashEvidence::kAccepted; }
-  static int CountCrashes(const Task& task, CrashEvidence evidence);
+  static int CountCrashes(const Task& task, RunEvidence evidence);
   static int CountUncertainCrashes(const Task& task);
   /// The number of crashes under the task during runs that were certainly active.
   static int CountCertainCrashes(const Task& task);
@@ -394,7 +413,8 @@
   void RecordCrash(TimePoint now, const Worker& worker, Job& job, const RunKey& key,
                    const Allocation& run);
   /// Counts a crash whose run was not known to be active, because the start's answer came later.
-  void CountCrashOfAcceptedRun(Worker& worker, const RunKey& key, std::uint64_t batch);
+  void CountCrashOfAcceptedRun(TimePoint now, Worker& worker, const RunKey& key,
+                               std::uint64_t batch);
   /// Whether an order of the run has not been sent yet.
   bool AwaitsOrder(const NodeId& node, const RunKey& key) const;
   /// Ends the job if too many workers have crashed under the task.
@@ -556,6 +576,11 @@
   std::map<JobId, Job> jobs_;
   /// Jobs that have not ended.
   std::set<JobId> active_;
+  /// For each queue the number of its pending jobs, if there are any.
+  std::map<QueueId, std::int64_t> pending_;
+  /// Jobs that have begun since their record was last written, and when it is to be written.
+  std::set<JobId> unrecorded_begins_;
+  TimePoint record_begins_at_;
   /// A cancellation of a job that has not been added.
   struct EarlyCancel {
     /// When a pass first saw it.
--- a/include/basilspring/fleet/scheduler_output.h
+++ b/include/basilspring/fleet/scheduler_output.h
@@ -54,8 +54,11 @@
 
 /// Counters that the process exports as metrics.
 struct SchedulerCounts {
-  std::uint64_t runs_started = 0;
+  /// Starts that were decided; some are never sent, refused or not carried out.
+  std::uint64_t starts_planned = 0;
   std::uint64_t starts_refused = 0;
+  /// Runs ordered in this term of which an answer, a poll or an end shows that they have begun.
+  std::uint64_t runs_started = 0;
   /// Starts that an agent refused because it had read that the task has ended as done, which the
   /// scheduler's record did not contain.
   std::uint64_t starts_contradicted = 0;
--- a/src/fleet/entry_queries.cc
+++ b/src/fleet/entry_queries.cc
@@ -53,9 +53,7 @@
     if (!*alive) return;
     if (reply.status == StoreStatus::kOk && !reply.items.empty()) {
       try {
-        const auto phase =
-            static_cast<JobPhase>(DecodeJobProgress(reply.items.front().value).phase);
-        Answer(exchange, JobPhaseAnswer{IsFinal(phase) ? phase : JobPhase::kRunning});
+        Answer(exchange, JobPhaseAnswer{PhaseIn(DecodeJobProgress(reply.items.front().value))});
       } catch (const Error& error) {
         Refuse(exchange, ErrorKind::kInternal, error.what());
       }
--- a/src/fleet/job_model.cc
+++ b/src/fleet/job_model.cc
@@ -105,6 +105,16 @@
   return progress;
 }
 
+JobPhase PhaseIn(const JobProgress& progress) {
+  const auto phase = static_cast<JobPhase>(progress.phase);
+  if (phase != JobPhase::kQueued) return phase;
+  const bool begun =
+      !progress.crashed_runs.empty() || CountDoneTasks(progress) > 0 ||
+      std::any_of(progress.steps.begin(), progress.steps.end(),
+                  [](const StepProgress& step) { return !step.failed_runs.empty(); });
+  return begun ? JobPhase::kRunning : JobPhase::kQueued;
+}
+
 std::int64_t CountDoneTasks(const JobProgress& progress) {
   std::int64_t done = 0;
   for (const StepProgress& step : progress.steps) {
--- a/src/fleet/node_requests.cc
+++ b/src/fleet/node_requests.cc
@@ -246,6 +246,7 @@
   for (const QueueSummary& queue : scheduler_->core().Summaries()) pending += queue.pending;
   metrics_.GetGauge("basilspring_jobs_pending").Set(pending);
   const SchedulerCounts& counts = scheduler_->core().counts();
+  set("basilspring_starts_planned", counts.starts_planned);
   set("basilspring_runs_started", counts.runs_started);
   set("basilspring_starts_refused", counts.starts_refused);
   set("basilspring_starts_contradicted", counts.starts_contradicted);
--- a/src/fleet/scheduler_checks.cc
+++ b/src/fleet/scheduler_checks.cc
@@ -37,7 +37,7 @@
   }
   for (const JobId& id : active_) {
     Job& job = jobs_.at(id);
-    if (!job.started) continue;
+    if (job.live_runs == 0) continue;
     for (std::size_t i = 0; i < job.steps.size(); ++i) {
       if (!SpecOf(job, i).gang || RecoveryPending(now, job.steps[i])) continue;
       const auto& tasks = job.steps[i].tasks;
--- a/src/fleet/scheduler_core.cc
+++ b/src/fleet/scheduler_core.cc
@@ -90,25 +90,23 @@
     job.steps[i].tasks.resize(static_cast<std::size_t>(SpecOf(job, i).task_count));
   }
   if (progress) {
-    job.phase = static_cast<JobPhase>(progress->phase);
-    job.phase_stored = IsFinal(job.phase);
+    const JobPhase phase = PhaseIn(*progress);
+    if (IsFinal(phase)) job.phase = phase;
+    job.phase_stored = IsFinal(phase);
     job.finished_unix_ms = progress->finished_unix_ms;
-    job.started = job.phase != JobPhase::kQueued;
+    job.begun = phase != JobPhase::kQueued;
     for (std::size_t i = 0; i < std::min(job.steps.size(), progress->steps.size()); ++i) {
       Step& step = job.steps[i];
       const StepProgress& stored = progress->steps[i];
       step.agents.insert(stored.agents.begin(), stored.agents.end());
-      job.started = job.started || !stored.agents.empty();
       for (std::size_t k = 0; k < std::min(stored.done.size(), step.tasks.size()); ++k) {
         if (stored.done[k] == 0) continue;
         step.tasks[k].phase = TaskPhase::kDone;
         ++step.done;
-        job.started = true;
       }
       for (const FailedRun& failed : stored.failed_runs) {
         const auto index = static_cast<std::size_t>(failed.index);
         if (index < step.tasks.size()) step.tasks[index].failed_runs.insert(failed.run);
-        job.started = true;
       }
     }
   }
@@ -118,8 +116,7 @@
       const auto index = static_cast<std::size_t>(crashed.index);
       if (step >= job.steps.size() || index >= job.steps[step].tasks.size()) continue;
       job.steps[step].tasks[index].crashed_runs[crashed.run] =
-          crashed.listed ? CrashEvidence::kListed : CrashEvidence::kAccepted;
-      job.started = true;
+          crashed.listed ? RunEvidence::kListed : RunEvidence::kAccepted;
     }
   }
   RefreshQueue(job);
@@ -129,19 +126,20 @@
       "done={} cancelled={} job added",
       job.spec.id.value(), job.spec.queue.value(), job.spec.workspace.value(),
       job.steps.empty() ? 0 : job.steps.front().tasks.size(), age.milliseconds(),
-      progress.has_value(), record_revision, JobPhaseName(job.phase),
+      progress.has_value(), record_revision, JobPhaseName(CurrentPhase(job)),
       progress ? CountDoneTasks(*progress) : 0, job.cancelled));
   const JobId id = job.spec.id;
   Job& added = jobs_.emplace(id, std::move(job)).first->second;
-  CountListedRuns(added);
   if (!IsFinal(added.phase)) active_.insert(id);
+  if (IsPending(added)) ++pending_[added.spec.queue];
+  CountListedRuns(now, added);
   if (added.cancelled && !IsFinal(added.phase)) {
     FinishJob(added, JobPhase::kCancelled, "cancelled by its caller");
   }
   FailIfAttemptsUsedUp(added);
 }
 
-void SchedulerCore::CountListedRuns(Job& job) {
+void SchedulerCore::CountListedRuns(TimePoint now, Job& job) {
   for (auto& [node, worker] : workers_) {
     for (auto& [key, run] : worker.runs) {
       if (key.task.job != job.spec.id || FindJob(key.task) == nullptr) continue;
@@ -149,7 +147,9 @@
       run.needs = SpecOf(job, step).needs;
       run.needs_known = true;
       ++TaskOf(job, key.task).live_runs;
+      ++job.live_runs;
       NameAgent(job, step, node);
+      RecordBegin(now, worker, job, key, "listed");
     }
   }
 }
@@ -167,14 +167,9 @@
   AddJob(now, wall_ms, std::move(spec), std::nullopt, record_revision);
   Job& job = jobs_.at(id);
   job.record_fault = RecordFault::kUnreadable;
-  job.started = true;
-}
-
-bool SchedulerCore::HasLiveRuns(const Job& job) {
-  return std::any_of(job.steps.begin(), job.steps.end(), [](const Step& step) {
-    return std::any_of(step.tasks.begin(), step.tasks.end(),
-                       [](const Task& task) { return task.live_runs > 0; });
-  });
+  // A record is first written for a start, so the job may have begun.
+  StopCountingAsPending(job);
+  job.begun = true;
 }
 
 void SchedulerCore::CancelJob(const JobId& id) {
@@ -202,6 +197,7 @@
 }
 
 void SchedulerCore::FinishJob(Job& job, JobPhase phase, const std::string& reason) {
+  StopCountingAsPending(job);
   job.phase = phase;
   job.phase_stored = false;
   job.finished_unix_ms = wall_ms_;
@@ -220,7 +216,7 @@
 
 JobProgress SchedulerCore::ProgressOf(Job& job) {
   JobProgress progress;
-  progress.phase = static_cast<std::uint8_t>(job.phase);
+  progress.phase = static_cast<std::uint8_t>(CurrentPhase(job));
   progress.finished_unix_ms = job.finished_unix_ms;
   if (IsFinal(job.phase)) return progress;
   for (Step& step : job.steps) {
@@ -235,7 +231,7 @@
       for (const auto& [run, evidence] : step.tasks[i].crashed_runs) {
         if (!IsCertain(evidence)) continue;
         progress.crashed_runs.push_back(
-            {step_index, static_cast<std::int32_t>(i), run, evidence == CrashEvidence::kListed});
+            {step_index, static_cast<std::int32_t>(i), run, evidence == RunEvidence::kListed});
       }
     }
     recorded.agents.assign(step.agents.begin(), step.agents.end());
@@ -244,15 +240,17 @@
 }
 
 void SchedulerCore::CollectSaves(TimePoint now, SchedulerOutput& out) {
+  CollectBegunJobs(now);
   for (auto& [id, job] : jobs_) {
     if (job.version == job.saved_version || job.saving_version != 0) continue;
     if (now < job.save_not_before) continue;
     // A partial record must not replace one that a later scheduler may be able to read.
     if (job.record_fault == RecordFault::kUnreadable && !IsFinal(job.phase)) continue;
     job.saving_version = job.version;
+    unrecorded_begins_.erase(id);
     const JobProgress progress = ProgressOf(job);
     ProgressSave save{id, job.version, EncodeJobProgress(progress)};
-    save.phase = job.phase;
+    save.phase = CurrentPhase(job);
     save.done_tasks = CountDoneTasks(progress);
     out.saves.push_back(std::move(save));
   }
--- a/src/fleet/scheduler_orders.cc
+++ b/src/fleet/scheduler_orders.cc
@@ -127,6 +127,7 @@
     CountFailedStart(now, worker);
     return;
   }
+  RecordBegin(now, worker, *job, key, "done");
   // The refusal of another member of its gang may have been processed before.
   if (TaskOf(*job, key.task).phase == TaskPhase::kDone) return;
   ++counts_.starts_contradicted;
@@ -156,7 +157,7 @@
     const auto status =
         readable ? BackendStatusFromWire(reply->statuses[i]) : BackendStatus::kUnknown;
     if (!same_incarnation) {
-      if (start && status == BackendStatus::kOk) CountCrashOfAcceptedRun(worker, key, number);
+      if (start && status == BackendStatus::kOk) CountCrashOfAcceptedRun(now, worker, key, number);
       continue;
     }
     const auto run = worker.runs.find(key);
@@ -175,9 +176,13 @@
       worker.failed_starts = 0;
       // The stop may have overtaken the start, whose repetition the agent then took for a run that
       // has ended.
-      if (!run->second.stopping) run->second.confirmed = true;
+      if (!run->second.stopping) ConfirmRun(run->second);
       run->second.working_since = now;
       run->second.progressed_at = now;
+      Job* job = FindJob(key.task);
+      if (job != nullptr && IsCertain(EvidenceOf(run->second))) {
+        RecordBegin(now, worker, *job, key, "accepted");
+      }
       continue;
     }
     const std::optional<JobPhase> phase = PhaseOf(key.task.job);
--- a/src/fleet/scheduler_queries.cc
+++ b/src/fleet/scheduler_queries.cc
@@ -20,7 +20,8 @@
   const Job& job = found->second;
   if (IsFinal(job.phase) && job.phase_stored) return job.phase;
   if (job.record_fault == RecordFault::kUnreadable) return std::nullopt;
-  return job.started ? JobPhase::kRunning : JobPhase::kQueued;
+  // The end is not shown yet.
+  return job.begun ? JobPhase::kRunning : JobPhase::kQueued;
 }
 
 JobQueryReply SchedulerCore::AnswerQuery(const JobId& job, bool lease_valid) const {
@@ -36,15 +37,9 @@
 }
 
 std::vector<QueueSummary> SchedulerCore::Summaries() const {
-  std::map<QueueId, std::int64_t> pending;
-  for (const JobId& id : active_) {
-    const Job& job = jobs_.at(id);
-    if (job.started || job.spec.occurrences > 0) continue;
-    ++pending[job.spec.queue];
-  }
   std::vector<QueueSummary> summaries;
-  summaries.reserve(pending.size());
-  for (const auto& [queue, count] : pending) summaries.push_back({queue, count});
+  summaries.reserve(pending_.size());
+  for (const auto& [queue, count] : pending_) summaries.push_back({queue, count});
   return summaries;
 }
 
--- a/src/fleet/scheduler_queue.cc
+++ b/src/fleet/scheduler_queue.cc
@@ -58,7 +58,7 @@
     const Job& job = jobs_.at(id);
     if (!IsUrgent(job)) continue;
     // A job that can't start must not use up the guarantee of others.
-    if (job.record_fault != RecordFault::kNone && !HasLiveRuns(job)) continue;
+    if (job.record_fault != RecordFault::kNone && job.live_runs == 0) continue;
     by_workspace[job.spec.workspace].push_back(&job);
   }
   std::set<JobId> guaranteed;
@@ -138,7 +138,7 @@
   std::vector<ReadyStep> ready;
   for (const JobId& id : active_) {
     Job& job = jobs_.at(id);
-    if (HasLiveRuns(job)) job.last_active_at = now;
+    if (job.live_runs > 0) job.last_active_at = now;
     for (std::size_t i = 0; i < job.steps.size(); ++i) {
       Step& step = job.steps[i];
       if (!StepIsReady(job, i)) {
@@ -256,6 +256,7 @@
   task.run = RunNumber((term_.value() - 1) * kRunsPerTerm + task.runs);
   task.worker = worker.node;
   ++task.live_runs;
+  ++job.live_runs;
   Order order;
   order.start = true;
   order.task = id;
@@ -275,7 +276,7 @@
   // the run may be.
   NameAgent(job, StepIndex(job, id), worker.node);
   pending_orders_.push_back({worker.node, std::move(order), job.version});
-  ++counts_.runs_started;
+  ++counts_.starts_planned;
 }
 
 void SchedulerCore::StartTasks(TimePoint now, Pass& pass, Job& job, std::size_t step,
@@ -307,12 +308,11 @@
     StartTask(now, job, IdOf(job, step, static_cast<std::size_t>(tasks[i])), *pass_worker.worker,
               spec.gang ? gang_checkpoint : task.checkpoint);
   }
-  if (!job.started) {
-    job.started = true;
-    LogDecision(fmt::format(
-        "job={} queue={} step={} tasks={} starting the first tasks of the job, waited_ms={}",
-        job.spec.id.value(), job.spec.queue.value(), step, tasks.size(),
-        wall_ms_ - job.spec.accepted_unix_ms));
+  if (!job.begun && state.tasks[static_cast<std::size_t>(tasks.front())].runs == 1) {
+    LogDecision(
+        fmt::format("job={} queue={} step={} tasks={} first start of the job planned, waited_ms={}",
+                    job.spec.id.value(), job.spec.queue.value(), step, tasks.size(),
+                    wall_ms_ - job.spec.accepted_unix_ms));
   }
 }
 
--- a/src/fleet/scheduler_reports.cc
+++ b/src/fleet/scheduler_reports.cc
@@ -240,6 +240,7 @@
       run.needs = SpecOf(*job, StepIndex(*job, row.task)).needs;
       Task& task = TaskOf(*job, row.task);
       ++task.live_runs;
+      ++job->live_runs;
       NameAgent(*job, StepIndex(*job, row.task), worker.node);
       // The last run was given up with a former incarnation of this worker if it is listed again.
       const bool is_last_run = row.run == task.run && task.worker == worker.node;
@@ -249,7 +250,6 @@
         task.phase = TaskPhase::kActive;
         task.run = row.run;
         task.worker = worker.node;
-        job->started = true;
         if (task.crashed_runs.erase(row.run) > 0) {
           // The new incarnation carries it out, so it has not ended with the former one.
           task.failed_on.erase(worker.node);
@@ -263,7 +263,8 @@
     found = worker.runs.emplace(key, std::move(run)).first;
   }
   Allocation& run = found->second;
-  run.confirmed = true;
+  ConfirmRun(run);
+  if (job != nullptr) RecordBegin(now, worker, *job, key, "listed");
   if (run.visible_from_poll == 0) run.visible_from_poll = poll;
   if (!row.checkpoint.empty()) run.checkpoint = row.checkpoint;
   if (!run.first_percent) {
--- a/src/fleet/scheduler_runs.cc
+++ b/src/fleet/scheduler_runs.cc
@@ -53,6 +53,7 @@
   Allocation run;
   Duration ran;
   if (const auto known = worker.runs.find(key); known != worker.runs.end()) {
+    ConfirmRun(known->second);
     if (!end.checkpoint.empty()) known->second.checkpoint = end.checkpoint;
     run = known->second;
     ran = now - run.working_since;
@@ -60,7 +61,12 @@
   }
   Job* ended_job = FindJob(end.task);
   if (ended_job != nullptr && !IsFinal(ended_job->phase)) {
+    RecordBegin(now, worker, *ended_job, key, "ended");
+    const std::uint64_t version = ended_job->version;
     ApplyEnd(now, worker, *ended_job, key, outcome, run, ran);
+    // Once the end is acknowledged, only the record shows that the job has begun.
+    const bool begin_unrecorded = unrecorded_begins_.erase(ended_job->spec.id) > 0;
+    if (begin_unrecorded && ended_job->version == version) ++ended_job->version;
   }
   const auto found = jobs_.find(end.task.job);
   std::uint64_t record_version = 0;
@@ -183,6 +189,7 @@
   if (job == nullptr) return;
   Task& task = TaskOf(*job, key.task);
   --task.live_runs;
+  --job->live_runs;
   Step& step = job->steps[StepIndex(*job, key.task)];
   const bool quiet = std::none_of(step.tasks.begin(), step.tasks.end(),
                                   [](const Task& other) { return other.live_runs > 0; });
@@ -216,26 +223,17 @@
                      });
 }
 
-SchedulerCore::CrashEvidence SchedulerCore::EvidenceOf(const Allocation& run) {
-  const bool accepted_before_stop =
-      run.confirmed && (!run.stopping || run.working_since <= run.stopping_since);
-  if (run.stop_confirmed_at) return CrashEvidence::kStopped;
-  if (run.first_percent) return CrashEvidence::kListed;
-  if (run.stopping && !accepted_before_stop) return CrashEvidence::kStopped;
-  return run.confirmed ? CrashEvidence::kAccepted : CrashEvidence::kNone;
-}
-
-int SchedulerCore::CountCrashes(const Task& task, CrashEvidence evidence) {
+int SchedulerCore::CountCrashes(const Task& task, RunEvidence evidence) {
   return static_cast<int>(std::count_if(task.crashed_runs.begin(), task.crashed_runs.end(),
                                         [&](const auto& row) { return row.second == evidence; }));
 }
 
 int SchedulerCore::CountUncertainCrashes(const Task& task) {
-  return CountCrashes(task, CrashEvidence::kNone) + CountCrashes(task, CrashEvidence::kStopped);
+  return CountCrashes(task, RunEvidence::kNone) + CountCrashes(task, RunEvidence::kStopped);
 }
 
 int SchedulerCore::CountCertainCrashes(const Task& task) {
-  return CountCrashes(task, CrashEvidence::kAccepted) + CountCrashes(task, CrashEvidence::kListed);
+  return CountCrashes(task, RunEvidence::kAccepted) + CountCrashes(task, RunEvidence::kListed);
 }
 
 void SchedulerCore::CountCrash(TimePoint now, Worker& worker, const AgentReport& report) {
@@ -248,14 +246,14 @@
   };
   // Runs that a poll has listed have worked beside each other without a crash, so the cause is
   // sought among the later ones first, as far as these were active.
-  const bool any_accepted = std::any_of(
-      worker.runs.begin(), worker.runs.end(),
-      [](const auto& row) { return EvidenceOf(row.second) == CrashEvidence::kAccepted; });
+  const bool any_accepted =
+      std::any_of(worker.runs.begin(), worker.runs.end(),
+                  [](const auto& row) { return EvidenceOf(row.second) == RunEvidence::kAccepted; });
   for (const auto& [key, run] : worker.runs) {
     Job* job = FindJob(key.task);
-    const CrashEvidence evidence = EvidenceOf(run);
+    const RunEvidence evidence = EvidenceOf(run);
     if (job == nullptr || IsFinal(job->phase) || AwaitsOrder(worker.node, key)) continue;
-    if (evidence == CrashEvidence::kListed && any_accepted) continue;
+    if (evidence == RunEvidence::kListed && any_accepted) continue;
     if (TaskOf(*job, key.task).phase == TaskPhase::kDone) continue;
     RecordCrash(now, worker, *job, key, run);
     LogDecision(fmt::format(
@@ -275,7 +273,7 @@
 
 void SchedulerCore::RecordCrash(TimePoint now, const Worker& worker, Job& job, const RunKey& key,
                                 const Allocation& run) {
-  const CrashEvidence evidence = EvidenceOf(run);
+  const RunEvidence evidence = EvidenceOf(run);
   Task& task = TaskOf(job, key.task);
   task.failed_on.insert(worker.node);
   Duration pause = kRetryDelay;
@@ -298,15 +296,16 @@
   task.not_before = now + pause;
 }
 
-void SchedulerCore::CountCrashOfAcceptedRun(Worker& worker, const RunKey& key,
+void SchedulerCore::CountCrashOfAcceptedRun(TimePoint now, Worker& worker, const RunKey& key,
                                             std::uint64_t batch) {
   Job* job = FindJob(key.task);
   if (job == nullptr || IsFinal(job->phase)) return;
   Task& task = TaskOf(*job, key.task);
   const auto found = task.crashed_runs.find(key.run);
-  if (found == task.crashed_runs.end() || found->second != CrashEvidence::kNone) return;
+  if (found == task.crashed_runs.end() || found->second != RunEvidence::kNone) return;
+  RecordBegin(now, worker, *job, key, "accepted");
   if (task.phase == TaskPhase::kDone) return;
-  found->second = CrashEvidence::kAccepted;
+  found->second = RunEvidence::kAccepted;
   ++counts_.crashes_counted;
   ++job->version;
   LogDecision(fmt::format(
@@ -318,7 +317,7 @@
 
 void SchedulerCore::FailIfWorkersCrashed(Job& job, std::size_t step, std::size_t index) {
   const Task& task = job.steps[step].tasks[index];
-  const int early = CountCrashes(task, CrashEvidence::kAccepted);
+  const int early = CountCrashes(task, RunEvidence::kAccepted);
   const int certain = CountCertainCrashes(task);
   const int lost_starts = CountUncertainCrashes(task);
   const bool early_used_up = early >= kMinCertainCrashes && early + lost_starts >= kMaxEarlyCrashes;
--- a/tests/fleet/fleet_harness.h
+++ b/tests/fleet/fleet_harness.h
@@ -83,6 +83,7 @@
   bool RunUntil(const JobId& job, JobPhase phase, std::int64_t limit_ms);
 
   SchedulerCore& core() { return *core_; }
+  const SchedulerCore& core() const { return *core_; }
   std::int64_t now_ms() const { return now_ms_; }
   std::optional<JobPhase> PhaseOf(const JobId& job) const { return core_->PhaseOf(job); }
   /// All started runs in the order of their starts, with the agent of each.
