Count the age of a summary from when it was asked for

Callers may get a count of pending jobs that is up to 2 s old. An entry used a summary for 1.9 s from its arrival, and its way from the scheduler may take up to the time-out of the query, 0.6 s, so that the count could be 2.5 s old.

--- a/include/basilspring/fleet/entry_server.h
+++ b/include/basilspring/fleet/entry_server.h
@@ -163,7 +163,8 @@
   /// is too old.
   void AnswerPendingCount(const ExchangePtr& exchange);
   void AnswerFromSummary(const ExchangePtr& exchange);
-  void OnSummary(TimePoint now, const SummaryReply& reply);
+  /// Processes the answer to a query that was sent at `asked_at`, from which its age counts.
+  void OnSummary(TimePoint asked_at, const SummaryReply& reply);
   /// Time until the answer has to be sent for the caller to get it within its timeout and before
   /// the process ends.
   Duration TimeLeft(const Exchange& exchange) const;
@@ -200,7 +201,7 @@
   /// When the next probe is due while the store is unavailable, and when the last one failed.
   TimePoint next_probe_;
   std::optional<TimePoint> last_failed_probe_;
-  /// The last summary that the scheduler sent, and when it came.
+  /// The last summary that the scheduler sent, and when it was asked for.
   SummaryReply summary_;
   TimePoint summary_at_;
   std::vector<Address> known_peers_;
--- a/src/fleet/entry_queries.cc
+++ b/src/fleet/entry_queries.cc
@@ -95,9 +95,9 @@
   internal::CallPeer<SummaryReply>(
       context_.peers, scheduler_, SummaryQuery{context_.node, context_.own_address, term_},
       kSchedulerTimeout,
-      [this, alive = alive_, exchange](const std::optional<SummaryReply>& reply) {
+      [this, alive = alive_, exchange, now](const std::optional<SummaryReply>& reply) {
         if (!*alive) return;
-        if (reply) OnSummary(Clock::Now(), *reply);
+        if (reply) OnSummary(now, *reply);
         if (reply && reply->accepted) {
           AnswerFromSummary(exchange);
         } else {
--- a/src/fleet/entry_server.cc
+++ b/src/fleet/entry_server.cc
@@ -60,7 +60,8 @@
   next_summary_ = TimePoint();
 }
 
-void EntryServer::OnSummary(TimePoint now, const SummaryReply& reply) {
+void EntryServer::OnSummary(TimePoint asked_at, const SummaryReply& reply) {
+  const TimePoint now = Clock::Now();
   if (!reply.accepted) {
     if (reply.term > term_) OnScheduler(reply.term, reply.scheduler);
     // The process asked has lost the lease or is not ready yet. Clearing the time of the last
@@ -71,7 +72,7 @@
   }
   last_contact_ = now;
   summary_ = reply;
-  summary_at_ = now;
+  summary_at_ = asked_at;
   known_peers_ = reply.peers;
 }
 
@@ -102,11 +103,11 @@
   summary_in_flight_ = true;
   internal::CallPeer<SummaryReply>(
       context_.peers, scheduler_, query, kSummaryTimeout,
-      [this, alive = alive_](const std::optional<SummaryReply>& reply) {
+      [this, alive = alive_, now](const std::optional<SummaryReply>& reply) {
         if (!*alive) return;
         summary_in_flight_ = false;
         if (reply) {
-          OnSummary(Clock::Now(), *reply);
+          OnSummary(now, *reply);
         } else {
           next_summary_ = Clock::Now() + kSummaryRetry;
         }
--- a/tests/fleet/entry_server_test.cc
+++ b/tests/fleet/entry_server_test.cc
@@ -35,6 +35,16 @@
 
 constexpr const char* kJobBody = R"({"spec":"s","steps":[{"count":1,"cpu":1,"mem_mb":1}]})";
 
+/// Keeps the last answer with a count.
+class CountKeepingFormat : public platform::PlatformCallerFormat {
+ public:
+  HttpResponse Encode(const CallerAnswer& answer) const override {
+    if (const auto* count = std::get_if<PendingAnswer>(&answer)) last = *count;
+    return PlatformCallerFormat::Encode(answer);
+  }
+  mutable std::optional<PendingAnswer> last;
+};
+
 class EntryServerTest : public ::testing::Test {
  protected:
   EntryServerTest() { entry_.SetOperatorState(MakeState()); }
@@ -272,6 +282,53 @@
   EXPECT_EQ(held->status, 404);
 }
 
+// Guards against a count of pending jobs that is older than callers are promised, because the time
+// that the scheduler's answer took is left out of its age.
+TEST_F(EntryServerTest, TheAgeOfACountIncludesTheTimeOfItsTransfer) {
+  constexpr Duration kTransfer(150);
+  const Address scheduler{fmt::format("127.6.{}.{}", ::getpid() / 256 % 256, ::getpid() % 256),
+                          7992};
+  HttpServer server(io_, scheduler,
+                    [&](const HttpRequest&, const std::shared_ptr<HttpResponder>& out) {
+                      io_.PostAfter(kTransfer, [out] {
+                        SummaryReply reply;
+                        reply.accepted = true;
+                        reply.queues.push_back({QueueId("q"), 7});
+                        HttpResponse response;
+                        response.body = internal::EncodePeerBody(reply);
+                        out->Respond(std::move(response));
+                      });
+                    });
+  std::deque<std::function<void()>> posted;
+  const Executor executor = [&](const std::function<void()>& work) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    posted.push_back(work);
+  };
+  const auto run_posted = [&] {
+    std::deque<std::function<void()>> due;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      due.swap(posted);
+    }
+    for (const auto& work : due) work();
+  };
+  PeerClient peers(http_, executor);
+  const CountKeepingFormat format;
+  EntryServer entry({access_, peers, executor, [](Duration, const std::function<void()>&) {},
+                     format, metrics_, NodeId("entry"), Address{"127.0.0.1", 1},
+                     [] { return nullptr; }, EntryLimits(), false});
+  entry.SetOperatorState(MakeState());
+  entry.OnScheduler(Term(1), scheduler);
+  const auto answer = Send(entry, "GET", "/q/");
+  EXPECT_TRUE(Eventually([&] {
+    run_posted();
+    return answer->status == 200;
+  }));
+  ASSERT_TRUE(format.last);
+  EXPECT_EQ(format.last->pending, 7);
+  EXPECT_GE(format.last->age, kTransfer);
+}
+
 // Guards against jobs and cancellations that the scheduler learns of only when its watch is
 // renewed: with the setting, it gets a notice with the revision of each stored item, and no other.
 TEST_F(EntryServerTest, SendsNoticesOfStoredItemsOnlyWithTheSetting) {
