Soak: refused starts, and no job is running before a task has started

New set of faults, refusals: most backend servers answer starts and stops with 503 or 429, together with killed and paused schedulers, killed agents, cuts and crashes. New rule: a job is shown as running only once a task of it has started. Two tests of the rule on idle capacity moved the only run of their record behind an answer "running", which the new rule rightly reports; that answer is "queued" there now, and the number of violations that they expect is the same.

--- a/cmake/scripts_tests.cmake
+++ b/cmake/scripts_tests.cmake
@@ -15,10 +15,11 @@
 set_tests_properties(cancel_cases PROPERTIES RUN_SERIAL TRUE TIMEOUT 180 ENVIRONMENT "BUILD_DIR=${CMAKE_BINARY_DIR}")
 # Checks that the platform's names are used only in platform/, so that the product does not depend on them.
 add_test(NAME platform_names COMMAND ${CMAKE_SOURCE_DIR}/scripts/check-platform-names.sh)
-# The soak test with faults: one short run of each of three sets of faults, and the seeds that have failed before.
+# The soak test with faults: one short run of each of four sets of faults, and the seeds that have failed before.
 add_test(NAME soak_ci COMMAND ${CMAKE_SOURCE_DIR}/scripts/soak.sh --seed 1 --seconds 20)
 add_test(NAME soak_servers_ci COMMAND ${CMAKE_SOURCE_DIR}/scripts/soak.sh --seed 3 --seconds 20 --faults servers)
 add_test(NAME soak_store_ci COMMAND ${CMAKE_SOURCE_DIR}/scripts/soak.sh --seed 3907 --seconds 5 --faults store)
+add_test(NAME soak_refusals_ci COMMAND ${CMAKE_SOURCE_DIR}/scripts/soak.sh --seed 4901 --seconds 10 --faults refusals)
 add_test(NAME soak_kept_seeds COMMAND ${CMAKE_SOURCE_DIR}/scripts/soak.sh --kept)
-set_tests_properties(soak_ci soak_servers_ci soak_store_ci soak_kept_seeds PROPERTIES RUN_SERIAL TRUE TIMEOUT 240 ENVIRONMENT
+set_tests_properties(soak_ci soak_servers_ci soak_store_ci soak_refusals_ci soak_kept_seeds PROPERTIES RUN_SERIAL TRUE TIMEOUT 240 ENVIRONMENT
                      "BUILD_DIR=${CMAKE_BINARY_DIR}")
--- a/standin/platform_worker.cc
+++ b/standin/platform_worker.cc
@@ -70,6 +70,9 @@
     responder->Respond(response);
   } else if (request.Header("target-instance") != id_) {
     responder->Respond(Reply(421, json::object()));
+  } else if (order_status_ != 200 &&
+             (request.path == "/run-start" || request.path == "/run-stop")) {
+    responder->Respond(Reply(order_status_, json::object()));
   } else if (request.path == "/run-start") {
     responder->Respond(Start(request, now_ms));
   } else if (request.path == "/run-stop") {
--- a/standin/platform_worker.h
+++ b/standin/platform_worker.h
@@ -42,6 +42,8 @@
   /// Ends runs whose work is done, whose stop is due or whose lease has expired, and answers polls
   /// if an end is to be reported or their wait time has passed. Must be called periodically.
   void Tick(std::int64_t now_ms);
+  /// Lets starts and stops be answered with this status without being carried out; 200 ends this.
+  void SetOrderStatus(int status) { order_status_ = status; }
   /// Returns the body of the next announcement; each has a higher sequence number.
   std::string Announcement(const std::string& address);
 
@@ -87,6 +89,7 @@
   std::string zone_;
   Acknowledges acknowledges_;
   std::int64_t started_unix_ms_;
+  int order_status_ = 200;
   std::int64_t sequence_ = 0;
   std::int64_t fence_token_ = 0;
   std::int64_t lease_until_ms_ = 0;
--- a/standin/soak_fault_kinds.cc
+++ b/standin/soak_fault_kinds.cc
@@ -191,6 +191,17 @@
   return [&relay] { relay.RefuseConnections(false); };
 }
 
+/// Lets most backend servers refuse starts and stops as unhealthy ones do.
+SoakFaults::Undo SoakFaults::RefuseOrders() {
+  const int status = RandomBelow(2) == 0 ? 503 : 429;
+  for (std::size_t i = 0; i < fleet_.workers(); ++i) {
+    if (RandomBelow(4) != 0) fleet_.SetOrderStatus(i, status);
+  }
+  return [this] {
+    for (std::size_t i = 0; i < fleet_.workers(); ++i) fleet_.SetOrderStatus(i, 200);
+  };
+}
+
 SoakFaults::Undo SoakFaults::AnnounceForeign() {
   fleet_.AnnounceForeign(RandomBelow(fleet_.workers()), RandomBelow(2) == 0);
   return {};
--- a/standin/soak_faults.cc
+++ b/standin/soak_faults.cc
@@ -57,6 +57,15 @@
       {"backend server and agent restart", &SoakFaults::RestartWorkerAndAgent},
       {"late calls to a restarted backend server", &SoakFaults::DelayCallsToRestartedWorker},
   }};
+  static constexpr std::array<FaultKind, 7> kRefusalKinds = {{
+      {"backend servers refuse orders", &SoakFaults::RefuseOrders},
+      {"backend servers refuse orders", &SoakFaults::RefuseOrders},
+      {"kill scheduler", &SoakFaults::KillScheduler},
+      {"pause scheduler", &SoakFaults::PauseScheduler},
+      {"kill agent", &SoakFaults::KillAgent},
+      {"cut from backend server", &SoakFaults::CutFromWorker},
+      {"backend server crashes", &SoakFaults::CrashWorker},
+  }};
   static constexpr std::array<FaultKind, 23> kAllKinds = {{
       {"kill", &SoakFaults::Kill},
       {"kill scheduler", &SoakFaults::KillScheduler},
@@ -89,6 +98,8 @@
       return kServerKinds;
     case SoakFaultSet::kStore:
       return kStoreKinds;
+    case SoakFaultSet::kRefusals:
+      return kRefusalKinds;
     case SoakFaultSet::kAll:
       break;
   }
--- a/standin/soak_faults.h
+++ b/standin/soak_faults.h
@@ -18,7 +18,7 @@
 
 /// The kinds of faults of a soak.
 enum class SoakFaultSet : std::uint8_t {
-  /// All kinds but those that were added for kServers and kStore. Each set has a list of its own,
+  /// All kinds but those that were added for the sets below. Each set has a list of its own,
   /// so that a kept seed draws the same faults as before.
   kAll,
   /// Planned work only.
@@ -28,6 +28,8 @@
   /// Incomplete, lost and late answers of the store, together with lost schedulers, agents and
   /// backend servers.
   kStore,
+  /// Backend servers that refuse starts, together with lost schedulers, agents and backend servers.
+  kRefusals,
 };
 
 /// What the faults need of the soak.
@@ -101,6 +103,7 @@
   Undo ChangeConfiguration();
   Undo Evacuate();
   Undo RefuseWorkerConnections();
+  Undo RefuseOrders();
   Undo AnnounceForeign();
   Undo DelayReportsOfKilledAgent();
 
--- a/standin/soak_fleet.cc
+++ b/standin/soak_fleet.cc
@@ -325,6 +325,10 @@
   workers_[index].server = MakeWorkerServer(index);
 }
 
+void SoakFleet::SetOrderStatus(std::size_t index, int status) {
+  RunOnIo([&] { workers_[index].incarnation->SetOrderStatus(status); });
+}
+
 void SoakFleet::KeepCrashedRuns(std::size_t index) {
   Worker& worker = workers_[index];
   std::vector<SoakRun> runs = RunsOfIncarnation(index);
--- a/standin/soak_fleet.h
+++ b/standin/soak_fleet.h
@@ -107,6 +107,9 @@
   /// Makes a backend server lose all calls for this time. Each is carried out 2 to 12 s later, by
   /// the incarnation that then runs, and its answer reaches nobody.
   void LoseCalls(std::size_t index, Duration time);
+  /// Makes a backend server refuse starts and stops with this HTTP status; 200 ends this, as does
+  /// a restart.
+  void SetOrderStatus(std::size_t index, int status);
   std::size_t workers() const { return workers_.size(); }
   /// Returns the number of ends of runs on all backend servers since their last restart, and how
   /// many of these are acknowledged.
--- a/standin/soak_main.cc
+++ b/standin/soak_main.cc
@@ -246,6 +246,7 @@
 SoakFaultSet FaultSetOf(const std::string& name) {
   if (name == "planned") return SoakFaultSet::kPlanned;
   if (name == "servers") return SoakFaultSet::kServers;
+  if (name == "refusals") return SoakFaultSet::kRefusals;
   return name == "store" ? SoakFaultSet::kStore : SoakFaultSet::kAll;
 }
 
@@ -264,7 +265,8 @@
   TCLAP::ValueArg<int> agents("", "agents", "Agents", false, 5, "N", command_line);
   TCLAP::ValueArg<int> network("", "network", "Second byte of the loopback addresses", false, 40,
                                "N", command_line);
-  TCLAP::ValuesConstraint<std::string> fault_names({"all", "planned", "servers", "store"});
+  TCLAP::ValuesConstraint<std::string> fault_names(
+      {"all", "planned", "servers", "store", "refusals"});
   TCLAP::ValueArg<std::string> faults("", "faults", "Kinds of faults", false, "all", &fault_names,
                                       command_line);
   TCLAP::ValuesConstraint<std::string> shape_names({"small", "ondh"});
--- a/standin/soak_rules.cc
+++ b/standin/soak_rules.cc
@@ -163,6 +163,10 @@
         AddViolation("job {} is reported as {} at {}, after completed at {}", job.id, answer.phase,
                      answer.answered_ms, *completed_ms);
       }
+      if (answer.phase == "running" && !HasBegunBy(job, answer.answered_ms)) {
+        AddViolation("job {} is reported as running at {}, though no task has started", job.id,
+                     answer.answered_ms);
+      }
       if (answer.phase == "completed" && !completed_ms) completed_ms = answer.answered_ms;
       if (answer.phase == "failed") {
         AddViolation("job {} is reported as failed, though no run failed", job.id);
@@ -173,6 +177,12 @@
     }
   }
 
+  bool HasBegunBy(const SoakJob& job, std::int64_t time_ms) const {
+    return std::any_of(record_.runs.begin(), record_.runs.end(), [&](const SoakRun& run) {
+      return run.job == job.id && run.started_ms <= time_ms;
+    });
+  }
+
   static bool InProgressAt(const SoakRun& run, std::int64_t time_ms) {
     return run.started_ms <= time_ms && (run.end.empty() || run.ended_ms > time_ms);
   }
--- a/tests/standin/soak_rules_test.cc
+++ b/tests/standin/soak_rules_test.cc
@@ -119,6 +119,13 @@
   EXPECT_EQ(CheckSoakRecord(record).violations.size(), 1U);
 }
 
+TEST(SoakRulesTest, DetectsARunningPhaseBeforeAnyStart) {
+  SoakRecord record = ValidRecord();
+  record.jobs["j"].phase_answers.insert(record.jobs["j"].phase_answers.begin(),
+                                        {950, 960, "running"});
+  EXPECT_EQ(CheckSoakRecord(record).violations.size(), 1U);
+}
+
 TEST(SoakRulesTest, DetectsARunningPhaseAfterCompletion) {
   SoakRecord record = ValidRecord();
   record.jobs["j"].phase_answers.push_back({2300, 2310, "running"});
@@ -172,6 +179,7 @@
   SoakRecord record = ValidRecord();
   record.capacity = 4;
   record.quiet_from_ms = 10000;
+  record.jobs["j"].phase_answers.front().phase = "queued";
   record.jobs["j"].phase_answers.back() = {29000, 29010, "completed"};
   // From 14 s after the end of the traffic and the faults, a job may wait 3 s beside idle capacity.
   record.runs.front() = RunOf(27100, 28000, "done");
@@ -198,6 +206,7 @@
   SoakRecord record = ValidRecord();
   record.capacity = 2;
   record.quiet_from_ms = 10000;
+  record.jobs["j"].phase_answers.front().phase = "queued";
   record.jobs["j"].phase_answers.back() = {31500, 31510, "completed"};
   record.runs.front() = RunOf(30000, 31000, "done");
   // Another job uses half of the capacity until 29 s.
