--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -6,7 +6,8 @@
 # --faults planned leaves only stops and reloads of entries, changes of the configuration and failures of the store;
 # --faults servers plays faults between agents, their backend servers and the scheduler; --faults store plays incomplete,
 # lost and late answers of the store together with lost schedulers, agents and backend servers, and ends with a loss of
-# power of all processes; --faults refusals plays backend servers that refuse starts. --shape ondh plays 3 data centres, 11 agents and the jobs of that site.
+# power of all processes; --faults refusals plays backend servers that refuse starts, together with lost schedulers, agents
+# and backend servers. --shape ondh plays 3 data centres, 11 agents and the jobs of that site.
 # soak.sh --kept runs all seeds of scripts/soak-seeds.txt in parallel. Exits 0 only if no rule was broken. The folder
 # with the logs is kept if the run failed, or if KEEP=1 is set.
 set -euo pipefail
--- a/src/fleet/scheduler_begins.cc
+++ b/src/fleet/scheduler_begins.cc
@@ -8,8 +8,8 @@
 namespace basilspring::fleet {
 namespace {
 
-// Jobs that begin within this time share a write, or are written with their first ends. Shorter
-// than a change of the scheduler, whose successor needs the record if the runs are lost too.
+// Jobs that begin within this time share a write, or are written with their first ends. Less than a
+// change of the scheduler takes; the next one needs the record only if the runs are lost too.
 constexpr Duration kBeginRecordDelay(500);
 
 }  // namespace
--- a/src/fleet/scheduler_queries.cc
+++ b/src/fleet/scheduler_queries.cc
@@ -20,7 +20,7 @@
   const Job& job = found->second;
   if (IsFinal(job.phase) && job.phase_stored) return job.phase;
   if (job.record_fault == RecordFault::kUnreadable) return std::nullopt;
-  // The end is not shown yet.
+  // An end that is not stored yet is not shown.
   return job.begun ? JobPhase::kRunning : JobPhase::kQueued;
 }
 
